--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod sched;
 pub mod state;
 pub mod timeline;
+pub mod workload;
 
 mod calls;
 mod step;
--- /dev/null
+++ b/src/core/workload/placer/fleet.rs
@@ -0,0 +1,300 @@
+//! VMs that the placer knows: their lease, their clock, what was started on them.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use super::book::JobKey;
+use super::book::TaskKey;
+use crate::core::model::Now;
+use crate::core::model::RackId;
+use crate::core::model::Resources;
+use crate::core::model::ServiceId;
+use crate::core::model::VmId;
+use crate::core::model::ZoneId;
+use crate::core::workload::event::VmRow;
+use crate::core::workload::task::RunNumber;
+
+/// Key of a VM in the fleet.
+pub(super) type VmKey = u32;
+
+/// Slowest that a VM's clock runs, as a part of true time.
+const SLOWEST_CLOCK: f64 = 0.98;
+
+/// Margin for a lease to have lapsed on a VM, in milliseconds of its clock.
+const LAPSE_MARGIN_MS: u64 = 60;
+
+/// All VMs.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    pub vms: FxHashMap<VmKey, Vm>,
+    ids: FxHashMap<VmId, VmKey>,
+    last: VmKey,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub(super) struct Vm {
+    pub id: VmId,
+    pub address: Box<str>,
+    pub service: ServiceId,
+    pub zone: ZoneId,
+    pub labels: Vec<Box<str>>,
+    pub rack: RackId,
+    pub capacity: Resources,
+    /// Whether its row is in the table.
+    pub listed: bool,
+    /// When it was first seen to be leaving.
+    pub draining_since: Option<Now>,
+    /// When it may be gone, if it is leaving.
+    pub leaves_at: Option<Now>,
+    /// Whether it is in the roster.
+    pub registered: bool,
+    /// Start of its lifetime; zero while unknown.
+    pub born: u64,
+    /// Reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// Latest end of a lease that was asked for, on its clock.
+    pub lease_end_ms: u64,
+    /// Whether it has answered a renewal of this epoch.
+    pub fenced: bool,
+    /// Last end that was taken in.
+    pub seen_end: u64,
+    /// Last end whose consequences are in the table.
+    pub noted_end: u64,
+    /// What its tasks take.
+    pub used: Resources,
+    /// Processor time that tasks which fill ask for, in thousandths of a core.
+    pub filler_milli: u32,
+    pub runs: FxHashMap<TaskKey, Run>,
+    pub hold: Hold,
+    /// When it last answered.
+    pub heard: Now,
+    /// Not used before, after it refused a start for want of room or for ill health.
+    pub avoid_until: Now,
+    /// Failures of different jobs in a row.
+    pub failures: u32,
+    /// Job that failed there last.
+    pub failed_job: Option<JobKey>,
+}
+
+/// State of a VM's renewals.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Hold {
+    /// When the one under way was sent.
+    pub sent: Option<Now>,
+    /// When the next is due.
+    pub next_at: Now,
+    /// Renewals lost in a row.
+    pub misses: u32,
+}
+
+/// A reading of a VM's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    /// What it showed, in milliseconds.
+    pub ms: u64,
+    /// Latest time at which it can have shown it.
+    pub received: Now,
+    /// Earliest time at which it can have shown it.
+    pub sent: Now,
+}
+
+/// A run that a VM has, or may have.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub number: RunNumber,
+    pub room: Resources,
+    pub demand: Resources,
+    pub sent: Now,
+    pub phase: Phase,
+    /// Speed in percent, as the VM last listed it.
+    pub percent: u32,
+    /// Speed last ordered and not yet listed.
+    pub ordered_percent: Option<u32>,
+    /// Tail latency in milliseconds or processor use, as last listed.
+    pub figure: u64,
+}
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// The start is under way.
+    Starting,
+    /// The VM has it.
+    Running {
+        /// When that was heard.
+        since: Now,
+    },
+    /// The start got no answer.
+    Unconfirmed,
+    /// A stop was ordered.
+    Stopping {
+        /// When the VM took the stop.
+        acked: Option<Now>,
+        /// When to order it again without an answer.
+        retry_at: Now,
+    },
+}
+
+impl Fleet {
+    /// The key of a VM.
+    pub fn key(&self, id: &str) -> Option<VmKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// A VM by its id.
+    pub fn by_id(&mut self, id: &str) -> Option<(VmKey, &mut Vm)> {
+        let key = self.key(id)?;
+        Some((key, self.vms.get_mut(&key)?))
+    }
+
+    /// Adds a VM of which only the address is known, or returns it.
+    pub fn add(&mut self, id: &str, address: &str, now: Now) -> VmKey {
+        if let Some(key) = self.key(id) {
+            return key;
+        }
+        self.last += 1;
+        self.ids.insert(id.into(), self.last);
+        self.vms.insert(self.last, Vm::new(id, address, now));
+        self.last
+    }
+
+    /// Forgets a VM.
+    pub fn remove(&mut self, key: VmKey) {
+        if let Some(vm) = self.vms.remove(&key) {
+            self.ids.remove(&vm.id);
+        }
+    }
+
+    /// Keys of all VMs, in steady order.
+    pub fn keys(&self) -> Vec<VmKey> {
+        let mut keys: Vec<VmKey> = self.vms.keys().copied().collect();
+        keys.sort_unstable();
+        keys
+    }
+}
+
+impl Vm {
+    fn new(id: &str, address: &str, now: Now) -> Self {
+        Self {
+            id: id.into(),
+            address: address.into(),
+            service: "".into(),
+            zone: "".into(),
+            labels: Vec::new(),
+            rack: "".into(),
+            capacity: Resources::ZERO,
+            listed: false,
+            draining_since: None,
+            leaves_at: None,
+            registered: false,
+            born: 0,
+            clock: None,
+            lease_end_ms: 0,
+            fenced: false,
+            seen_end: 0,
+            noted_end: 0,
+            used: Resources::ZERO,
+            filler_milli: 0,
+            runs: FxHashMap::default(),
+            hold: Hold::default(),
+            heard: now,
+            avoid_until: Now::ZERO,
+            failures: 0,
+            failed_job: None,
+        }
+    }
+
+    /// Takes what the VM says of itself in the table.
+    pub fn describe(&mut self, row: VmRow, now: Now) {
+        self.listed = true;
+        self.address = row.address;
+        self.service = row.service;
+        self.zone = row.zone;
+        self.labels = row.labels;
+        self.rack = row.rack;
+        self.capacity = row.capacity;
+        if row.draining {
+            self.draining_since.get_or_insert(now);
+            self.leaves_at = row.remaining.map(|left| now + left);
+        } else {
+            self.draining_since = None;
+            self.leaves_at = None;
+        }
+    }
+
+    /// Whether new work may be started there.
+    pub fn is_usable(&self, now: Now) -> bool {
+        self.listed
+            && self.registered
+            && self.fenced
+            && self.draining_since.is_none()
+            && self.hold.misses == 0
+            && now >= self.avoid_until
+    }
+
+    /// Room that nothing takes.
+    pub fn free(&self) -> Resources {
+        self.capacity.minus(&self.used)
+    }
+
+    /// End of a lease of `length` from now, on the VM's clock; `None` before its clock was read.
+    pub fn lease_from(&self, now: Now, length: Duration) -> Option<u64> {
+        let reading = self.clock?;
+        Some(reading.latest(now) + ms(length))
+    }
+
+    /// Whether no lease that was asked for can still hold.
+    pub fn has_lapsed(&self, now: Now) -> bool {
+        let reading = self.clock.as_ref();
+        reading.is_some_and(|reading| reading.earliest(now) > self.lease_end_ms + LAPSE_MARGIN_MS)
+    }
+
+    /// Notes a run.
+    pub fn insert(&mut self, key: TaskKey, run: Run) {
+        self.used = self.used.plus(&run.room);
+        if run.room.cpu_milli == 0 {
+            self.filler_milli += run.demand.cpu_milli;
+        }
+        self.runs.insert(key, run);
+    }
+
+    /// Forgets a run and frees its room.
+    pub fn take(&mut self, key: TaskKey) -> Option<Run> {
+        let run = self.runs.remove(&key)?;
+        self.used = self.used.minus(&run.room);
+        if run.room.cpu_milli == 0 {
+            self.filler_milli = self.filler_milli.saturating_sub(run.demand.cpu_milli);
+        }
+        Some(run)
+    }
+
+    /// A new lifetime: it has nothing of what was there.
+    pub fn reborn(&mut self, born: u64) {
+        self.born = born;
+        self.clock = None;
+        self.lease_end_ms = 0;
+        self.fenced = false;
+        self.seen_end = 0;
+        self.noted_end = 0;
+    }
+}
+
+impl ClockReading {
+    /// The least that the clock can show at `now`.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn earliest(&self, now: Now) -> u64 {
+        let passed = now.saturating_sub(self.received).as_secs_f64() * SLOWEST_CLOCK;
+        self.ms + (passed * 1_000.0) as u64
+    }
+
+    /// The most that the clock can show at `now`.
+    fn latest(&self, now: Now) -> u64 {
+        self.ms + ms(now.saturating_sub(self.sent))
+    }
+}
+
+fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/core/workload/placer/hold.rs
@@ -0,0 +1,380 @@
+//! Renewals of VMs' leases, and what the answers tell: which runs are there, and which ended.
+
+use std::time::Duration;
+
+use super::Lost;
+use super::Placer;
+use super::book::Place;
+use super::book::TaskKey;
+use super::fleet::ClockReading;
+use super::fleet::Phase;
+use super::fleet::Run;
+use super::fleet::Vm;
+use super::fleet::VmKey;
+use crate::core::model::Now;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::cx::millis;
+use crate::core::workload::cx::sooner;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::Request;
+use crate::core::workload::event::HeldBy;
+use crate::core::workload::event::HoldReport;
+use crate::core::workload::event::OrderError;
+use crate::core::workload::event::VmRow;
+use crate::core::workload::task::RunningTask;
+
+/// Longest time that ends wait for the table before the VM is asked again all the same.
+const UNNOTED_DELAY: Duration = Duration::from_millis(250);
+
+/// Ends that a VM lists in one answer; with as many, runs may be missing from both lists.
+const ENDS_IN_ANSWER: usize = 500;
+
+/// Time beyond that of a stop after which a run that no list holds is taken to be gone.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for which a former placer may have renewed leases after it lost the role.
+const FORMER_RENEWALS: Duration = Duration::from_secs(3);
+
+impl Placer {
+    /// Takes what a VM says of itself in the table.
+    pub(super) fn vm_seen(&mut self, cx: &mut Cx, row: VmRow) {
+        let key = self.fleet.add(&row.id, &row.address, cx.now);
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        let (id, born, draining) = (row.id.clone(), row.born, row.draining);
+        let cpu_milli = row.capacity.cpu_milli;
+        let known = vm.listed && vm.draining_since.is_some() == draining && vm.born == born;
+        vm.describe(row, cx.now);
+        if born > vm.born {
+            let former = vm.born;
+            if former == 0 {
+                vm.born = born;
+            } else {
+                self.vm_reborn(cx, key, born);
+            }
+        }
+        if !known {
+            cx.log(Decision::VmSeen {
+                vm: id,
+                draining,
+                born,
+                cpu_milli,
+            });
+        }
+        if draining {
+            self.evacuate(cx, key);
+        }
+    }
+
+    /// A VM's row was removed.
+    pub(super) fn vm_unlisted(&mut self, id: &str) {
+        if let Some((_, vm)) = self.fleet.by_id(id) {
+            vm.listed = false;
+        }
+    }
+
+    /// The table of VMs is about to be read whole.
+    pub(super) fn unlist_all(&mut self) {
+        for vm in self.fleet.vms.values_mut() {
+            vm.listed = false;
+        }
+    }
+
+    /// Sends the renewals that are due.
+    pub(super) fn renew(&mut self, cx: &mut Cx) {
+        for key in self.fleet.keys() {
+            let Some(vm) = self.fleet.vms.get_mut(&key) else {
+                continue;
+            };
+            if vm.hold.sent.is_some() || cx.now < vm.hold.next_at {
+                continue;
+            }
+            let options = &cx.options.vms;
+            let deadline_ms = vm.lease_from(cx.now, options.lease);
+            vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
+            let waits = vm.fenced && vm.noted_end == vm.seen_end && vm.hold.misses == 0;
+            let wait = if waits {
+                options.hold_wait
+            } else {
+                Duration::ZERO
+            };
+            vm.hold.sent = Some(cx.now);
+            let by = HeldBy {
+                vm: vm.id.clone(),
+                sent: cx.now,
+            };
+            let req = Request::Hold {
+                by,
+                address: vm.address.clone(),
+                epoch: self.owner.epoch,
+                deadline_ms,
+                ack: vm.noted_end,
+                wait,
+                timeout: wait + options.hold_margin,
+            };
+            cx.ask(req);
+        }
+    }
+
+    /// When the next renewal is due.
+    pub(super) fn next_renewal(&self) -> Option<Now> {
+        let idle = self.fleet.vms.values().filter(|vm| vm.hold.sent.is_none());
+        idle.fold(None, |at, vm| sooner(at, Some(vm.hold.next_at)))
+    }
+
+    /// Takes the answer to a renewal.
+    pub(super) fn held(
+        &mut self,
+        cx: &mut Cx,
+        by: &HeldBy,
+        result: Result<HoldReport, OrderError>,
+    ) -> Lost {
+        let (key, vm) = self.fleet.by_id(&by.vm)?;
+        if vm.hold.sent == Some(by.sent) {
+            vm.hold.sent = None;
+        }
+        match result {
+            Ok(report) => self.reported(cx, key, by.sent, &report),
+            Err(OrderError::Fenced) => return Some(format!("fenced by VM {}", by.vm).into()),
+            Err(err) => self.missed(cx, key, &err),
+        }
+        None
+    }
+
+    /// Gives up what ran on VMs whose leases have lapsed unrenewed.
+    pub(super) fn check_leases(&mut self, cx: &mut Cx) {
+        let horizon = self.taken_at + FORMER_RENEWALS + cx.options.vms.max_lease.mul_f64(1.05);
+        let mut unsettled = false;
+        for key in self.fleet.keys() {
+            let Some(vm) = self.fleet.vms.get(&key) else {
+                continue;
+            };
+            let silent = vm.hold.misses > 0;
+            if silent && !vm.runs.is_empty() && vm.has_lapsed(cx.now) {
+                self.drop_runs(cx, key, "its lease lapsed");
+            }
+            let Some(vm) = self.fleet.vms.get(&key) else {
+                continue;
+            };
+            unsettled |= !vm.fenced && vm.registered && cx.now < horizon;
+            let silent_for = cx.now.saturating_sub(vm.heard);
+            let forget = silent && !vm.listed && vm.runs.is_empty();
+            if forget && silent_for > cx.options.vms.forget_after {
+                cx.log(Decision::VmGone {
+                    vm: vm.id.clone(),
+                    reason: "unlisted and silent",
+                });
+                self.fleet.remove(key);
+            }
+        }
+        if !self.settled && !unsettled {
+            self.settled = true;
+            cx.log(Decision::Settled {
+                epoch: self.owner.epoch,
+                took_ms: millis(cx.now.saturating_sub(self.taken_at)),
+            });
+            self.want_round(cx.now);
+        }
+    }
+
+    fn reported(&mut self, cx: &mut Cx, key: VmKey, sent: Now, report: &HoldReport) {
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        if report.born != 0 && vm.born != 0 && report.born != vm.born {
+            if report.born < vm.born {
+                return;
+            }
+            self.vm_reborn(cx, key, report.born);
+        }
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        if report.born != 0 {
+            vm.born = report.born;
+        }
+        if !vm.fenced {
+            vm.fenced = true;
+            self.round_at = Some(cx.now);
+        }
+        vm.clock = Some(ClockReading {
+            ms: report.clock_ms,
+            received: cx.now,
+            sent,
+        });
+        contact(cx, vm);
+        for ended in report
+            .ended
+            .iter()
+            .filter(|ended| ended.number > vm.seen_end)
+        {
+            self.pending_ends.push((key, ended.clone()));
+        }
+        let complete = report.ended.len() < ENDS_IN_ANSWER;
+        self.take_ends(cx);
+        self.reconcile(cx, key, sent, &report.running, complete);
+        if let Some(vm) = self.fleet.vms.get_mut(&key) {
+            let noted = vm.noted_end == vm.seen_end;
+            let gap = cx.options.vms.hold_gap;
+            vm.hold.next_at = cx.now + if noted { gap } else { UNNOTED_DELAY };
+        }
+    }
+
+    fn missed(&mut self, cx: &mut Cx, key: VmKey, err: &OrderError) {
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        vm.hold.misses += 1;
+        vm.hold.next_at = cx.now + cx.options.vms.retry_delay;
+        if vm.hold.misses == 1 {
+            cx.log(Decision::VmContact {
+                vm: vm.id.clone(),
+                reachable: false,
+                silent_ms: millis(cx.now.saturating_sub(vm.heard)),
+                reason: format!("{err:?}").into(),
+            });
+        }
+    }
+
+    /// A VM has begun a new lifetime: nothing of the former one runs.
+    fn vm_reborn(&mut self, cx: &mut Cx, key: VmKey, born: u64) {
+        self.drop_runs(cx, key, "its VM started anew");
+        if let Some(vm) = self.fleet.vms.get_mut(&key) {
+            vm.reborn(born);
+            vm.hold.next_at = cx.now;
+        }
+    }
+
+    /// Forgets all runs of a VM; their tasks wait again.
+    pub(super) fn drop_runs(&mut self, cx: &mut Cx, key: VmKey, reason: &'static str) {
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return;
+        };
+        let id = vm.id.clone();
+        let mut runs: Vec<(TaskKey, u64)> = vm
+            .runs
+            .iter()
+            .map(|(&task, run)| (task, run.number))
+            .collect();
+        runs.sort_unstable();
+        for (task, run) in runs {
+            if let Some(name) = self.book.name(task) {
+                cx.log(Decision::RunLost {
+                    id: name.job.clone(),
+                    task: name.to_string().into(),
+                    run,
+                    vm: id.clone(),
+                    reason,
+                });
+            }
+            self.free(cx, key, task);
+        }
+    }
+
+    /// Compares the runs that a VM lists with those that it should have.
+    fn reconcile(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        sent: Now,
+        listed: &[RunningTask],
+        complete: bool,
+    ) {
+        for running in listed {
+            self.listed_run(cx, key, running);
+        }
+        if !complete {
+            return;
+        }
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return;
+        };
+        let missing = vm.runs.iter().filter(|(task, run)| {
+            let name = self.book.name(**task);
+            let is_listed =
+                |row: &RunningTask| Some(&row.task) == name.as_ref() && row.run == run.number;
+            is_overdue(run, sent, cx) && !listed.iter().any(is_listed)
+        });
+        let mut missing: Vec<(TaskKey, Run)> = missing.map(|(&task, &run)| (task, run)).collect();
+        missing.sort_unstable_by_key(|(task, _)| *task);
+        for (task, run) in missing {
+            match run.phase {
+                // The start may still arrive: a stop of the same number makes it void.
+                Phase::Starting | Phase::Unconfirmed => {
+                    self.order_stop(cx, key, task, "its start got no answer");
+                }
+                Phase::Running { .. } | Phase::Stopping { .. } => self.free(cx, key, task),
+            }
+        }
+    }
+
+    fn listed_run(&mut self, cx: &mut Cx, key: VmKey, row: &RunningTask) {
+        let Some(task) = self.book.find(&row.task) else {
+            return self.stop_stray(cx, key, row, "its job is unknown");
+        };
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        if let Some(run) = vm.runs.get_mut(&task)
+            && run.number == row.run
+        {
+            run.percent = row.percent;
+            run.figure = row.figure;
+            if run.ordered_percent == Some(row.percent) {
+                run.ordered_percent = None;
+            }
+            if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
+                run.phase = Phase::Running { since: cx.now };
+                self.mark_started(cx, task);
+            }
+            if let Some(state) = self.book.task_mut(task)
+                && !row.checkpoint.is_empty()
+            {
+                state.checkpoint.clone_from(&row.checkpoint);
+            }
+            return;
+        }
+        let open = self
+            .book
+            .jobs
+            .get(&task.step.job)
+            .is_some_and(super::book::Job::is_open);
+        let waits = self
+            .book
+            .task(task)
+            .is_some_and(|task| task.place == Place::Waiting);
+        if open && waits {
+            self.adopt(cx, key, task, row);
+        } else {
+            self.stop_stray(cx, key, row, "it is not to run there");
+        }
+    }
+}
+
+/// Whether a VM that does not list a run, in answer to a renewal sent at `sent`, would have listed
+/// it if it had it.
+fn is_overdue(run: &Run, sent: Now, cx: &Cx) -> bool {
+    match run.phase {
+        Phase::Starting => false,
+        Phase::Unconfirmed => sent > run.sent + cx.options.vms.order_timeout,
+        Phase::Running { since } => sent > since,
+        // A run that is being stopped may be in neither list, and takes its room until it ends.
+        Phase::Stopping { acked, .. } => {
+            acked.is_some_and(|acked| sent > acked + cx.options.vms.stop_timeout + STOP_MARGIN)
+        }
+    }
+}
+
+fn contact(cx: &mut Cx, vm: &mut Vm) {
+    if vm.hold.misses > 0 {
+        cx.log(Decision::VmContact {
+            vm: vm.id.clone(),
+            reachable: true,
+            silent_ms: millis(cx.now.saturating_sub(vm.heard)),
+            reason: "".into(),
+        });
+    }
+    vm.hold.misses = 0;
+    vm.heard = cx.now;
+}
--- /dev/null
+++ b/src/core/workload/placer/mod.rs
@@ -0,0 +1,330 @@
+//! The placer: holds the VMs of its part, starts what is ready and notes what has ended.
+
+mod advice;
+mod book;
+mod choose;
+mod dispatch;
+mod ends;
+mod fleet;
+mod hold;
+mod load;
+mod orders;
+mod pace;
+mod progress;
+mod retire;
+mod usage;
+
+use book::Book;
+use fleet::Fleet;
+pub(super) use load::Loaded;
+
+use super::cx::Cx;
+use super::cx::sooner;
+use super::decision::Decision;
+use super::event::Answer;
+use super::event::CommitFor;
+use super::event::Feed;
+use super::event::FeedRow;
+use super::feeds::Update;
+use super::pulse::Pulse;
+use super::rows::BEAT_KEY;
+use super::rows::BeatRow;
+use super::rows::JOBS_PART;
+use super::rows::OWNER_KEY;
+use super::rows::OwnerRow;
+use super::rows::RosterRow;
+use super::rows::decode;
+use super::rows::encode;
+use super::table::Committed;
+use super::table::JOBS;
+use super::table::PULSE;
+use super::table::ROSTER;
+use super::table::RowId;
+use super::table::TableRow;
+use super::table::Transaction;
+use super::task::EndedTask;
+use crate::core::model::Epoch;
+use crate::core::model::Now;
+use crate::core::model::Rev;
+
+/// Why the role is lost, if it is.
+pub(super) type Lost = Option<Box<str>>;
+
+/// Largest number of VMs registered in one transaction.
+const MAX_REGISTERED: usize = 90;
+
+/// Time from one round of placement to the next while work waits.
+const WAITING_ROUND: Now = Now::from_millis(60);
+
+/// State of the placer.
+#[derive(Debug)]
+pub(super) struct Placer {
+    owner: OwnerRow,
+    /// Version of the owner row that granted the role.
+    version: Rev,
+    taken_at: Now,
+    book: Book,
+    fleet: Fleet,
+    usage: usage::Usage,
+    helpers: advice::Helpers,
+    progress: progress::Progress,
+    retire: retire::Retire,
+    /// Ends listed by VMs and not yet taken in.
+    pending_ends: Vec<(fleet::VmKey, EndedTask)>,
+    beat_at: Now,
+    registering: Option<Vec<fleet::VmKey>>,
+    /// Whether all that an earlier placer may have started is accounted for.
+    settled: bool,
+    /// When the next round of placement is wanted, if one is.
+    round_at: Option<Now>,
+    rounded: Now,
+    release: Release,
+}
+
+/// How far the hand-over of the role has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Release {
+    Not,
+    UnderWay,
+    Done,
+}
+
+impl Placer {
+    /// Epoch of the role.
+    pub fn epoch(&self) -> Epoch {
+        self.owner.epoch
+    }
+
+    /// Number of jobs in the book.
+    pub fn jobs(&self) -> usize {
+        self.book.jobs.len()
+    }
+
+    /// Number of VMs.
+    pub fn vms(&self) -> usize {
+        self.fleet.vms.len()
+    }
+
+    /// Does what is due.
+    pub fn poll(&mut self, cx: &mut Cx, pulse: &Pulse) -> Lost {
+        if let Some(beat) = pulse.beat()
+            && beat.row.owner.epoch > self.owner.epoch
+        {
+            let reason = format!(
+                "{} has epoch {}",
+                beat.row.owner.daemon, beat.row.owner.epoch
+            );
+            return Some(reason.into());
+        }
+        if self.release != Release::Not {
+            self.write_progress(cx);
+            return None;
+        }
+        self.beat(cx);
+        self.register(cx);
+        self.begin_due(cx);
+        self.check_leases(cx);
+        self.retire(cx);
+        self.renew(cx);
+        self.write_progress(cx);
+        self.round(cx, pulse);
+        None
+    }
+
+    /// When it next needs the time.
+    pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
+        let mut at = Some(self.beat_at);
+        at = sooner(at, self.round_at.map(|at| self.earliest_round(cx).max(at)));
+        at = sooner(at, self.progress.wake_at(&self.book));
+        sooner(at, self.next_renewal())
+    }
+
+    /// Takes the configuration in force.
+    pub fn configured(&mut self, cx: &mut Cx) {
+        let Some(catalog) = cx.catalog else {
+            return;
+        };
+        for job in self.book.jobs.values_mut() {
+            if let Some(queue) = catalog.queue(&job.queue.name) {
+                job.queue = queue.clone();
+            }
+        }
+        self.want_round(cx.now);
+    }
+
+    /// Takes rows of a followed table.
+    pub fn feed(&mut self, cx: &mut Cx, feed: Feed, update: Update) -> Lost {
+        if feed == Feed::Vms && update.whole {
+            self.unlist_all();
+        }
+        for row in update.rows {
+            match row {
+                FeedRow::Vm(row) => self.vm_seen(cx, row),
+                FeedRow::VmGone(id) => self.vm_unlisted(&id),
+                FeedRow::Own(row) if feed == Feed::Jobs => {
+                    if let Some(lost) = self.job_row(cx, row) {
+                        return Some(lost);
+                    }
+                }
+                FeedRow::Unreadable(key, reason) => {
+                    cx.log(Decision::RowUnreadable { key, reason });
+                }
+                _ => {}
+            }
+        }
+        self.want_round(cx.now);
+        None
+    }
+
+    /// Takes the outcome of one of its transactions.
+    pub fn committed(&mut self, cx: &mut Cx, purpose: &CommitFor, outcome: &Committed) -> Lost {
+        match purpose {
+            CommitFor::Beat => {
+                if self.release == Release::UnderWay {
+                    self.release = Release::Done;
+                }
+                match outcome {
+                    Committed::Conflict(_) => Some("the owner row has changed".into()),
+                    _ => None,
+                }
+            }
+            CommitFor::Roster => self.registered(cx, outcome),
+            CommitFor::Progress => self.progress_written(cx, outcome),
+            CommitFor::Retire => {
+                self.retired(cx, outcome);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes the answer to an order or to a request for advice.
+    pub fn order_answered(&mut self, cx: &mut Cx, answer: Answer) -> Lost {
+        match answer {
+            Answer::Held(by, result) => self.held(cx, &by, result),
+            Answer::Started(order, result) => self.started(cx, &order, result),
+            Answer::Stopped(order, result) => self.stopped(cx, &order, &result),
+            Answer::Paced(order, result) => self.paced(cx, &order, &result),
+            Answer::Advised(query, result) => {
+                self.advised(cx, &query, result);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Hands the role over; true once that is done.
+    pub fn release(&mut self, cx: &mut Cx) -> bool {
+        if self.release == Release::Not {
+            self.release = Release::UnderWay;
+            self.write_beat(cx, true);
+        }
+        self.release == Release::Done && self.progress.is_idle()
+    }
+
+    fn want_round(&mut self, at: Now) {
+        self.round_at = Some(self.round_at.map_or(at, |other| other.min(at)));
+    }
+
+    fn earliest_round(&self, cx: &Cx) -> Now {
+        self.rounded + cx.options.placer.dispatch_every
+    }
+
+    fn beat(&mut self, cx: &mut Cx) {
+        if cx.now >= self.beat_at {
+            self.write_beat(cx, false);
+        }
+    }
+
+    fn write_beat(&mut self, cx: &mut Cx, released: bool) {
+        self.beat_at = cx.now + cx.options.placer.beat_every;
+        let mut waiting = rustc_hash::FxHashMap::default();
+        for job in self.book.jobs.values().filter(|job| job.is_untouched()) {
+            *waiting.entry(job.queue.name.clone()).or_insert(0) += 1;
+        }
+        let row = BeatRow {
+            owner: self.owner.clone(),
+            released,
+            waiting,
+        };
+        let part = &cx.options.part;
+        let txn = Transaction {
+            expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.version)],
+            put: vec![(RowId::new(PULSE, part, BEAT_KEY), encode(&row))],
+            remove: Vec::new(),
+        };
+        cx.commit(CommitFor::Beat, txn);
+    }
+
+    /// Writes VMs into the roster before they are used, so that the next placer knows of them.
+    fn register(&mut self, cx: &mut Cx) {
+        if self.registering.is_some() {
+            return;
+        }
+        let keys = self.fleet.keys().into_iter();
+        let wanting = |vm: &fleet::Vm| vm.listed && !vm.registered;
+        let keys: Vec<_> = keys
+            .filter(|key| self.fleet.vms.get(key).is_some_and(wanting))
+            .take(MAX_REGISTERED)
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        let part = &cx.options.part;
+        let mut txn = Transaction {
+            expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.version)],
+            ..Transaction::default()
+        };
+        for vm in keys.iter().filter_map(|key| self.fleet.vms.get(key)) {
+            let address = vm.address.clone();
+            let row = RowId::new(ROSTER, part, &vm.id);
+            txn.put.push((row, encode(&RosterRow { address })));
+        }
+        self.registering = Some(keys);
+        cx.commit(CommitFor::Roster, txn);
+    }
+
+    fn registered(&mut self, cx: &mut Cx, outcome: &Committed) -> Lost {
+        let keys = self.registering.take().unwrap_or_default();
+        match outcome {
+            Committed::Done(_) => {
+                for key in keys {
+                    if let Some(vm) = self.fleet.vms.get_mut(&key) {
+                        vm.registered = true;
+                    }
+                }
+                self.want_round(cx.now);
+                None
+            }
+            Committed::Conflict(_) => Some("the owner row has changed".into()),
+            Committed::Refused(_) | Committed::Unknown(_) => None,
+        }
+    }
+
+    fn begin_due(&mut self, cx: &Cx) {
+        let early = cx.options.placer.early;
+        let mut begun = false;
+        for job in self.book.jobs.values_mut().filter(|job| job.is_open()) {
+            begun |= job.begin_due(cx.now, cx.unix, early);
+        }
+        if begun {
+            self.want_round(cx.now);
+        }
+    }
+
+    /// Takes a row of the table of jobs: a job, a cancellation, or the owner of the part.
+    fn job_row(&mut self, cx: &mut Cx, row: TableRow) -> Lost {
+        if row.part == cx.options.part && &*row.key == OWNER_KEY {
+            let owner: Option<OwnerRow> = row.value.and_then(|value| decode(&value).ok());
+            return match owner {
+                Some(owner) if owner == self.owner => None,
+                Some(owner) => Some(format!("{} took epoch {}", owner.daemon, owner.epoch).into()),
+                None => Some("the owner row was removed".into()),
+            };
+        }
+        if &*row.part == JOBS_PART {
+            self.add_job_row(cx, row);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/core/workload/placer/progress.rs
@@ -0,0 +1,230 @@
+//! Progress of jobs, written to the table in transactions that follow one another: each expects
+//! the version that the one before has left on the sequence row, so that none can take effect late.
+
+use super::Lost;
+use super::Placer;
+use super::book::Book;
+use super::book::Job;
+use super::book::JobKey;
+use super::book::Place;
+use super::book::StepRun;
+use super::fleet::VmKey;
+use crate::core::model::Now;
+use crate::core::model::Rev;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::event::CommitFor;
+use crate::core::workload::event::ReadFor;
+use crate::core::workload::rows::OccurrenceRow;
+use crate::core::workload::rows::ProgressRow;
+use crate::core::workload::rows::SEQUENCE_KEY;
+use crate::core::workload::rows::TaskRow;
+use crate::core::workload::rows::encode;
+use crate::core::workload::rows::encode_bits;
+use crate::core::workload::submission::StepIndex;
+use crate::core::workload::table::Committed;
+use crate::core::workload::table::PROGRESS;
+use crate::core::workload::table::Page;
+use crate::core::workload::table::Range;
+use crate::core::workload::table::RowId;
+use crate::core::workload::table::Transaction;
+
+/// Largest number of jobs in one transaction.
+const MAX_JOBS: usize = 90;
+
+/// Largest total size of the values in one transaction, in bytes.
+const MAX_BYTES: usize = 600_000;
+
+/// State of the writes.
+#[derive(Debug)]
+pub(super) struct Progress {
+    /// Version of the sequence row.
+    sequence: Rev,
+    under_way: Option<Batch>,
+    next_at: Now,
+    /// Whether the last outcome has to be read first.
+    unsettled: bool,
+}
+
+/// A transaction under way.
+#[derive(Debug, Default)]
+struct Batch {
+    jobs: Vec<JobKey>,
+    /// Last end of each VM whose consequences it holds.
+    cursors: Vec<(VmKey, u64, u64)>,
+}
+
+impl Progress {
+    /// No write yet; the sequence row has the version that granted the role.
+    pub fn new(sequence: Rev) -> Self {
+        Self {
+            sequence,
+            under_way: None,
+            next_at: Now::ZERO,
+            unsettled: false,
+        }
+    }
+
+    /// Whether no write is under way.
+    pub fn is_idle(&self) -> bool {
+        self.under_way.is_none()
+    }
+
+    /// When the next write is due.
+    pub fn wake_at(&self, book: &Book) -> Option<Now> {
+        let wanted = self.unsettled || book.jobs.values().any(|job| job.dirty);
+        (wanted && self.under_way.is_none()).then_some(self.next_at)
+    }
+}
+
+impl Placer {
+    /// Writes the progress of jobs that have changed, when a write is due.
+    pub(super) fn write_progress(&mut self, cx: &mut Cx) {
+        if self.progress.under_way.is_some() || cx.now < self.progress.next_at {
+            return;
+        }
+        if self.progress.unsettled {
+            return self.read_sequence(cx);
+        }
+        let dirty = self.book.jobs.iter().filter(|(_, job)| job.dirty);
+        let mut jobs: Vec<JobKey> = dirty.map(|(&key, _)| key).collect();
+        let cursors = self.cursors();
+        if jobs.is_empty() && cursors.is_empty() {
+            return;
+        }
+        let part = &cx.options.part;
+        let sequence = RowId::new(PROGRESS, part, SEQUENCE_KEY);
+        let mut txn = Transaction {
+            expect: vec![(sequence.clone(), self.progress.sequence)],
+            put: vec![(sequence, encode(&self.owner.epoch))],
+            remove: Vec::new(),
+        };
+        let mut bytes = 0;
+        let mut taken = 0;
+        for key in &jobs {
+            let Some(job) = self.book.jobs.get_mut(key) else {
+                continue;
+            };
+            if taken >= MAX_JOBS || bytes >= MAX_BYTES {
+                break;
+            }
+            let value = encode(&job.row());
+            bytes += value.len();
+            taken += 1;
+            job.dirty = false;
+            txn.put.push((RowId::new(PROGRESS, part, &job.id), value));
+        }
+        let whole = taken == jobs.len();
+        jobs.truncate(taken);
+        self.progress.under_way = Some(Batch {
+            jobs,
+            cursors: if whole { cursors } else { Vec::new() },
+        });
+        self.progress.next_at = cx.now + cx.options.placer.progress_every;
+        cx.commit(CommitFor::Progress, txn);
+    }
+
+    /// Takes the outcome of a write.
+    pub(super) fn progress_written(&mut self, cx: &mut Cx, outcome: &Committed) -> Lost {
+        let batch = self.progress.under_way.take()?;
+        if let Committed::Done(version) = outcome {
+            self.progress.sequence = *version;
+            for (key, born, end) in batch.cursors {
+                if let Some(vm) = self.fleet.vms.get_mut(&key)
+                    && vm.born == born
+                {
+                    vm.noted_end = vm.noted_end.max(end);
+                    let gap = cx.now + cx.options.vms.hold_gap;
+                    vm.hold.next_at = vm.hold.next_at.min(gap);
+                }
+            }
+            return None;
+        }
+        for key in batch.jobs {
+            if let Some(job) = self.book.jobs.get_mut(&key) {
+                job.dirty = true;
+            }
+        }
+        self.progress.next_at = cx.now + cx.options.table.retry_delay;
+        self.progress.unsettled = !matches!(outcome, Committed::Refused(_));
+        None
+    }
+
+    /// Takes the sequence row after a write whose outcome was unknown or in conflict. Whatever has
+    /// taken effect, all of it is written again.
+    pub fn sequence_read(&mut self, cx: &mut Cx, page: Result<Page, Box<str>>) -> Lost {
+        self.progress.under_way = None;
+        self.progress.next_at = cx.now + cx.options.table.retry_delay;
+        let Ok(page) = page else {
+            return None;
+        };
+        let row = page.rows.first();
+        let own = encode(&self.owner.epoch);
+        match row {
+            Some(row) if row.value.as_ref() == Some(&own) => {
+                self.progress.sequence = row.version;
+                self.progress.unsettled = false;
+                self.progress.next_at = cx.now;
+                None
+            }
+            _ => Some("another placer has written the sequence row".into()),
+        }
+    }
+
+    fn read_sequence(&mut self, cx: &mut Cx) {
+        self.progress.under_way = Some(Batch::default());
+        let timeout = cx.options.table.read_timeout;
+        let range = Range::row(PROGRESS, &cx.options.part, SEQUENCE_KEY, timeout);
+        cx.read(ReadFor::Sequence, range);
+    }
+
+    /// VMs with ends that are taken in and not yet noted.
+    fn cursors(&self) -> Vec<(VmKey, u64, u64)> {
+        let vms = self.fleet.vms.iter();
+        vms.filter(|(_, vm)| vm.seen_end > vm.noted_end)
+            .map(|(&key, vm)| (key, vm.born, vm.seen_end))
+            .collect()
+    }
+}
+
+impl Job {
+    fn row(&self) -> ProgressRow {
+        let ended = self.ended_at.is_some();
+        let occurrences = self.occurrences.iter();
+        let occurrences = occurrences.map(|(&k, steps)| OccurrenceRow {
+            k,
+            done: steps.iter().map(StepRun::done_bits).collect(),
+            tasks: steps.iter().enumerate().flat_map(task_rows).collect(),
+        });
+        ProgressRow {
+            state: self.state,
+            team: self.team.clone(),
+            through: self.through,
+            occurrences: if ended {
+                Vec::new()
+            } else {
+                occurrences.collect()
+            },
+        }
+    }
+}
+
+impl StepRun {
+    fn done_bits(&self) -> Box<str> {
+        encode_bits(self.tasks.iter().map(|task| task.place == Place::Done))
+    }
+}
+
+fn task_rows((ix, step): (usize, &StepRun)) -> Vec<TaskRow> {
+    let histories = step.tasks.iter().enumerate().filter(|(_, task)| {
+        task.place != Place::Done && (!task.failed.is_empty() || !task.checkpoint.is_empty())
+    });
+    histories
+        .map(|(index, task)| TaskRow {
+            step: StepIndex::try_from(ix).unwrap_or(StepIndex::MAX),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            failed: task.failed.clone(),
+            run: task.run,
+            checkpoint: task.checkpoint.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/core/workload/placer/retire.rs
@@ -0,0 +1,102 @@
+//! Removal of jobs that ended long ago: first the job's own rows, so that no later placer can take
+//! it up again without its progress, then the progress.
+
+use std::time::Duration;
+
+use super::Placer;
+use super::book::Job;
+use super::book::JobKey;
+use crate::core::model::Now;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::event::CommitFor;
+use crate::core::workload::rows::JOBS_PART;
+use crate::core::workload::rows::cancel_key;
+use crate::core::workload::table::Committed;
+use crate::core::workload::table::JOBS;
+use crate::core::workload::table::PROGRESS;
+use crate::core::workload::table::RowId;
+use crate::core::workload::table::Transaction;
+
+/// Time between looks for jobs to remove.
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Largest number of jobs removed at a time; each has up to two rows in a part.
+const MAX_JOBS: usize = 45;
+
+/// State of the removal.
+#[derive(Debug, Default)]
+pub(super) struct Retire {
+    next_at: Now,
+    stage: Stage,
+}
+
+/// How far the removal under way has come.
+#[derive(Debug, Default)]
+enum Stage {
+    #[default]
+    Idle,
+    /// The rows of these jobs are being removed.
+    Jobs(Vec<JobKey>),
+    /// Their progress is being removed.
+    Progress(Vec<JobKey>),
+}
+
+impl Placer {
+    /// Begins to remove jobs whose time has passed.
+    pub(super) fn retire(&mut self, cx: &mut Cx) {
+        if cx.now < self.retire.next_at || !matches!(self.retire.stage, Stage::Idle) {
+            return;
+        }
+        self.retire.next_at = cx.now + INTERVAL;
+        let retention = cx.options.placer.retention;
+        let over = |job: &Job| {
+            !job.dirty
+                && job
+                    .ended_at
+                    .is_some_and(|ended| cx.now >= ended + retention)
+        };
+        let jobs = self.book.jobs.iter().filter(|(_, job)| over(job));
+        let jobs: Vec<JobKey> = jobs.map(|(&key, _)| key).take(MAX_JOBS).collect();
+        if jobs.is_empty() {
+            return;
+        }
+        let keys = |job: &Job| [job.id.clone(), cancel_key(&job.id)];
+        let list = jobs.iter().filter_map(|key| self.book.jobs.get(key));
+        let remove = list
+            .flat_map(keys)
+            .map(|key| RowId::new(JOBS, JOBS_PART, &key));
+        let txn = Transaction {
+            remove: remove.collect(),
+            ..Transaction::default()
+        };
+        self.retire.stage = Stage::Jobs(jobs);
+        cx.commit(CommitFor::Retire, txn);
+    }
+
+    /// Takes the outcome of a removal. One that failed is begun again later.
+    pub(super) fn retired(&mut self, cx: &mut Cx, outcome: &Committed) {
+        let stage = std::mem::take(&mut self.retire.stage);
+        if !matches!(outcome, Committed::Done(_)) {
+            return;
+        }
+        match stage {
+            Stage::Idle => {}
+            Stage::Jobs(jobs) => {
+                let part = &cx.options.part;
+                let list = jobs.iter().filter_map(|key| self.book.jobs.get(key));
+                let remove = list.map(|job| RowId::new(PROGRESS, part, &job.id));
+                let txn = Transaction {
+                    remove: remove.collect(),
+                    ..Transaction::default()
+                };
+                self.retire.stage = Stage::Progress(jobs);
+                cx.commit(CommitFor::Retire, txn);
+            }
+            Stage::Progress(jobs) => {
+                for key in jobs {
+                    self.book.remove(key);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/workload/placer/usage.rs
@@ -0,0 +1,46 @@
+//! What each team has running, against its cap.
+
+use rustc_hash::FxHashMap;
+
+use crate::core::model::Resources;
+use crate::core::model::TeamId;
+use crate::core::workload::cx::Cx;
+
+/// Sum of the demands of each team's runs.
+#[derive(Debug, Default)]
+pub(super) struct Usage {
+    teams: FxHashMap<TeamId, Resources>,
+}
+
+impl Usage {
+    /// Whether a team's cap leaves room for `demand` more.
+    pub fn allows(&self, cx: &Cx, team: Option<&TeamId>, demand: &Resources) -> bool {
+        let Some(team) = team else {
+            return true;
+        };
+        let Some(terms) = cx.catalog.and_then(|catalog| catalog.teams.get(team)) else {
+            return true;
+        };
+        terms.allows(&self.of(team).plus(demand))
+    }
+
+    /// What a team has running.
+    pub fn of(&self, team: &TeamId) -> Resources {
+        self.teams.get(team).copied().unwrap_or(Resources::ZERO)
+    }
+
+    /// A run of the team began.
+    pub fn add(&mut self, team: Option<&TeamId>, demand: &Resources) {
+        if let Some(team) = team {
+            let used = self.teams.entry(team.clone()).or_default();
+            *used = used.plus(demand);
+        }
+    }
+
+    /// A run of the team ended.
+    pub fn sub(&mut self, team: Option<&TeamId>, demand: &Resources) {
+        if let Some(used) = team.and_then(|team| self.teams.get_mut(team)) {
+            *used = used.minus(demand);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/workload/pulse.rs
@@ -0,0 +1,87 @@
+//! The placer's heartbeat and the daemons' addresses, as every daemon follows them.
+
+use rustc_hash::FxHashMap;
+
+use super::cx::Cx;
+use super::decision::Decision;
+use super::event::FeedRow;
+use super::feeds::Update;
+use super::rows::AddressRow;
+use super::rows::BEAT_KEY;
+use super::rows::BeatRow;
+use super::rows::DAEMONS_PART;
+use super::rows::decode;
+use super::table::TableRow;
+use crate::core::model::DaemonId;
+use crate::core::model::Now;
+use crate::core::model::Rev;
+
+/// What this daemon knows of the placer and of the other daemons.
+#[derive(Debug, Default)]
+pub(super) struct Pulse {
+    beat: Option<Beat>,
+    /// Addresses of the other daemons.
+    pub daemons: FxHashMap<DaemonId, Box<str>>,
+}
+
+/// The last heartbeat seen.
+#[derive(Debug)]
+pub(super) struct Beat {
+    /// Version of the row.
+    pub version: Rev,
+    /// When it was seen.
+    pub seen: Now,
+    /// What it says.
+    pub row: BeatRow,
+}
+
+impl Pulse {
+    /// The last heartbeat seen.
+    pub fn beat(&self) -> Option<&Beat> {
+        self.beat.as_ref()
+    }
+
+    /// Applies rows of the followed table.
+    pub fn apply(&mut self, cx: &mut Cx, update: Update) {
+        for row in update.rows {
+            if let FeedRow::Own(row) = row
+                && let Err(reason) = self.apply_row(cx, &row)
+            {
+                let key = row.key;
+                cx.log(Decision::RowUnreadable { key, reason });
+            }
+        }
+    }
+
+    fn apply_row(&mut self, cx: &Cx, row: &TableRow) -> super::rows::Result<()> {
+        if &*row.part == DAEMONS_PART {
+            match &row.value {
+                Some(value) => {
+                    let address: AddressRow = decode(value)?;
+                    self.daemons.insert(row.key.clone(), address.peer);
+                }
+                None => {
+                    self.daemons.remove(&row.key);
+                }
+            }
+        } else if row.part == cx.options.part && &*row.key == BEAT_KEY {
+            self.beat = match &row.value {
+                Some(value)
+                    if self
+                        .beat
+                        .as_ref()
+                        .is_none_or(|beat| beat.version < row.version) =>
+                {
+                    Some(Beat {
+                        version: row.version,
+                        seen: cx.now,
+                        row: decode(value)?,
+                    })
+                }
+                Some(_) => return Ok(()),
+                None => None,
+            };
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/core/workload/role.rs
@@ -0,0 +1,356 @@
+//! The placer's role: taken over by compare-and-set on the table's owner row, under an epoch that
+//! rises with each holder.
+
+use std::time::Duration;
+
+use super::cx::Cx;
+use super::cx::millis;
+use super::decision::Decision;
+use super::event::CommitFor;
+use super::event::Feed;
+use super::event::Load;
+use super::event::ReadFor;
+use super::feeds::Feeds;
+use super::placer::Loaded;
+use super::placer::Placer;
+use super::pulse::Pulse;
+use super::rows::BEAT_KEY;
+use super::rows::BeatRow;
+use super::rows::JOBS_PART;
+use super::rows::OWNER_KEY;
+use super::rows::OwnerRow;
+use super::rows::SEQUENCE_KEY;
+use super::rows::decode;
+use super::rows::encode;
+use super::table::Committed;
+use super::table::JOBS;
+use super::table::PROGRESS;
+use super::table::PULSE;
+use super::table::Page;
+use super::table::ROSTER;
+use super::table::Range;
+use super::table::RowId;
+use super::table::TableRow;
+use super::table::Transaction;
+use crate::core::model::Now;
+use crate::core::model::Rev;
+
+/// Largest part of the takeover time that is added at random, so that one daemon goes first.
+const JITTER_DIVISOR: u32 = 3;
+
+/// What this daemon is to the VMs.
+#[derive(Debug)]
+pub(super) enum Role {
+    /// Another daemon places, or none does.
+    Follower {
+        /// Not before this time does it try to take the role.
+        not_before: Now,
+    },
+    /// Asks the table for the role.
+    Taking(Taking),
+    /// Has the role and reads what it needs.
+    Loading(Box<Loading>),
+    /// Places.
+    Placing(Box<Placer>),
+}
+
+/// A takeover that is not yet granted.
+#[derive(Debug)]
+pub(super) struct Taking {
+    claim: Option<OwnerRow>,
+    former: Box<str>,
+    beat_age: Duration,
+}
+
+/// A granted role of which the rows are not all read.
+#[derive(Debug)]
+pub(super) struct Loading {
+    owner: OwnerRow,
+    version: Rev,
+    since: Now,
+    next: Load,
+    from: Box<str>,
+    retry_at: Option<Now>,
+    loaded: Loaded,
+}
+
+impl Role {
+    /// A daemon that has just started.
+    pub fn new() -> Self {
+        Self::Follower {
+            not_before: Now::ZERO,
+        }
+    }
+
+    /// The placer, if this daemon is it.
+    pub fn placer(&mut self) -> Option<&mut Placer> {
+        match self {
+            Self::Placing(placer) => Some(placer),
+            _ => None,
+        }
+    }
+
+    /// Tries to take the role when it is due, and goes on with what waits for time.
+    pub fn poll(&mut self, cx: &mut Cx, feeds: &mut Feeds, pulse: &Pulse, draining: bool) {
+        match self {
+            Self::Follower { not_before } => {
+                let due = due_at(cx, pulse).max(*not_before);
+                let able = feeds.is_up(Feed::Pulse) && cx.catalog.is_some() && !draining;
+                if able && cx.now >= due {
+                    *self = Self::Taking(Taking::start(cx, pulse));
+                }
+            }
+            Self::Taking(_) => {}
+            Self::Loading(loading) => loading.poll(cx),
+            Self::Placing(placer) => {
+                if let Some(reason) = placer.poll(cx, pulse) {
+                    self.lose(cx, feeds, &reason);
+                }
+            }
+        }
+    }
+
+    /// When it next needs the time.
+    pub fn wake_at(&self, cx: &Cx, feeds: &Feeds, pulse: &Pulse) -> Option<Now> {
+        match self {
+            Self::Follower { not_before } if feeds.is_up(Feed::Pulse) => {
+                Some(due_at(cx, pulse).max(*not_before))
+            }
+            Self::Follower { .. } | Self::Taking(_) => None,
+            Self::Loading(loading) => loading.retry_at,
+            Self::Placing(placer) => placer.wake_at(cx),
+        }
+    }
+
+    /// Takes the owner row that was asked for.
+    pub fn owner_read(&mut self, cx: &mut Cx, settle: bool, page: Result<Page, Box<str>>) {
+        let Self::Taking(taking) = self else {
+            return;
+        };
+        let Ok(row) = page.map(|page| page.rows.into_iter().next()) else {
+            return self.back_off(cx);
+        };
+        let current = row.as_ref().and_then(|row| Some((row, owner(row)?)));
+        if let (true, Some((row, owner)), Some(claim)) = (settle, &current, &taking.claim)
+            && owner == claim
+        {
+            let version = row.version;
+            return self.granted(cx, version);
+        }
+        if settle {
+            return self.back_off(cx);
+        }
+        let version = row.as_ref().map_or(0, |row| row.version);
+        taking.claim(cx, current.map(|(_, owner)| owner), version);
+    }
+
+    /// Takes the outcome of the takeover.
+    pub fn taken(&mut self, cx: &mut Cx, outcome: &Committed) {
+        if !matches!(self, Self::Taking(_)) {
+            return;
+        }
+        match outcome {
+            Committed::Done(version) => self.granted(cx, *version),
+            Committed::Conflict(_) | Committed::Refused(_) => self.back_off(cx),
+            Committed::Unknown(_) => read_owner(cx, ReadFor::Settle),
+        }
+    }
+
+    /// Takes rows that the new placer asked for.
+    pub fn loaded(
+        &mut self,
+        cx: &mut Cx,
+        feeds: &mut Feeds,
+        load: Load,
+        page: Result<Page, Box<str>>,
+    ) {
+        let Self::Loading(loading) = self else {
+            return;
+        };
+        if loading.next != load || !loading.take(cx, page) {
+            return;
+        }
+        feeds.follow(Feed::Vms, None);
+        feeds.follow(Feed::Jobs, Some(loading.loaded.version));
+        let took = cx.now.saturating_sub(loading.since);
+        let epoch = loading.owner.epoch;
+        let loaded = std::mem::take(&mut loading.loaded);
+        let placer = Placer::new(cx, loading.owner.clone(), loading.version, loaded);
+        cx.log(Decision::RoleReady {
+            epoch,
+            jobs: placer.jobs(),
+            vms: placer.vms(),
+            took_ms: millis(took),
+        });
+        *self = Self::Placing(Box::new(placer));
+    }
+
+    /// Gives the role up, with the reason.
+    pub fn lose(&mut self, cx: &mut Cx, feeds: &mut Feeds, reason: &str) {
+        if let Self::Placing(placer) = self {
+            cx.log(Decision::RoleLost {
+                epoch: placer.epoch(),
+                reason: reason.into(),
+            });
+            feeds.leave(Feed::Vms);
+            feeds.leave(Feed::Jobs);
+        }
+        self.back_off(cx);
+    }
+
+    fn granted(&mut self, cx: &mut Cx, version: Rev) {
+        let Self::Taking(taking) = self else {
+            return;
+        };
+        let Some(owner) = taking.claim.take() else {
+            return self.back_off(cx);
+        };
+        cx.log(Decision::RoleTaken {
+            epoch: owner.epoch,
+            former: taking.former.clone(),
+            beat_age_ms: millis(taking.beat_age),
+        });
+        let loading = Loading {
+            owner,
+            version,
+            since: cx.now,
+            next: Load::Jobs,
+            from: "".into(),
+            retry_at: None,
+            loaded: Loaded::default(),
+        };
+        loading.read(cx);
+        *self = Self::Loading(Box::new(loading));
+    }
+
+    fn back_off(&mut self, cx: &Cx) {
+        let delay = cx.options.table.retry_delay * 2 + jitter(cx);
+        *self = Self::Follower {
+            not_before: cx.now + delay,
+        };
+    }
+}
+
+impl Taking {
+    fn start(cx: &mut Cx, pulse: &Pulse) -> Self {
+        read_owner(cx, ReadFor::Owner);
+        let beat = pulse.beat();
+        Self {
+            claim: None,
+            former: beat.map_or("".into(), |beat| beat.row.owner.daemon.clone()),
+            beat_age: beat.map_or(Duration::ZERO, |beat| cx.now.saturating_sub(beat.seen)),
+        }
+    }
+
+    /// Claims the role. The sequence row is written along, so that no progress write of the former
+    /// holder can take effect afterwards.
+    fn claim(&mut self, cx: &mut Cx, current: Option<OwnerRow>, version: Rev) {
+        let claim = OwnerRow {
+            epoch: current.map_or(0, |owner| owner.epoch) + 1,
+            daemon: cx.options.me.clone(),
+            nonce: cx.options.nonce,
+        };
+        let part = &cx.options.part;
+        let row = RowId::new(JOBS, part, OWNER_KEY);
+        let beat = BeatRow {
+            owner: claim.clone(),
+            released: false,
+            waiting: rustc_hash::FxHashMap::default(),
+        };
+        let txn = Transaction {
+            expect: vec![(row.clone(), version)],
+            put: vec![
+                (row, encode(&claim)),
+                (
+                    RowId::new(PROGRESS, part, SEQUENCE_KEY),
+                    encode(&claim.epoch),
+                ),
+                (RowId::new(PULSE, part, BEAT_KEY), encode(&beat)),
+            ],
+            remove: Vec::new(),
+        };
+        self.claim = Some(claim);
+        cx.commit(CommitFor::Take, txn);
+    }
+}
+
+impl Loading {
+    fn poll(&mut self, cx: &mut Cx) {
+        if self.retry_at.is_some_and(|at| cx.now >= at) {
+            self.retry_at = None;
+            self.read(cx);
+        }
+    }
+
+    fn read(&self, cx: &mut Cx) {
+        let timeout = cx.options.table.read_timeout * 2;
+        let own = cx.options.part.clone();
+        let mut range = match self.next {
+            Load::Jobs => Range::part(JOBS, JOBS_PART, timeout),
+            Load::Progress => Range::part(PROGRESS, &own, timeout),
+            Load::Roster => Range::part(ROSTER, &own, timeout),
+        };
+        range.from = self.from.clone();
+        cx.read(ReadFor::Load(self.next), range);
+    }
+
+    /// Takes a page; true when all is read.
+    fn take(&mut self, cx: &mut Cx, page: Result<Page, Box<str>>) -> bool {
+        let Ok(page) = page else {
+            self.retry_at = Some(cx.now + cx.options.table.retry_delay);
+            return false;
+        };
+        if self.next == Load::Jobs && self.loaded.version == 0 {
+            self.loaded.version = page.version;
+        }
+        let last = page.rows.last().map(|row| format!("{}\0", row.key));
+        match self.next {
+            Load::Jobs => self.loaded.jobs.extend(page.rows),
+            Load::Progress => self.loaded.progress.extend(page.rows),
+            Load::Roster => self.loaded.roster.extend(page.rows),
+        }
+        if let (true, Some(last)) = (page.more, last) {
+            self.from = last.into();
+            self.read(cx);
+            return false;
+        }
+        self.from = "".into();
+        self.next = match self.next {
+            Load::Jobs => Load::Progress,
+            Load::Progress => Load::Roster,
+            Load::Roster => return true,
+        };
+        self.read(cx);
+        false
+    }
+}
+
+/// When a follower may take the role: at once from an earlier process of its own and from a holder
+/// that released it, otherwise once the heartbeat is overdue.
+fn due_at(cx: &Cx, pulse: &Pulse) -> Now {
+    let Some(beat) = pulse.beat() else {
+        return jitter(cx);
+    };
+    let owner = &beat.row.owner;
+    let mine = owner.daemon == cx.options.me && owner.nonce != cx.options.nonce;
+    if mine || beat.row.released {
+        return beat.seen + if mine { Duration::ZERO } else { jitter(cx) / 4 };
+    }
+    beat.seen + cx.options.placer.takeover_after + jitter(cx)
+}
+
+fn jitter(cx: &Cx) -> Duration {
+    let most = cx.options.placer.takeover_after / JITTER_DIVISOR;
+    let share = u32::try_from(cx.options.nonce % 1_000).unwrap_or(0);
+    most * share / 1_000
+}
+
+fn read_owner(cx: &mut Cx, purpose: ReadFor) {
+    let timeout = cx.options.table.read_timeout;
+    let range = Range::row(JOBS, &cx.options.part, OWNER_KEY, timeout);
+    cx.read(purpose, range);
+}
+
+fn owner(row: &TableRow) -> Option<OwnerRow> {
+    row.value.as_ref().and_then(|value| decode(value).ok())
+}
--- /dev/null
+++ b/src/core/workload/state.rs
@@ -0,0 +1,354 @@
+//! The parts together, and which part takes which event.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::calls::Calls;
+use super::calls::Parts;
+use super::catalog::Catalog;
+use super::cx::Cx;
+use super::cx::sooner;
+use super::decision::Decision;
+use super::effect::Effect;
+use super::effect::Effects;
+use super::event::Answer;
+use super::event::Call;
+use super::event::CommitFor;
+use super::event::Event;
+use super::event::Feed;
+use super::event::FeedAnswer;
+use super::event::FeedRow;
+use super::event::ReadFor;
+use super::feeds::Feeds;
+use super::feeds::Update;
+use super::intake::Intake;
+use super::options::Options;
+use super::pulse::Pulse;
+use super::role::Role;
+use super::rows::AddressRow;
+use super::rows::DAEMONS_PART;
+use super::rows::encode;
+use super::table::Committed;
+use super::table::PULSE;
+use super::table::Page;
+use super::table::RowId;
+use super::table::Transaction;
+use crate::core::model::Now;
+use crate::core::model::Ticket;
+
+/// State of one daemon.
+#[derive(Debug)]
+pub struct Workload {
+    options: Options,
+    /// Wall time less monotonic time.
+    epoch: Duration,
+    catalog: Option<Rc<Catalog>>,
+    feeds: Feeds,
+    pulse: Pulse,
+    intake: Intake,
+    calls: Calls,
+    role: Role,
+    address: Announcement,
+    draining: bool,
+    exited: bool,
+}
+
+/// Whether this daemon's address is in the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Announcement {
+    Due(Now),
+    UnderWay,
+    Done,
+}
+
+impl Workload {
+    /// State of a daemon that has just started.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        let mut feeds = Feeds::default();
+        feeds.follow(Feed::Config, None);
+        feeds.follow(Feed::Pulse, None);
+        Self {
+            options,
+            epoch: Duration::ZERO,
+            catalog: None,
+            feeds,
+            pulse: Pulse::default(),
+            intake: Intake::default(),
+            calls: Calls::default(),
+            role: Role::new(),
+            address: Announcement::Due(Now::ZERO),
+            draining: false,
+            exited: false,
+        }
+    }
+
+    /// Applies an event.
+    #[must_use]
+    pub fn step(&mut self, now: Now, event: Event) -> Effects {
+        let mut out = Effects::new();
+        self.apply(now, event, &mut out);
+        self.poll(now, &mut out);
+        out
+    }
+
+    /// When the next [`Event::Tick`] is wanted.
+    #[must_use]
+    pub fn wake_at(&mut self, now: Now) -> Option<Now> {
+        let mut out = Effects::new();
+        let cx = context(
+            &self.options,
+            self.epoch,
+            self.catalog.as_ref(),
+            now,
+            &mut out,
+        );
+        let mut at = self.feeds.wake_at();
+        at = sooner(at, self.intake.wake_at(&cx));
+        at = sooner(at, self.role.wake_at(&cx, &self.feeds, &self.pulse));
+        if let Announcement::Due(due) = self.address {
+            at = sooner(at, Some(due));
+        }
+        at
+    }
+
+    /// Whether this daemon can serve callers.
+    #[must_use]
+    pub fn is_ready(&self, now: Now) -> bool {
+        let heard = self.feeds.heard();
+        let fresh = heard.is_some_and(|at| now < at + self.options.table.stale_after);
+        self.catalog.is_some() && fresh && !self.draining
+    }
+
+    /// Version of the configuration in force; zero before the first.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Epoch under which this daemon places, if it does.
+    #[must_use]
+    pub fn epoch(&mut self) -> Option<u64> {
+        self.role.placer().map(|placer| placer.epoch())
+    }
+
+    fn apply(&mut self, now: Now, event: Event, out: &mut Effects) {
+        match event {
+            Event::Tick { unix } => self.epoch = unix.saturating_sub(now),
+            Event::Call { ticket, call } => self.call(now, out, ticket, call),
+            Event::Answer(answer) => self.answer(now, out, answer),
+            Event::Drain => self.drain(out),
+        }
+    }
+
+    fn call(&mut self, now: Now, out: &mut Effects, ticket: Ticket, call: Call) {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let parts = Parts {
+            intake: &mut self.intake,
+            feeds: &self.feeds,
+            pulse: &self.pulse,
+        };
+        self.calls.call(&mut cx, parts, ticket, call);
+    }
+
+    fn answer(&mut self, now: Now, out: &mut Effects, answer: Answer) {
+        if let Answer::Feed(feed, answer) = answer {
+            return self.feed(now, out, feed, answer);
+        }
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let cx = &mut cx;
+        let lost = match answer {
+            Answer::Committed(purpose, outcome) => self.committed(now, out, purpose, outcome),
+            Answer::Read(purpose, page) => self.read(now, out, purpose, page),
+            Answer::Feed(..) => None,
+            answer => match self.role.placer() {
+                Some(placer) => placer.order_answered(cx, answer),
+                None => None,
+            },
+        };
+        if let Some(reason) = lost {
+            self.lose(now, out, &reason);
+        }
+    }
+
+    fn committed(
+        &mut self,
+        now: Now,
+        out: &mut Effects,
+        purpose: CommitFor,
+        outcome: Committed,
+    ) -> Option<Box<str>> {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let cx = &mut cx;
+        if let Committed::Refused(reason) | Committed::Unknown(reason) = &outcome {
+            cx.log(Decision::CommitFailed {
+                purpose: format!("{purpose:?}").into(),
+                reason: reason.clone(),
+            });
+        }
+        match purpose {
+            CommitFor::Submissions(batch) => self.intake.committed(cx, batch, outcome),
+            CommitFor::Cancel(ticket, id) => {
+                self.calls.cancel_committed(cx, ticket, id, outcome);
+            }
+            CommitFor::Take => self.role.taken(cx, &outcome),
+            CommitFor::Address => {
+                self.address = match outcome {
+                    Committed::Done(_) => Announcement::Done,
+                    _ => Announcement::Due(now + self.options.table.retry_delay),
+                };
+            }
+            purpose => {
+                let placer = self.role.placer()?;
+                return placer.committed(cx, &purpose, &outcome);
+            }
+        }
+        None
+    }
+
+    fn read(
+        &mut self,
+        now: Now,
+        out: &mut Effects,
+        purpose: ReadFor,
+        page: Result<Page, Box<str>>,
+    ) -> Option<Box<str>> {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let cx = &mut cx;
+        match purpose {
+            ReadFor::Status(ticket, id) => self.calls.status_read(cx, ticket, id, page),
+            ReadFor::Existence(ticket, id) => self.calls.existence_read(cx, ticket, &id, page),
+            ReadFor::Cancel(ticket, id) => self.calls.cancel_read(cx, ticket, id, page),
+            ReadFor::Owner => self.role.owner_read(cx, false, page),
+            ReadFor::Settle => self.role.owner_read(cx, true, page),
+            ReadFor::Load(load) => self.role.loaded(cx, &mut self.feeds, load, page),
+            ReadFor::Sequence => return self.role.placer()?.sequence_read(cx, page),
+        }
+        None
+    }
+
+    fn feed(&mut self, now: Now, out: &mut Effects, feed: Feed, answer: FeedAnswer) {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let Some(update) = self.feeds.answered(&mut cx, feed, answer) else {
+            return;
+        };
+        let lost = match feed {
+            Feed::Config => {
+                self.configure(now, out, update);
+                None
+            }
+            Feed::Pulse => {
+                self.pulse.apply(&mut cx, update);
+                None
+            }
+            feed => match self.role.placer() {
+                Some(placer) => placer.feed(&mut cx, feed, update),
+                None => None,
+            },
+        };
+        if let Some(reason) = lost {
+            self.lose(now, out, &reason);
+        }
+    }
+
+    fn configure(&mut self, now: Now, out: &mut Effects, update: Update) {
+        for row in update.rows {
+            match row {
+                FeedRow::Config(catalog) if catalog.version > self.config_version() => {
+                    out.push(Effect::Log(Decision::ConfigTaken {
+                        version: catalog.version,
+                        queues: catalog.queues.len(),
+                        teams: catalog.teams.len(),
+                    }));
+                    self.catalog = Some(Rc::from(catalog));
+                    let mut cx =
+                        context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+                    if let Some(placer) = self.role.placer() {
+                        placer.configured(&mut cx);
+                    }
+                }
+                FeedRow::Unreadable(key, reason) => {
+                    out.push(Effect::Log(Decision::RowUnreadable { key, reason }));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn lose(&mut self, now: Now, out: &mut Effects, reason: &str) {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        self.role.lose(&mut cx, &mut self.feeds, reason);
+    }
+
+    fn drain(&mut self, out: &mut Effects) {
+        if !self.draining {
+            self.draining = true;
+            out.push(Effect::Log(Decision::Draining));
+        }
+    }
+
+    fn poll(&mut self, now: Now, out: &mut Effects) {
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        self.feeds.poll(&mut cx);
+        self.intake.poll(&mut cx);
+        self.announce(now, out);
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let feeds = &mut self.feeds;
+        self.role.poll(&mut cx, feeds, &self.pulse, self.draining);
+        self.finish_drain(now, out);
+    }
+
+    /// Writes the daemon's address, so that the placer can ask it for help.
+    fn announce(&mut self, now: Now, out: &mut Effects) {
+        let due = matches!(self.address, Announcement::Due(at) if now >= at);
+        if !due || !self.feeds.is_up(Feed::Pulse) {
+            if due {
+                self.address = Announcement::Due(now + self.options.table.retry_delay);
+            }
+            return;
+        }
+        self.address = Announcement::UnderWay;
+        let row = RowId::new(PULSE, DAEMONS_PART, &self.options.me);
+        let address = AddressRow {
+            peer: self.options.peer_address.clone(),
+        };
+        let txn = Transaction {
+            put: vec![(row, encode(&address))],
+            ..Transaction::default()
+        };
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        cx.commit(CommitFor::Address, txn);
+    }
+
+    /// Leaves once no caller waits and the role is handed over.
+    fn finish_drain(&mut self, now: Now, out: &mut Effects) {
+        if !self.draining || self.exited {
+            return;
+        }
+        let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        let released = match self.role.placer() {
+            Some(placer) => placer.release(&mut cx),
+            None => true,
+        };
+        if released && self.intake.is_idle() && self.calls.is_idle() {
+            self.exited = true;
+            out.push(Effect::Exit);
+        }
+    }
+}
+
+fn context<'a>(
+    options: &'a Options,
+    epoch: Duration,
+    catalog: Option<&'a Rc<Catalog>>,
+    now: Now,
+    out: &'a mut Effects,
+) -> Cx<'a> {
+    Cx {
+        now,
+        unix: epoch + now,
+        options,
+        catalog,
+        out,
+    }
+}
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -1,4 +1,8 @@
-//! Wire form of the messages between daemons, generated from `peer.proto` by `tools/codegen`.
+//! Wire form of the messages between daemons, generated from `*.proto` by `tools/codegen`.
+
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod advice;
 
 #[allow(missing_docs, clippy::pedantic)]
 #[rustfmt::skip]
--- a/src/shell/net/error.rs
+++ b/src/shell/net/error.rs
@@ -40,6 +40,10 @@
         AnswerTimeout(peer: SocketAddr) {
             display("wait for answer from {peer}: timed out")
         }
+        /// The peer's address is no IP address with a port.
+        Address(address: Box<str>) {
+            display("address {address:?} is faulty")
+        }
         /// The body is larger than allowed, in bytes.
         TooLarge(limit: usize) {
             display("body exceeds {limit} bytes")
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod exec;
+mod gate;
 mod pool;
 mod server;
 
@@ -12,6 +13,8 @@
 pub use error::Error;
 pub use error::Result;
 pub use exec::LocalExecutor;
+pub use gate::Gate;
+pub use gate::Pass;
 pub use server::Body;
 pub use server::Stop;
 pub use server::Stopper;
--- a/src/shell/peer/channel.rs
+++ b/src/shell/peer/channel.rs
@@ -27,70 +27,58 @@
 use crate::shell::net::LocalExecutor;
 use crate::shell::net::connect;
 
+/// Result of a call to another daemon; the error says why there is no reply.
+pub type Result<T, E = Box<str>> = std::result::Result<T, E>;
+
 /// Interval of HTTP/2 pings on a connection in use.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after which a connection without a ping reply is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Connections to other daemons.
-pub struct PeerClient {
-    timeout: Duration,
+/// HTTP/2 connections to other daemons, one to each.
+#[derive(Default)]
+pub struct Channels {
     conns: RefCell<FxHashMap<SocketAddr, SendRequest<Body>>>,
 }
 
-impl PeerClient {
-    /// Returns a client that gives up on a call after `timeout`.
-    #[must_use]
-    pub fn new(timeout: Duration) -> Self {
-        Self {
-            timeout,
-            conns: RefCell::default(),
-        }
-    }
-
-    /// Sends a message and returns the reply with the peer's stamp; `None` when none came.
-    pub async fn call(
-        &self,
-        address: &str,
-        from: &str,
-        stamp: u64,
-        message: &PeerMessage,
-    ) -> Option<(PeerMessage, u64)> {
-        let peer: SocketAddr = address.parse().ok()?;
-        let body = Some(to_wire(message));
-        let envelope = Envelope {
-            from: from.to_owned(),
-            stamp,
-            body,
+impl Channels {
+    /// Makes one call to the daemon at `address`, within `patience`. A connection on which a call
+    /// failed is not used again.
+    pub async fn call<T, F, Fut>(&self, address: &str, patience: Duration, f: F) -> Result<T>
+    where
+        F: FnOnce(Channel, Uri) -> Fut,
+        Fut: Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
+    {
+        let peer: SocketAddr = address.parse().map_err(|_| "the address is faulty")?;
+        let origin = Uri::try_from(format!("http://{peer}")).map_err(|err| err.to_string())?;
+        let exchange = async {
+            let tx = self.connection(peer, patience).await;
+            let tx = tx.map_err(|err| err.to_string())?;
+            let reply = f(Channel(tx), origin).await;
+            reply.map_err(|status| format!("call {peer}: {}", status.message()))
+        };
+        let reply = match timeout(patience, exchange).await {
+            Ok(reply) => reply,
+            Err(_) => Err(format!("call {peer}: timed out")),
         };
-        let reply = timeout(self.timeout, self.exchange(peer, envelope)).await;
-        if let Ok(Some(reply)) = reply {
-            return Some((from_wire(reply.body?), reply.stamp));
+        if reply.is_err() {
+            self.conns.borrow_mut().remove(&peer);
         }
-        // The connection may be the cause; the next call opens another one.
-        self.conns.borrow_mut().remove(&peer);
-        None
+        Ok(reply?.into_inner())
     }
 
-    async fn exchange(&self, peer: SocketAddr, envelope: Envelope) -> Option<Envelope> {
-        let tx = self.connection(peer).await.ok()?;
-        let origin = Uri::try_from(format!("http://{peer}")).ok()?;
-        let mut client = Generated::with_origin(Channel(tx), origin);
-        client
-            .call(envelope)
-            .await
-            .ok()
-            .map(tonic::Response::into_inner)
-    }
-
-    async fn connection(&self, peer: SocketAddr) -> net::Result<SendRequest<Body>> {
+    async fn connection(
+        &self,
+        peer: SocketAddr,
+        patience: Duration,
+    ) -> net::Result<SendRequest<Body>> {
         if let Some(tx) = self.conns.borrow().get(&peer)
             && !tx.is_closed()
         {
             return Ok(tx.clone());
         }
-        let stream = connect(peer, self.timeout).await?;
+        let stream = connect(peer, patience).await?;
         let (tx, conn) = http2::Builder::new(LocalExecutor)
             .timer(CompioTimer)
             .keep_alive_interval(PING_INTERVAL)
@@ -107,9 +95,46 @@
     }
 }
 
+/// Client of the peers' protocol.
+pub struct PeerClient {
+    timeout: Duration,
+    channels: Channels,
+}
+
+impl PeerClient {
+    /// Returns a client that gives up on a call after `timeout`.
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            timeout,
+            channels: Channels::default(),
+        }
+    }
+
+    /// Sends a message and returns the reply with the peer's stamp; `None` when none came.
+    pub async fn call(
+        &self,
+        address: &str,
+        from: &str,
+        stamp: u64,
+        message: &PeerMessage,
+    ) -> Option<(PeerMessage, u64)> {
+        let envelope = Envelope {
+            from: from.to_owned(),
+            stamp,
+            body: Some(to_wire(message)),
+        };
+        let call = |channel, origin| async move {
+            Generated::with_origin(channel, origin).call(envelope).await
+        };
+        let reply = self.channels.call(address, self.timeout, call).await.ok()?;
+        Some((from_wire(reply.body?), reply.stamp))
+    }
+}
+
 /// Adapts hyper's sender to the service that the generated client calls.
 #[derive(Clone)]
-struct Channel(SendRequest<Body>);
+pub struct Channel(SendRequest<Body>);
 
 impl tower_service::Service<http::Request<Body>> for Channel {
     type Response = http::Response<Incoming>;
--- a/src/shell/peer/mod.rs
+++ b/src/shell/peer/mod.rs
@@ -4,6 +4,7 @@
 mod convert;
 mod server;
 
+pub use channel::Channels;
 pub use channel::PeerClient;
 pub use server::Incoming;
 pub use server::serve;
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -1,11 +1,16 @@
-//! Writes `src/proto/peer.rs` from `src/proto/peer.proto`. Run it in `tools/codegen`.
+//! Writes `src/proto/*.rs` from `src/proto/*.proto`. Run it in `tools/codegen`.
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let descriptors = protox::compile(["peer.proto"], ["../../src/proto"])?;
+    let descriptors = protox::compile(["peer.proto", "advice.proto"], ["../../src/proto"])?;
     tonic_prost_build::configure()
         .build_transport(false)
         .out_dir("../../src/proto")
         .compile_fds(descriptors)?;
-    std::fs::rename("../../src/proto/ragwortstall.peer.rs", "../../src/proto/peer.rs")?;
+    for name in ["peer", "advice"] {
+        std::fs::rename(
+            format!("../../src/proto/ragwortstall.{name}.rs"),
+            format!("../../src/proto/{name}.rs"),
+        )?;
+    }
     Ok(())
 }
