--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -58,6 +58,10 @@
     pub lease_end_ms: u64,
     /// Whether it has answered a renewal of this epoch.
     pub fenced: bool,
+    /// Whether an earlier placer may have used it.
+    pub inherited: bool,
+    /// Not used before: a run that is being stopped, and that no list holds, may take its room.
+    pub unclear_until: Now,
     /// Last end that was taken in.
     pub seen_end: u64,
     /// Last end whose consequences are in the table.
@@ -193,6 +197,8 @@
             clock: None,
             lease_end_ms: 0,
             fenced: false,
+            inherited: false,
+            unclear_until: Now::ZERO,
             seen_end: 0,
             noted_end: 0,
             used: Resources::ZERO,
@@ -232,6 +238,7 @@
             && self.draining_since.is_none()
             && self.hold.misses == 0
             && now >= self.avoid_until
+            && now >= self.unclear_until
     }
 
     /// Room that nothing takes.
@@ -276,6 +283,8 @@
         self.clock = None;
         self.lease_end_ms = 0;
         self.fenced = false;
+        self.inherited = false;
+        self.unclear_until = Now::ZERO;
         self.seen_end = 0;
         self.noted_end = 0;
     }
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -30,7 +30,7 @@
 const ENDS_IN_ANSWER: usize = 500;
 
 /// Time beyond that of a stop after which a run that no list holds is taken to be gone.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+const STOP_MARGIN: Duration = Duration::from_millis(100);
 
 /// Time for which a former placer may have renewed leases after it lost the role.
 const FORMER_RENEWALS: Duration = Duration::from_secs(3);
@@ -91,7 +91,10 @@
                 continue;
             }
             let options = &cx.options.vms;
-            let deadline_ms = vm.lease_from(cx.now, options.lease);
+            // A VM that does not answer is only looked at, so that its lease can lapse.
+            let renews = vm.hold.misses == 0;
+            let lease_end = vm.lease_from(cx.now, options.lease);
+            let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let waits = vm.fenced && vm.noted_end == vm.seen_end && vm.hold.misses == 0;
             let wait = if waits {
@@ -196,6 +199,9 @@
         }
         if !vm.fenced {
             vm.fenced = true;
+            if vm.inherited {
+                vm.unclear_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
+            }
             self.round_at = Some(cx.now);
         }
         vm.clock = Some(ClockReading {
@@ -216,8 +222,13 @@
         self.reconcile(cx, key, sent, &report.running, complete);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             let noted = vm.noted_end == vm.seen_end;
+            let renewed = vm.lease_end_ms > report.clock_ms;
             let gap = cx.options.vms.hold_gap;
-            vm.hold.next_at = cx.now + if noted { gap } else { UNNOTED_DELAY };
+            vm.hold.next_at = match (renewed, noted) {
+                (false, _) => cx.now,
+                (true, true) => cx.now + gap,
+                (true, false) => cx.now + UNNOTED_DELAY,
+            };
         }
     }
 
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -156,6 +156,7 @@
                 let key = self.fleet.add(&row.key, &known.address, cx.now);
                 if let Some(vm) = self.fleet.vms.get_mut(&key) {
                     vm.registered = true;
+                    vm.inherited = true;
                 }
             }
             Err(reason) => cx.log(Decision::RowUnreadable {
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -257,9 +257,10 @@
         row: &RunningTask,
         reason: &'static str,
     ) {
-        let Some(vm) = self.fleet.vms.get(&vm_key) else {
+        let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
         };
+        vm.unclear_until = cx.now + cx.options.vms.order_timeout + cx.options.vms.stop_timeout;
         let order = OrderFor {
             vm: vm.id.clone(),
             task: row.task.clone(),
