--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -137,7 +137,7 @@
             beat_every: Duration::from_millis(400),
             takeover_after: Duration::from_millis(1_600),
             progress_every: Duration::from_millis(20),
-            dispatch_every: Duration::from_millis(10),
+            dispatch_every: Duration::from_millis(20),
             retention: Duration::from_secs(150),
             early: Duration::from_millis(50),
         }
--- a/src/core/workload/placer/book.rs
+++ b/src/core/workload/placer/book.rs
@@ -1,6 +1,7 @@
 //! Jobs that the placer knows, their steps and their tasks.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,6 +46,12 @@
 #[derive(Debug, Default)]
 pub(super) struct Book {
     pub jobs: BTreeMap<JobKey, Job>,
+    /// Jobs of which tasks may be started.
+    open: BTreeSet<JobKey>,
+    /// Open jobs with occurrences still to begin.
+    timed: BTreeSet<JobKey>,
+    /// Jobs whose progress has changed since it was written.
+    dirty: BTreeSet<JobKey>,
     ids: FxHashMap<JobId, JobKey>,
     last: JobKey,
 }
@@ -70,7 +77,6 @@
     pub occurrences: BTreeMap<OccurrenceIndex, Vec<StepRun>>,
     /// Runs that an earlier placer may have numbered stay below this.
     pub run_floor: RunNumber,
-    pub dirty: bool,
     /// When it reached its last state.
     pub ended_at: Option<Now>,
 }
@@ -119,6 +125,12 @@
         }
         self.last += 1;
         self.ids.insert(job.id.clone(), self.last);
+        if job.is_open() {
+            self.open.insert(self.last);
+        }
+        if job.begun < job.sub.times() {
+            self.timed.insert(self.last);
+        }
         self.jobs.insert(self.last, job);
         Some(self.last)
     }
@@ -128,8 +140,63 @@
         self.ids.get(id).copied()
     }
 
+    /// Jobs of which tasks may be started.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        let open = self.open.iter();
+        open.filter_map(|&key| Some((key, self.jobs.get(&key)?)))
+    }
+
+    /// Notes that a job has reached its last state.
+    pub fn close(&mut self, key: JobKey) {
+        self.open.remove(&key);
+        self.timed.remove(&key);
+    }
+
+    /// Notes that a job's progress has changed.
+    pub fn mark(&mut self, key: JobKey) {
+        self.dirty.insert(key);
+    }
+
+    /// Notes that a job's progress was written.
+    pub fn unmark(&mut self, key: JobKey) {
+        self.dirty.remove(&key);
+    }
+
+    /// Jobs whose progress has changed.
+    pub fn marked(&self) -> &BTreeSet<JobKey> {
+        &self.dirty
+    }
+
+    /// Begins the occurrences whose time has come; true if one did.
+    pub fn begin_due(&mut self, now: Now, unix: Duration, early: Duration) -> bool {
+        let mut begun = false;
+        let mut all_begun = Vec::new();
+        for &key in &self.timed {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            begun |= job.begin_due(now, unix, early);
+            if job.begun >= job.sub.times() {
+                all_begun.push(key);
+            }
+        }
+        for key in all_begun {
+            self.timed.remove(&key);
+        }
+        begun
+    }
+
+    /// Time until the next occurrence is due, if there is one.
+    pub fn next_due(&self, unix: Duration, early: Duration) -> Option<Duration> {
+        let timed = self.timed.iter().filter_map(|key| self.jobs.get(key));
+        let due = timed.map(|job| job.due(job.begun).saturating_sub(unix + early));
+        due.min()
+    }
+
     /// Forgets a job.
     pub fn remove(&mut self, key: JobKey) {
+        self.close(key);
+        self.unmark(key);
         if let Some(job) = self.jobs.remove(&key) {
             self.ids.remove(&job.id);
         }
--- a/src/core/workload/placer/choose.rs
+++ b/src/core/workload/placer/choose.rs
@@ -50,30 +50,20 @@
                 && (spec.required_label.is_empty() || vm.labels.contains(&spec.required_label))
         };
         let vms = self.fleet.vms.iter().filter(|(_, vm)| fits(vm));
-        let mut list: Vec<Candidate> = vms
+        let list = vms
             .map(|(&vm, state)| Candidate {
                 vm,
                 free: state.free(),
                 capacity: state.capacity,
                 filler_milli: state.filler_milli,
-                serves: self.serves(state),
+                serves: state.serving > 0,
                 filled: state.filler_milli > 0,
                 siblings: siblings.get(&vm).copied().unwrap_or(0),
                 on_rack: spec.preferred_rack.is_empty() || state.rack == spec.preferred_rack,
                 rack: state.rack.clone(),
             })
-            .filter(|candidate| candidate.may_take(spec))
-            .collect();
-        list.sort_unstable_by_key(|candidate| candidate.vm);
-        list
-    }
-
-    /// Whether tasks with a latency target run on a VM.
-    pub(super) fn serves(&self, vm: &Vm) -> bool {
-        vm.runs.keys().any(|task| {
-            let job = self.book.jobs.get(&task.step.job);
-            job.is_some_and(|job| job.spec(task.step.step).target_ms > 0)
-        })
+            .filter(|candidate| candidate.may_take(spec));
+        list.collect()
     }
 }
 
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -118,7 +118,7 @@
     /// Steps with tasks that wait, the most urgent first.
     fn ready_steps(&self) -> Vec<(Rank, StepKey)> {
         let mut list = Vec::new();
-        for (&job_key, job) in self.book.jobs.iter().filter(|(_, job)| job.is_open()) {
+        for (job_key, job) in self.book.open_jobs() {
             let old = job.version <= self.version;
             if old && !self.settled {
                 continue;
--- a/src/core/workload/placer/ends.rs
+++ b/src/core/workload/placer/ends.rs
@@ -57,9 +57,7 @@
     }
 
     fn keep_history(&mut self, task: TaskKey, ended: &EndedTask) {
-        if let Some(job) = self.book.jobs.get_mut(&task.step.job) {
-            job.dirty = true;
-        }
+        self.book.mark(task.step.job);
         if let Some(state) = self.book.task_mut(task) {
             state.run = state.run.max(ended.run);
             if !ended.checkpoint.is_empty() {
@@ -171,13 +169,14 @@
             return;
         };
         job.state = state;
-        job.dirty = true;
         job.ended_at = Some(cx.now);
         cx.log(Decision::JobState {
             id: job.id.clone(),
             state,
             reason: reason.into(),
         });
+        self.book.mark(key);
+        self.book.close(key);
         if state != JobState::Completed {
             self.stop_job(cx, key);
         }
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -1,5 +1,6 @@
 //! VMs that the placer knows: their lease, their clock, what was started on them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -27,7 +28,7 @@
 /// All VMs.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
-    pub vms: FxHashMap<VmKey, Vm>,
+    pub vms: BTreeMap<VmKey, Vm>,
     ids: FxHashMap<VmId, VmKey>,
     last: VmKey,
 }
@@ -70,6 +71,8 @@
     pub used: Resources,
     /// Processor time that tasks which fill ask for, in thousandths of a core.
     pub filler_milli: u32,
+    /// Number of its tasks that have a latency target.
+    pub serving: u32,
     pub runs: FxHashMap<TaskKey, Run>,
     pub hold: Hold,
     /// When it last answered.
@@ -110,6 +113,8 @@
     pub number: RunNumber,
     pub room: Resources,
     pub demand: Resources,
+    /// Whether the task has a latency target.
+    pub serves: bool,
     pub sent: Now,
     pub phase: Phase,
     /// Speed in percent, as the VM last listed it.
@@ -173,9 +178,7 @@
 
     /// Keys of all VMs, in steady order.
     pub fn keys(&self) -> Vec<VmKey> {
-        let mut keys: Vec<VmKey> = self.vms.keys().copied().collect();
-        keys.sort_unstable();
-        keys
+        self.vms.keys().copied().collect()
     }
 }
 
@@ -203,6 +206,7 @@
             noted_end: 0,
             used: Resources::ZERO,
             filler_milli: 0,
+            serving: 0,
             runs: FxHashMap::default(),
             hold: Hold::default(),
             heard: now,
@@ -261,6 +265,7 @@
     /// Notes a run.
     pub fn insert(&mut self, key: TaskKey, run: Run) {
         self.used = self.used.plus(&run.room);
+        self.serving += u32::from(run.serves);
         if run.room.cpu_milli == 0 {
             self.filler_milli += run.demand.cpu_milli;
         }
@@ -271,6 +276,7 @@
     pub fn take(&mut self, key: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&key)?;
         self.used = self.used.minus(&run.room);
+        self.serving -= u32::from(run.serves);
         if run.room.cpu_milli == 0 {
             self.filler_milli = self.filler_milli.saturating_sub(run.demand.cpu_milli);
         }
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -32,6 +32,9 @@
 /// Time beyond that of a stop after which a run that no list holds is taken to be gone.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time between looks for leases that have lapsed.
+const LEASE_CHECKS: Duration = Duration::from_millis(20);
+
 /// Time for which a former placer may have renewed leases after it lost the role.
 const FORMER_RENEWALS: Duration = Duration::from_secs(3);
 
@@ -83,6 +86,9 @@
 
     /// Sends the renewals that are due.
     pub(super) fn renew(&mut self, cx: &mut Cx) {
+        if self.next_renewal().is_none_or(|at| cx.now < at) {
+            return;
+        }
         for key in self.fleet.keys() {
             let Some(vm) = self.fleet.vms.get_mut(&key) else {
                 continue;
@@ -147,6 +153,10 @@
 
     /// Gives up what ran on VMs whose leases have lapsed unrenewed.
     pub(super) fn check_leases(&mut self, cx: &mut Cx) {
+        if cx.now < self.leases_at {
+            return;
+        }
+        self.leases_at = cx.now + LEASE_CHECKS;
         let horizon = self.taken_at + FORMER_RENEWALS + cx.options.vms.max_lease.mul_f64(1.05);
         let mut unsettled = false;
         for key in self.fleet.keys() {
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -62,6 +62,7 @@
             retire: Retire::default(),
             pending_ends: Vec::new(),
             beat_at: Now::ZERO,
+            leases_at: Now::ZERO,
             registering: None,
             settled: false,
             round_at: Some(cx.now),
@@ -122,7 +123,6 @@
             begun: 0,
             occurrences: std::collections::BTreeMap::new(),
             run_floor: floor,
-            dirty: false,
             ended_at: None,
         };
         job.begin_due(cx.now, cx.unix, cx.options.placer.early);
@@ -201,6 +201,7 @@
             JobState::Completed | JobState::Failed | JobState::Cancelled
         ) {
             job.ended_at = Some(cx.now);
+            self.book.close(key);
         } else if job.fold() {
             self.finish_job(cx, key, JobState::Completed, "");
         }
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -72,6 +72,7 @@
     /// Ends listed by VMs and not yet taken in.
     pending_ends: Vec<(fleet::VmKey, EndedTask)>,
     beat_at: Now,
+    leases_at: Now,
     registering: Option<Vec<fleet::VmKey>>,
     /// Whether all that an earlier placer may have started is accounted for.
     settled: bool,
@@ -134,6 +135,8 @@
     /// When it next needs the time.
     pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
         let mut at = Some(self.beat_at);
+        let due = self.book.next_due(cx.unix, cx.options.placer.early);
+        at = sooner(at, due.map(|left| cx.now + left));
         at = sooner(at, self.round_at.map(|at| self.earliest_round(cx).max(at)));
         at = sooner(at, self.progress.wake_at(&self.book));
         sooner(at, self.next_renewal())
@@ -239,7 +242,7 @@
     fn write_beat(&mut self, cx: &mut Cx, released: bool) {
         self.beat_at = cx.now + cx.options.placer.beat_every;
         let mut waiting = rustc_hash::FxHashMap::default();
-        for job in self.book.jobs.values().filter(|job| job.is_untouched()) {
+        for (_, job) in self.book.open_jobs().filter(|(_, job)| job.is_untouched()) {
             *waiting.entry(job.queue.name.clone()).or_insert(0) += 1;
         }
         let row = BeatRow {
@@ -261,12 +264,9 @@
         if self.registering.is_some() {
             return;
         }
-        let keys = self.fleet.keys().into_iter();
         let wanting = |vm: &fleet::Vm| vm.listed && !vm.registered;
-        let keys: Vec<_> = keys
-            .filter(|key| self.fleet.vms.get(key).is_some_and(wanting))
-            .take(MAX_REGISTERED)
-            .collect();
+        let vms = self.fleet.vms.iter().filter(|(_, vm)| wanting(vm));
+        let keys: Vec<_> = vms.map(|(&key, _)| key).take(MAX_REGISTERED).collect();
         if keys.is_empty() {
             return;
         }
@@ -303,11 +303,7 @@
 
     fn begin_due(&mut self, cx: &Cx) {
         let early = cx.options.placer.early;
-        let mut begun = false;
-        for job in self.book.jobs.values_mut().filter(|job| job.is_open()) {
-            begun |= job.begin_due(cx.now, cx.unix, early);
-        }
-        if begun {
+        if self.book.begin_due(cx.now, cx.unix, early) {
             self.want_round(cx.now);
         }
     }
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -51,7 +51,7 @@
             return;
         };
         let spec = job.spec(task.step.step);
-        let (room, demand) = (spec.room(), spec.demand);
+        let (room, demand, serves) = (spec.room(), spec.demand, spec.target_ms > 0);
         let (team, payload) = (job.team.clone(), job.payload.clone());
         let Some(step) = self.book.step_mut(task.step) else {
             return;
@@ -68,7 +68,7 @@
         step.waiting -= 1;
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
         let free_cpu_milli = vm.free().cpu_milli;
-        vm.insert(task, Run::new(run, room, demand, cx.now));
+        vm.insert(task, Run::new(run, room, demand, serves, cx.now));
         self.usage.add(team.as_ref(), &demand);
         let order = OrderFor {
             vm: vm.id.clone(),
@@ -162,12 +162,12 @@
         };
         if job.state == JobState::Queued && job.is_open() {
             job.state = JobState::Running;
-            job.dirty = true;
             cx.log(Decision::JobState {
                 id: job.id.clone(),
                 state: JobState::Running,
                 reason: "".into(),
             });
+            self.book.mark(task.step.job);
         }
     }
 
@@ -177,12 +177,12 @@
             return;
         };
         let spec = job.spec(task.step.step);
-        let (room, demand) = (spec.room(), spec.demand);
+        let (room, demand, serves) = (spec.room(), spec.demand, spec.target_ms > 0);
         let (id, team) = (job.id.clone(), job.team.clone());
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
         };
-        let mut run = Run::new(row.run, room, demand, cx.now);
+        let mut run = Run::new(row.run, room, demand, serves, cx.now);
         run.phase = Phase::Running { since: cx.now };
         run.percent = row.percent;
         run.figure = row.figure;
@@ -387,12 +387,14 @@
         number: RunNumber,
         room: crate::core::model::Resources,
         demand: crate::core::model::Resources,
+        serves: bool,
         now: Now,
     ) -> Self {
         Self {
             number,
             room,
             demand,
+            serves,
             sent: now,
             phase: Phase::Starting,
             percent: 100,
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -71,7 +71,7 @@
 
     /// When the next write is due.
     pub fn wake_at(&self, book: &Book) -> Option<Now> {
-        let wanted = self.unsettled || book.jobs.values().any(|job| job.dirty);
+        let wanted = self.unsettled || !book.marked().is_empty();
         (wanted && self.under_way.is_none()).then_some(self.next_at)
     }
 }
@@ -85,8 +85,7 @@
         if self.progress.unsettled {
             return self.read_sequence(cx);
         }
-        let dirty = self.book.jobs.iter().filter(|(_, job)| job.dirty);
-        let mut jobs: Vec<JobKey> = dirty.map(|(&key, _)| key).collect();
+        let mut jobs: Vec<JobKey> = self.book.marked().iter().copied().collect();
         let cursors = self.cursors();
         if jobs.is_empty() && cursors.is_empty() {
             return;
@@ -101,7 +100,7 @@
         let mut bytes = 0;
         let mut taken = 0;
         for key in &jobs {
-            let Some(job) = self.book.jobs.get_mut(key) else {
+            let Some(job) = self.book.jobs.get(key) else {
                 continue;
             };
             if taken >= MAX_JOBS || bytes >= MAX_BYTES {
@@ -110,8 +109,8 @@
             let value = encode(&job.row());
             bytes += value.len();
             taken += 1;
-            job.dirty = false;
             txn.put.push((RowId::new(PROGRESS, part, &job.id), value));
+            self.book.unmark(*key);
         }
         let whole = taken == jobs.len();
         jobs.truncate(taken);
@@ -140,9 +139,7 @@
             return None;
         }
         for key in batch.jobs {
-            if let Some(job) = self.book.jobs.get_mut(&key) {
-                job.dirty = true;
-            }
+            self.book.mark(key);
         }
         self.progress.next_at = cx.now + cx.options.table.retry_delay;
         self.progress.unsettled = !matches!(outcome, Committed::Refused(_));
--- a/src/core/workload/placer/retire.rs
+++ b/src/core/workload/placer/retire.rs
@@ -50,10 +50,8 @@
         self.retire.next_at = cx.now + INTERVAL;
         let retention = cx.options.placer.retention;
         let over = |job: &Job| {
-            !job.dirty
-                && job
-                    .ended_at
-                    .is_some_and(|ended| cx.now >= ended + retention)
+            job.ended_at
+                .is_some_and(|ended| cx.now >= ended + retention)
         };
         let jobs = self.book.jobs.iter().filter(|(_, job)| over(job));
         let jobs: Vec<JobKey> = jobs.map(|(&key, _)| key).take(MAX_JOBS).collect();
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -6,6 +6,7 @@
 mod gate;
 mod pool;
 mod server;
+mod timer;
 
 pub use client::Client;
 pub use client::ClientOptions;
@@ -25,3 +26,4 @@
 pub use server::serve_http2;
 pub use server::stop_pair;
 pub use server::text;
+pub use timer::RuntimeTimer;
--- a/src/shell/net/server.rs
+++ b/src/shell/net/server.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
-use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
@@ -35,6 +34,7 @@
 use super::Error;
 use super::LocalExecutor;
 use super::Result;
+use super::RuntimeTimer;
 
 /// Body of every answer that the daemon writes itself.
 pub type Body = Full<Bytes>;
@@ -105,7 +105,7 @@
                 async move { Ok::<_, Infallible>(reply.await) }
             });
             let conn = http1::Builder::new()
-                .timer(CompioTimer)
+                .timer(RuntimeTimer)
                 .serve_connection(HyperStream::new_plain(stream), service);
             let mut conn = pin!(conn);
             if let Either::Right(_) = select(conn.as_mut(), stop.0).await {
@@ -131,7 +131,7 @@
         let stop = stop.clone();
         async move {
             let conn = http2::Builder::new(LocalExecutor)
-                .timer(CompioTimer)
+                .timer(RuntimeTimer)
                 .serve_connection(HyperStream::new_plain(stream), service);
             let mut conn = pin!(conn);
             if let Either::Right(_) = select(conn.as_mut(), stop.0).await {
--- a/src/shell/peer/channel.rs
+++ b/src/shell/peer/channel.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use compio::time::timeout;
-use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use http::Uri;
 use hyper::body::Incoming;
@@ -25,6 +24,7 @@
 use crate::proto::peer::peer_client::PeerClient as Generated;
 use crate::shell::net;
 use crate::shell::net::LocalExecutor;
+use crate::shell::net::RuntimeTimer;
 use crate::shell::net::connect;
 
 /// Result of a call to another daemon; the error says why there is no reply.
@@ -80,7 +80,7 @@
         }
         let stream = connect(peer, patience).await?;
         let (tx, conn) = http2::Builder::new(LocalExecutor)
-            .timer(CompioTimer)
+            .timer(RuntimeTimer)
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .handshake(HyperStream::new_plain(stream))
