Count runs of done tasks among a step's siblings, and stop a run whose task is done after all

Cause: a run taken to have lapsed behind a cut was listed as done afterwards; its task counted as done while the second run still had its place.

--- a/src/core/workload/placer/choose.rs
+++ b/src/core/workload/placer/choose.rs
@@ -1,9 +1,6 @@
 //! Which VM a task goes to.
 
-use rustc_hash::FxHashMap;
-
 use super::Placer;
-use super::book::Place;
 use super::book::StepKey;
 use super::fleet::Vm;
 use super::fleet::VmKey;
@@ -32,17 +29,11 @@
 impl Placer {
     /// VMs that may run a step, without asking for advice.
     pub(super) fn candidates(&self, key: StepKey, now: Now) -> Vec<Candidate> {
-        let (Some(job), Some(run)) = (self.book.jobs.get(&key.job), self.book.step(key)) else {
+        let Some(job) = self.book.jobs.get(&key.job) else {
             return Vec::new();
         };
         let spec = job.spec(key.step);
         let room = spec.room();
-        let mut siblings: FxHashMap<VmKey, u32> = FxHashMap::default();
-        for task in &run.tasks {
-            if let Place::On(vm) = task.place {
-                *siblings.entry(vm).or_default() += 1;
-            }
-        }
         let fits = |vm: &Vm| {
             vm.service == job.queue.service
                 && vm.is_usable(now)
@@ -58,7 +49,7 @@
                 filler_milli: state.filler_milli,
                 serves: state.serving > 0,
                 filled: state.filler_milli > 0,
-                siblings: siblings.get(&vm).copied().unwrap_or(0),
+                siblings: state.siblings(key, spec.max_per_vm > 0),
                 on_rack: spec.preferred_rack.is_empty() || state.rack == spec.preferred_rack,
                 rack: state.rack.clone(),
             })
--- a/src/core/workload/placer/ends.rs
+++ b/src/core/workload/placer/ends.rs
@@ -51,9 +51,7 @@
         if current {
             self.book.requeue(task, cx.now);
         }
-        if ended.end != End::Done {
-            self.log_end(cx, vm, task, ended);
-        }
+        self.log_end(cx, vm, task, ended);
     }
 
     fn keep_history(&mut self, task: TaskKey, ended: &EndedTask) {
@@ -83,6 +81,7 @@
             return;
         };
         let count = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+        let mut surplus = Vec::new();
         let done = if gang {
             0..count
         } else {
@@ -93,6 +92,7 @@
             match state.place {
                 Place::Done => continue,
                 Place::Waiting => step.waiting -= 1,
+                Place::On(vm) if !gang => surplus.push((vm, TaskKey { index, ..task })),
                 Place::On(_) => {}
             }
             state.place = Place::Done;
@@ -101,6 +101,10 @@
         if step.is_done() {
             self.step_done(cx, task);
         }
+        // An earlier run was done after all: the later one is not needed.
+        for (vm, task) in surplus {
+            self.order_stop(cx, vm, task, "its task is done");
+        }
     }
 
     fn step_done(&mut self, cx: &mut Cx, task: TaskKey) {
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use super::book::JobKey;
+use super::book::StepKey;
 use super::book::TaskKey;
 use crate::core::model::Now;
 use crate::core::model::RackId;
@@ -262,6 +263,16 @@
         reading.is_some_and(|reading| reading.earliest(now) > self.lease_end_ms + LAPSE_MARGIN_MS)
     }
 
+    /// Runs there of one step and occurrence, if they matter. Runs of tasks that are done already
+    /// count until they have ended.
+    pub fn siblings(&self, key: StepKey, matter: bool) -> u32 {
+        if !matter {
+            return 0;
+        }
+        let runs = self.runs.keys().filter(|task| task.step == key);
+        u32::try_from(runs.count()).unwrap_or(u32::MAX)
+    }
+
     /// Notes a run.
     pub fn insert(&mut self, key: TaskKey, run: Run) {
         self.used = self.used.plus(&run.room);
