--- /dev/null
+++ b/tests/workload/faults.rs
@@ -0,0 +1,105 @@
+//! VMs that fall silent, lose answers or start anew, and a table that is down.
+
+use std::time::Duration;
+
+use ragwortstall::core::workload::effect::JobState;
+use ragwortstall::core::workload::effect::Reply;
+
+use crate::jobs::ID;
+use crate::jobs::job;
+use crate::jobs::step;
+use crate::world::World;
+
+fn started_on(world: &World) -> Box<str> {
+    world.starts[0].3.clone()
+}
+
+#[test]
+fn tasks_of_a_silent_vm_start_elsewhere_once_its_lease_has_lapsed() {
+    let mut world = World::new(2, 2);
+    let one = job(vec![step(1, 8_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(1_000);
+    let vm = started_on(&world);
+    world.vms.get_mut(&vm).expect("a VM").connected = false;
+    let cut_at = world.now;
+    world.run_for(9_000);
+    assert_eq!(world.starts.len(), 2);
+    let (at, _, _, second) = &world.starts[1];
+    assert_ne!(*second, vm);
+    assert!(*at > cut_at + Duration::from_secs(2));
+}
+
+#[test]
+fn a_run_done_behind_a_cut_leaves_no_second_one_and_no_third_sibling() {
+    let mut world = World::new(2, 2);
+    let mut pair = step(4, 4_000, &[]);
+    pair.max_per_vm = 2;
+    assert_eq!(world.submit(0, ID, job(vec![pair])), Reply::Accepted);
+    world.run_for(600);
+    let vm = started_on(&world);
+    world.vms.get_mut(&vm).expect("a VM").connected = false;
+    world.run_for(5_200);
+    world.vms.get_mut(&vm).expect("a VM").connected = true;
+    world.run_for(6_000);
+    assert_eq!(world.state(0, ID), Some(JobState::Completed));
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_repeated_while_it_may_run() {
+    let mut world = World::new(2, 2);
+    world.mute_starts = world.vms.keys().cloned().collect();
+    let one = job(vec![step(3, 2_500, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(4_500);
+    assert_eq!(world.state(1, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 3);
+}
+
+#[test]
+fn tasks_of_a_vm_that_started_anew_start_again() {
+    let mut world = World::new(2, 1);
+    let one = job(vec![step(2, 1_500, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(500);
+    let vm = started_on(&world);
+    world.vms.get_mut(&vm).expect("a VM").restart();
+    world.run_for(5_000);
+    assert_eq!(world.state(0, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4);
+}
+
+#[test]
+fn the_placer_goes_on_while_the_table_is_down() {
+    let mut world = World::new(3, 2);
+    let chain = job(vec![step(2, 800, &[]), step(2, 800, &[0])]);
+    assert_eq!(world.submit(0, ID, chain), Reply::Accepted);
+    world.run_for(300);
+    world.table_up = false;
+    world.run_for(1_500);
+    assert_eq!(world.starts.len(), 4);
+    let refused = world.submit(1, "00000000000000a2", job(vec![step(1, 100, &[])]));
+    assert!(matches!(refused, Reply::Unavailable(_)), "{refused:?}");
+    world.table_up = true;
+    world.run_for(2_500);
+    assert_eq!(world.state(0, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4);
+}
+
+#[test]
+fn a_submission_whose_answer_was_lost_is_unknown_and_then_found() {
+    let mut world = World::new(2, 1);
+    let one = job(vec![step(1, 300, &[])]);
+    world.run_for(450);
+    world.lost_commits = 2;
+    let first = world.submit(0, ID, one.clone());
+    let second = world.submit(1, ID, one);
+    assert!(
+        matches!(first, Reply::Accepted | Reply::Unknown),
+        "{first:?}"
+    );
+    assert_eq!(second, Reply::Accepted);
+    world.run_for(2_500);
+    assert_eq!(world.state(1, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 1);
+}
--- /dev/null
+++ b/tests/workload/main.rs
@@ -0,0 +1,10 @@
+//! The workload reducer against a simulated table, VMs and advice service, in virtual time.
+
+mod faults;
+mod jobs;
+mod takeover;
+mod vm;
+mod world;
+
+#[path = "../support/mod.rs"]
+mod support;
--- /dev/null
+++ b/tests/workload/takeover.rs
@@ -0,0 +1,84 @@
+//! Placers that end, are cut off from the table, or come back.
+
+use ragwortstall::core::workload::effect::JobState;
+use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::task::TaskName;
+
+use crate::jobs::ID;
+use crate::jobs::job;
+use crate::jobs::step;
+use crate::world::World;
+
+#[test]
+fn another_daemon_takes_over_and_adopts_what_runs() {
+    let mut world = World::new(3, 2);
+    let one = job(vec![step(4, 5_000, &[]), step(1, 300, &[0])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(500);
+    let placer = world.placer().expect("a placer");
+    world.kill(placer);
+    world.run_for(6_500);
+    let next = world.placer().expect("a new placer");
+    assert_ne!(next, placer);
+    assert_eq!(world.state(next, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 5);
+}
+
+#[test]
+fn a_placer_cut_off_from_the_table_is_fenced() {
+    let mut world = World::new(3, 2);
+    let one = job(vec![step(4, 4_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(500);
+    let placer = world.placer().expect("a placer");
+    world.cut_from_table(placer, true);
+    world.run_for(5_000);
+    world.cut_from_table(placer, false);
+    world.run_for(3_000);
+    assert_ne!(world.placer(), Some(placer));
+    assert_eq!(world.state(placer, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4);
+}
+
+#[test]
+fn failures_count_across_placers_whatever_the_order_of_their_ends() {
+    let mut world = World::new(3, 2);
+    let name = TaskName {
+        job: ID.into(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    world.failing.insert(name.clone(), 9);
+    let one = job(vec![step(1, 400, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(200);
+    // Neither end reaches the table before the placer ends.
+    world.table_up = false;
+    world.run_for(500);
+    let placer = world.placer().expect("a placer");
+    world.kill(placer);
+    world.table_up = true;
+    world.run_for(6_000);
+    let next = world.placer().expect("a new placer");
+    assert_eq!(world.state(next, ID), Some(JobState::Failed));
+    let runs = world.starts.iter().filter(|start| start.1 == name);
+    assert_eq!(runs.count(), 2);
+}
+
+#[test]
+fn a_placer_that_comes_back_at_once_takes_its_role_again() {
+    let mut world = World::new(2, 1);
+    let one = job(vec![step(2, 2_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(300);
+    let placer = world.placer().expect("a placer");
+    world.kill(placer);
+    world.run_for(100);
+    world.revive(placer);
+    world.run_for(400);
+    assert_eq!(world.placer(), Some(placer));
+    world.run_for(2_500);
+    assert_eq!(world.state(placer, ID), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 2);
+}
--- /dev/null
+++ b/tests/workload/world.rs
@@ -0,0 +1,567 @@
+//! Daemons, a table and VMs that exchange messages in virtual time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ragwortstall::core::model::Now;
+use ragwortstall::core::model::Resources;
+use ragwortstall::core::model::Ticket;
+use ragwortstall::core::workload::Effect;
+use ragwortstall::core::workload::Event;
+use ragwortstall::core::workload::Options;
+use ragwortstall::core::workload::Workload;
+use ragwortstall::core::workload::catalog::Catalog;
+use ragwortstall::core::workload::catalog::Queue;
+use ragwortstall::core::workload::catalog::Team;
+use ragwortstall::core::workload::effect::JobState;
+use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::effect::Request;
+use ragwortstall::core::workload::event::Action;
+use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::Call;
+use ragwortstall::core::workload::event::Feed;
+use ragwortstall::core::workload::event::FeedAnswer;
+use ragwortstall::core::workload::event::FeedRow;
+use ragwortstall::core::workload::event::OrderError;
+use ragwortstall::core::workload::event::StartError;
+use ragwortstall::core::workload::event::VmRow;
+use ragwortstall::core::workload::submission::Submission;
+use ragwortstall::core::workload::table::Committed;
+use ragwortstall::core::workload::table::JOBS;
+use ragwortstall::core::workload::table::PULSE;
+use ragwortstall::core::workload::table::Page;
+use ragwortstall::core::workload::table::Range;
+use ragwortstall::core::workload::table::TableRow;
+use ragwortstall::core::workload::table::Transaction;
+use ragwortstall::core::workload::task::End;
+use ragwortstall::core::workload::task::TaskName;
+
+use crate::vm::SimVm;
+
+/// Time that a message takes one way.
+const DELAY: Duration = Duration::from_millis(1);
+
+/// Wall time at the start.
+const EPOCH: Duration = Duration::from_secs(1_700_000_000);
+
+/// Key of the team.
+pub(crate) const KEY: &str = "key-of-dairy";
+
+/// A daemon and whether it runs.
+struct SimDaemon {
+    state: Workload,
+    name: Box<str>,
+    up: bool,
+    /// Whether it reaches the table.
+    sees_table: bool,
+    life: u64,
+    wake: Option<Now>,
+}
+
+/// What happens at a time.
+enum Due {
+    Arrive(usize, u64, Request),
+    Answer(usize, u64, Answer),
+}
+
+/// A watch that waits for a change.
+struct Watch {
+    daemon: usize,
+    life: u64,
+    feed: Feed,
+    after: u64,
+    until: Now,
+}
+
+/// A renewal that waits for an end.
+struct Held {
+    daemon: usize,
+    life: u64,
+    req: Request,
+    until: Now,
+}
+
+/// All of it.
+pub(crate) struct World {
+    pub now: Now,
+    pub vms: BTreeMap<Box<str>, SimVm>,
+    /// Tasks that fail on their next runs, and how often.
+    pub failing: BTreeMap<TaskName, u32>,
+    /// VMs whose answers to starts are lost.
+    pub mute_starts: BTreeSet<Box<str>>,
+    pub table_up: bool,
+    /// Number of the next commits that take effect without an answer.
+    pub lost_commits: u32,
+    pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
+    daemons: Vec<SimDaemon>,
+    jobs: BTreeMap<Box<str>, Submission>,
+    done: BTreeSet<TaskName>,
+    rows: BTreeMap<(&'static str, Box<str>, Box<str>), (u64, Option<Vec<u8>>)>,
+    version: u64,
+    catalog: Rc<Queue>,
+    cap: Resources,
+    queue: BTreeMap<(Now, u64), Due>,
+    sequence: u64,
+    watches: Vec<Watch>,
+    held: Vec<Held>,
+    replies: BTreeMap<Ticket, Reply>,
+    tickets: Ticket,
+}
+
+impl World {
+    /// A cell of so many daemons and VMs of 16 cores, after its start.
+    pub(crate) fn new(daemons: usize, vms: usize) -> Self {
+        let queue = Queue {
+            name: "labels".into(),
+            host: "labels.example".into(),
+            prefix: "/jobs/".into(),
+            service: "pool".into(),
+            priority: 0,
+            max_attempts: 2,
+            stretch: 2.0,
+            target: Duration::from_millis(250),
+            advice: None,
+            public: false,
+        };
+        let capacity = Resources::new(16_000, 64_000, 0, u32::MAX);
+        let vms = (0..vms).map(|ix| {
+            let id: Box<str> = format!("vm-{ix}").into();
+            (id.clone(), SimVm::new(&id, capacity))
+        });
+        let mut world = Self {
+            now: Now::ZERO,
+            vms: vms.collect(),
+            failing: BTreeMap::new(),
+            mute_starts: BTreeSet::new(),
+            table_up: true,
+            lost_commits: 0,
+            starts: Vec::new(),
+            daemons: Vec::new(),
+            jobs: BTreeMap::new(),
+            done: BTreeSet::new(),
+            rows: BTreeMap::new(),
+            version: 1,
+            catalog: Rc::new(queue),
+            cap: Resources::ZERO,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            watches: Vec::new(),
+            held: Vec::new(),
+            replies: BTreeMap::new(),
+            tickets: 0,
+        };
+        for ix in 0..daemons {
+            let name = format!("entry-{ix}");
+            world.daemons.push(SimDaemon {
+                state: Workload::new(options(&name, 1)),
+                name: name.into(),
+                up: true,
+                sees_table: true,
+                life: 1,
+                wake: Some(Now::ZERO),
+            });
+        }
+        world.run_for(2_000);
+        world
+    }
+
+    /// Sets the team's cap before jobs are submitted.
+    pub(crate) fn set_cap(&mut self, cap: Resources) {
+        self.cap = cap;
+        self.version += 1;
+    }
+
+    /// Lets so many milliseconds pass.
+    pub(crate) fn run_for(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.step();
+            self.now += Duration::from_millis(1);
+        }
+    }
+
+    /// Submits a job by way of a daemon and waits for the answer.
+    pub(crate) fn submit(&mut self, daemon: usize, id: &str, job: Submission) -> Reply {
+        self.jobs.insert(id.into(), job.clone());
+        self.call(daemon, id, Action::Submit(Ok(job)))
+    }
+
+    /// State of a job, as a daemon tells it.
+    pub(crate) fn state(&mut self, daemon: usize, id: &str) -> Option<JobState> {
+        match self.call(daemon, id, Action::Look) {
+            Reply::State(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    /// Sends a call and waits up to three seconds for its answer.
+    pub(crate) fn call(&mut self, daemon: usize, id: &str, action: Action) -> Reply {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let call = Call {
+            host: "labels.example".into(),
+            path: format!("/jobs/{id}").into(),
+            key: Some(KEY.into()),
+            action,
+        };
+        self.feed(daemon, Event::Call { ticket, call });
+        for _ in 0..3_000 {
+            if let Some(reply) = self.replies.remove(&ticket) {
+                return reply;
+            }
+            self.run_for(1);
+        }
+        panic!("no answer to a call about {id}");
+    }
+
+    /// The daemon that places, if one does.
+    pub(crate) fn placer(&mut self) -> Option<usize> {
+        let placing = |daemon: &mut SimDaemon| daemon.up && daemon.state.epoch().is_some();
+        let mut list = self.daemons.iter_mut().enumerate();
+        list.find_map(|(ix, daemon)| placing(daemon).then_some(ix))
+    }
+
+    /// Ends a daemon's process.
+    pub(crate) fn kill(&mut self, daemon: usize) {
+        self.daemons[daemon].up = false;
+        self.daemons[daemon].life += 1;
+    }
+
+    /// Starts a daemon's process again.
+    pub(crate) fn revive(&mut self, daemon: usize) {
+        let one = &mut self.daemons[daemon];
+        one.up = true;
+        one.state = Workload::new(options(&one.name, one.life));
+        one.wake = Some(self.now);
+    }
+
+    /// Cuts a daemon off from the table, or heals that.
+    pub(crate) fn cut_from_table(&mut self, daemon: usize, cut: bool) {
+        self.daemons[daemon].sees_table = !cut;
+    }
+
+    fn step(&mut self) {
+        for vm in self.vms.values_mut() {
+            vm.advance(self.now);
+        }
+        self.wake_daemons();
+        while let Some(due) = self.next_due() {
+            match due {
+                Due::Arrive(daemon, life, req) => self.arrive(daemon, life, req),
+                Due::Answer(daemon, life, answer) => {
+                    if self.is_alive(daemon, life) {
+                        self.feed(daemon, Event::Answer(answer));
+                    }
+                }
+            }
+        }
+        self.serve_waiting();
+    }
+
+    fn next_due(&mut self) -> Option<Due> {
+        let first = *self.queue.first_key_value()?.0;
+        (first.0 <= self.now).then(|| self.queue.remove(&first))?
+    }
+
+    fn wake_daemons(&mut self) {
+        for ix in 0..self.daemons.len() {
+            let daemon = &self.daemons[ix];
+            if daemon.up && daemon.wake.is_some_and(|at| self.now >= at) {
+                let unix = EPOCH + self.now;
+                self.feed(ix, Event::Tick { unix });
+            }
+        }
+    }
+
+    fn feed(&mut self, ix: usize, event: Event) {
+        let daemon = &mut self.daemons[ix];
+        let effects = daemon.state.step(self.now, event);
+        daemon.wake = daemon.state.wake_at(self.now);
+        let life = daemon.life;
+        for effect in effects {
+            match effect {
+                Effect::Ask(req) => self.at(DELAY, Due::Arrive(ix, life, req)),
+                Effect::Reply(ticket, reply) => {
+                    self.replies.insert(ticket, reply);
+                }
+                Effect::Log(_) | Effect::Exit => {}
+            }
+        }
+    }
+
+    fn at(&mut self, delay: Duration, due: Due) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), due);
+    }
+
+    fn answer(&mut self, daemon: usize, life: u64, answer: Answer) {
+        self.at(DELAY, Due::Answer(daemon, life, answer));
+    }
+
+    fn is_alive(&self, daemon: usize, life: u64) -> bool {
+        self.daemons[daemon].up && self.daemons[daemon].life == life
+    }
+
+    fn arrive(&mut self, daemon: usize, life: u64, req: Request) {
+        let reaches = self.table_up && self.daemons[daemon].sees_table;
+        let lost: Box<str> = "no answer".into();
+        let answer = match req {
+            Request::Commit { purpose, txn, .. } if reaches => {
+                let outcome = self.commit(&txn);
+                if self.lost_commits > 0 && matches!(outcome, Committed::Done(_)) {
+                    self.lost_commits -= 1;
+                    Answer::Committed(purpose, Committed::Unknown(lost))
+                } else {
+                    Answer::Committed(purpose, outcome)
+                }
+            }
+            Request::Commit { purpose, .. } => Answer::Committed(purpose, Committed::Refused(lost)),
+            Request::Read { purpose, range } if reaches => {
+                Answer::Read(purpose, Ok(self.page(&range)))
+            }
+            Request::Read { purpose, .. } => Answer::Read(purpose, Err(lost)),
+            Request::ReadAll { feed, .. } if reaches => {
+                Answer::Feed(feed, FeedAnswer::Whole(self.rows(feed, 0), self.version))
+            }
+            Request::Watch {
+                feed, after, wait, ..
+            } if reaches => {
+                return self.watches.push(Watch {
+                    daemon,
+                    life,
+                    feed,
+                    after,
+                    until: self.now + wait,
+                });
+            }
+            Request::ReadAll { feed, .. } | Request::Watch { feed, .. } => {
+                Answer::Feed(feed, FeedAnswer::Failed(lost))
+            }
+            Request::Hold { wait, .. } => {
+                let until = self.now + wait;
+                return self.held.push(Held {
+                    daemon,
+                    life,
+                    req,
+                    until,
+                });
+            }
+            order => self.order(order),
+        };
+        self.answer(daemon, life, answer);
+    }
+
+    fn order(&mut self, req: Request) -> Answer {
+        let lost = || OrderError::NoAnswer("no answer".into());
+        match req {
+            Request::Start(start) => {
+                let name = start.order.task.clone();
+                let id = start.order.vm.clone();
+                if !self.vms[&id].connected {
+                    return Answer::Started(start.order, Err(StartError::Order(lost())));
+                }
+                let step = self.jobs[&name.job].steps[usize::from(name.step)].clone();
+                let fate = self.fate(&name, &step);
+                let vm = self.vms.get_mut(&id).expect("a known VM");
+                let result = vm.start(self.now, &start, &step, fate);
+                if result.is_ok() {
+                    self.check_once(&name);
+                    let run = start.order.run;
+                    self.starts.push((self.now, name, run, id.clone()));
+                }
+                if self.mute_starts.contains(&id) {
+                    return Answer::Started(start.order, Err(StartError::Order(lost())));
+                }
+                Answer::Started(start.order, result)
+            }
+            Request::Stop { order, epoch, .. } => {
+                let vm = self.vms.get_mut(&order.vm).expect("a known VM");
+                let result = if vm.connected {
+                    vm.stop(self.now, epoch, &order.task, order.run)
+                } else {
+                    Err(lost())
+                };
+                Answer::Stopped(order, result)
+            }
+            other => panic!("unexpected request {other:?}"),
+        }
+    }
+
+    /// When and how a run ends by itself.
+    fn fate(
+        &mut self,
+        name: &TaskName,
+        step: &ragwortstall::core::workload::submission::Step,
+    ) -> Option<(Now, End)> {
+        let ends_at = self.now + Duration::from_millis(step.estimate_ms);
+        if let Some(left) = self.failing.get_mut(name)
+            && *left > 0
+        {
+            *left -= 1;
+            return Some((ends_at, End::Failed));
+        }
+        (!step.traits.lasting).then_some((ends_at, End::Done))
+    }
+
+    /// No task runs on two VMs.
+    fn check_once(&self, name: &TaskName) {
+        let on = self.vms.values().filter(|vm| vm.runs.contains_key(name));
+        assert!(on.count() <= 1, "{name} runs twice at {:?}", self.now);
+        assert!(
+            !self.done.contains(name),
+            "{name} starts after it was noted as done"
+        );
+    }
+
+    fn serve_waiting(&mut self) {
+        let now = self.now;
+        for watch in std::mem::take(&mut self.watches) {
+            let rows = self.rows(watch.feed, watch.after);
+            if rows.is_empty() && now < watch.until {
+                self.watches.push(watch);
+                continue;
+            }
+            let answer = FeedAnswer::Changes(rows, self.version);
+            self.answer(watch.daemon, watch.life, Answer::Feed(watch.feed, answer));
+        }
+        for held in std::mem::take(&mut self.held) {
+            let Request::Hold {
+                by,
+                epoch,
+                deadline_ms,
+                ack,
+                ..
+            } = &held.req
+            else {
+                continue;
+            };
+            let vm = self.vms.get_mut(&by.vm).expect("a known VM");
+            if vm.connected && !vm.has_news() && now < held.until && vm.epoch == *epoch {
+                self.held.push(held);
+                continue;
+            }
+            let result = if vm.connected {
+                vm.hold(now, *epoch, *deadline_ms, *ack)
+            } else {
+                Err(OrderError::NoAnswer("no answer".into()))
+            };
+            if let Ok(report) = &result {
+                let done = report.ended.iter().filter(|ended| ended.end == End::Done);
+                let noted = done.filter(|ended| ended.number <= *ack);
+                self.done.extend(noted.map(|ended| ended.task.clone()));
+            }
+            let by = by.clone();
+            self.answer(held.daemon, held.life, Answer::Held(by, result));
+        }
+    }
+
+    fn commit(&mut self, txn: &Transaction) -> Committed {
+        let key = |row: &ragwortstall::core::workload::table::RowId| {
+            (row.table, row.part.clone(), row.key.clone())
+        };
+        let differs = txn.expect.iter().any(|(row, version)| {
+            let current = self.rows.get(&key(row));
+            let current = current.filter(|(_, value)| value.is_some());
+            current.map_or(0, |(version, _)| *version) != *version
+        });
+        if differs {
+            let rows = txn.expect.iter().filter_map(|(row, _)| {
+                let (version, value) = self.rows.get(&key(row))?;
+                Some(table_row(&key(row), *version, value.as_ref()))
+            });
+            return Committed::Conflict(rows.collect());
+        }
+        self.version += 1;
+        for (row, value) in &txn.put {
+            self.rows
+                .insert(key(row), (self.version, Some(value.clone())));
+        }
+        for row in &txn.remove {
+            self.rows.insert(key(row), (self.version, None));
+        }
+        Committed::Done(self.version)
+    }
+
+    fn page(&self, range: &Range) -> Page {
+        let inside = |key: &str| key >= &*range.from && (range.to.is_empty() || key < &*range.to);
+        let rows = self.rows.iter().filter(|((table, part, key), (_, value))| {
+            *table == range.table && *part == range.part && inside(key) && value.is_some()
+        });
+        Page {
+            rows: rows
+                .map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
+                .collect(),
+            more: false,
+            version: self.version,
+        }
+    }
+
+    fn rows(&self, feed: Feed, after: u64) -> Vec<FeedRow> {
+        let table = match feed {
+            Feed::Config if after == 0 => return vec![FeedRow::Config(Box::new(self.catalog()))],
+            Feed::Vms if after == 0 => {
+                return self.vms.values().map(vm_row).map(FeedRow::Vm).collect();
+            }
+            Feed::Config | Feed::Vms => return Vec::new(),
+            Feed::Jobs => JOBS,
+            Feed::Pulse => PULSE,
+        };
+        let rows = self.rows.iter();
+        let rows = rows.filter(|(key, (version, _))| key.0 == table && *version > after);
+        rows.map(|(key, (version, value))| FeedRow::Own(table_row(key, *version, value.as_ref())))
+            .collect()
+    }
+
+    fn catalog(&self) -> Catalog {
+        let mut catalog = Catalog {
+            version: 1,
+            queues: vec![Rc::clone(&self.catalog)],
+            ..Catalog::default()
+        };
+        catalog.keys.insert(KEY.into(), "dairy".into());
+        let team = Team {
+            weight: 1.0,
+            cap: self.cap,
+        };
+        catalog.teams.insert("dairy".into(), team);
+        catalog
+    }
+}
+
+fn options(name: &str, life: u64) -> Options {
+    let digits = name.bytes().map(u64::from).sum::<u64>();
+    let mut options = Options::new(name, "zone-a", digits * 37 + life);
+    options.vms.stop_timeout = crate::vm::STOP_TIME;
+    options
+}
+
+fn table_row(
+    key: &(&'static str, Box<str>, Box<str>),
+    version: u64,
+    value: Option<&Vec<u8>>,
+) -> TableRow {
+    TableRow {
+        part: key.1.clone(),
+        key: key.2.clone(),
+        version,
+        value: value.cloned(),
+    }
+}
+
+fn vm_row(vm: &SimVm) -> VmRow {
+    VmRow {
+        id: vm.id.clone(),
+        service: "pool".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "zone-a".into(),
+        draining: vm.draining,
+        remaining: None,
+        capacity: vm.capacity,
+        labels: vec!["a".into(), "r1".into()],
+        rack: "r1".into(),
+        born: vm.born,
+        machine: vm.id.clone(),
+    }
+}
