--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -32,16 +32,18 @@
 
 #[test]
 fn a_run_done_behind_a_cut_leaves_no_second_one_and_no_third_sibling() {
-    let mut world = World::new(2, 2);
-    let mut pair = step(4, 4_000, &[]);
-    pair.max_per_vm = 2;
-    assert_eq!(world.submit(0, ID, job(vec![pair])), Reply::Accepted);
+    let mut world = World::new(2, 3);
+    let mut pairs = step(14, 4_000, &[]);
+    pairs.max_per_vm = 2;
+    assert_eq!(world.submit(0, ID, job(vec![pairs])), Reply::Accepted);
     world.run_for(600);
     let vm = started_on(&world);
     world.vms.get_mut(&vm).expect("a VM").connected = false;
-    world.run_for(5_200);
+    world.run_for(7_800);
+    // Its runs were done before their lease lapsed, and have been started a second time.
+    assert_eq!(world.starts.iter().filter(|start| start.2 == 2).count(), 2);
     world.vms.get_mut(&vm).expect("a VM").connected = true;
-    world.run_for(6_000);
+    world.run_for(7_000);
     assert_eq!(world.state(0, ID), Some(JobState::Completed));
 }
 
--- a/tests/workload/jobs.rs
+++ b/tests/workload/jobs.rs
@@ -61,8 +61,14 @@
 #[test]
 fn a_cancelled_job_ends_and_frees_its_room_only_when_its_runs_have_ended() {
     let mut world = World::new(2, 1);
-    let wide = job(vec![step(16, 60_000, &[])]);
+    let wide = job(vec![step(13, 60_000, &[])]);
     assert_eq!(world.submit(0, ID, wide), Reply::Accepted);
+    // Ends of other tasks make the VM answer renewals while the runs are being stopped.
+    let steps = vec![step(1, 550, &[]), step(1, 700, &[]), step(1, 850, &[])];
+    assert_eq!(
+        world.submit(0, "00000000000000a3", job(steps)),
+        Reply::Accepted
+    );
     world.run_for(300);
     assert_eq!(world.call(1, ID, Action::Cancel), Reply::Cancelled);
     // The simulated VM checks that runs still being stopped keep their room.
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -53,13 +53,22 @@
     let one = job(vec![step(1, 400, &[])]);
     assert_eq!(world.submit(0, ID, one), Reply::Accepted);
     world.run_for(200);
-    // Neither end reaches the table before the placer ends.
+    // Neither end reaches the table before the placer ends, and the next placer hears of the
+    // second one first.
     world.table_up = false;
-    world.run_for(500);
+    let first = world.starts[0].3.clone();
+    world.vms.get_mut(&first).expect("a VM").full = true;
+    world.run_for(700);
+    assert_ne!(world.starts[1].3, first);
     let placer = world.placer().expect("a placer");
     world.kill(placer);
+    let vm = world.vms.get_mut(&first).expect("a VM");
+    vm.full = false;
+    vm.connected = false;
     world.table_up = true;
-    world.run_for(6_000);
+    world.run_for(3_000);
+    world.vms.get_mut(&first).expect("a VM").connected = true;
+    world.run_for(3_000);
     let next = world.placer().expect("a new placer");
     assert_eq!(world.state(next, ID), Some(JobState::Failed));
     let runs = world.starts.iter().filter(|start| start.1 == name);
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -28,6 +28,8 @@
     /// Whether orders and answers get through.
     pub connected: bool,
     pub draining: bool,
+    /// Whether it refuses starts for want of room.
+    pub full: bool,
     pub epoch: u64,
     lease_end: u64,
     pub runs: BTreeMap<TaskName, SimRun>,
@@ -54,6 +56,7 @@
             born: 1,
             connected: true,
             draining: false,
+            full: false,
             epoch: 0,
             lease_end: 0,
             runs: BTreeMap::new(),
@@ -131,6 +134,9 @@
     ) -> Result<u64, StartError> {
         self.fence(order.epoch).map_err(StartError::Order)?;
         self.advance(now);
+        if self.full {
+            return Err(StartError::NoRoom);
+        }
         let name = &order.order.task;
         let number = order.order.run;
         if ms(now) > order.deadline_ms {
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -101,7 +101,6 @@
     rows: BTreeMap<(&'static str, Box<str>, Box<str>), (u64, Option<Vec<u8>>)>,
     version: u64,
     catalog: Rc<Queue>,
-    cap: Resources,
     queue: BTreeMap<(Now, u64), Due>,
     sequence: u64,
     watches: Vec<Watch>,
@@ -144,7 +143,6 @@
             rows: BTreeMap::new(),
             version: 1,
             catalog: Rc::new(queue),
-            cap: Resources::ZERO,
             queue: BTreeMap::new(),
             sequence: 0,
             watches: Vec::new(),
@@ -167,12 +165,6 @@
         world
     }
 
-    /// Sets the team's cap before jobs are submitted.
-    pub(crate) fn set_cap(&mut self, cap: Resources) {
-        self.cap = cap;
-        self.version += 1;
-    }
-
     /// Lets so many milliseconds pass.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -523,7 +515,7 @@
         catalog.keys.insert(KEY.into(), "dairy".into());
         let team = Team {
             weight: 1.0,
-            cap: self.cap,
+            cap: Resources::ZERO,
         };
         catalog.teams.insert("dairy".into(), team);
         catalog
