--- a/src/core/workload/calls.rs
+++ b/src/core/workload/calls.rs
@@ -20,18 +20,19 @@
 use super::feeds::Feeds;
 use super::intake::Intake;
 use super::pulse::Pulse;
-use super::rows::JOBS_PART;
 use super::rows::JobRow;
 use super::rows::ProgressRow;
 use super::rows::cancel_key;
 use super::rows::decode;
+use super::rows::job_part;
+use super::rows::job_part_name;
+use super::rows::job_row;
 use super::submission::Submission;
 use super::table::Committed;
 use super::table::JOBS;
 use super::table::PROGRESS;
 use super::table::Page;
 use super::table::Range;
-use super::table::RowId;
 use super::table::Transaction;
 use crate::core::model::JobId;
 use crate::core::model::TeamId;
@@ -93,7 +94,7 @@
             });
             return cx.reply(ticket, Reply::BadKey);
         }
-        let id = job_part(&queue, &call.path);
+        let id = id_in_path(&queue, &call.path);
         match call.action {
             Action::Submit(Ok(_) | Err(_)) if !is_job_id(id) => {
                 cx.reply(
@@ -126,7 +127,7 @@
             Action::Cancel => {
                 self.ask(ticket, team, &queue);
                 let timeout = cx.options.table.read_timeout;
-                let range = Range::prefix(JOBS, JOBS_PART, id, timeout);
+                let range = Range::prefix(JOBS, &job_part_name(job_part(id)), id, timeout);
                 cx.read(ReadFor::Cancel(ticket, id.into()), range);
             }
             Action::Other => cx.reply(ticket, Reply::NoMethod),
@@ -146,7 +147,7 @@
         };
         let Some(value) = page.rows.first().and_then(|row| row.value.as_deref()) else {
             let timeout = cx.options.table.read_timeout;
-            let range = Range::prefix(JOBS, JOBS_PART, &id, timeout);
+            let range = Range::prefix(JOBS, &job_part_name(job_part(&id)), &id, timeout);
             return cx.read(ReadFor::Existence(ticket, id), range);
         };
         let reply = match decode::<ProgressRow>(value) {
@@ -196,12 +197,9 @@
         if page.rows.iter().any(|row| row.key == key) {
             return self.finish(cx, ticket, Reply::Cancelled);
         }
-        let row = RowId::new(JOBS, JOBS_PART, &key);
+        let row = job_row(&id, &key);
         let txn = Transaction {
-            expect: vec![
-                (RowId::new(JOBS, JOBS_PART, &id), version),
-                (row.clone(), 0),
-            ],
+            expect: vec![(job_row(&id, &id), version), (row.clone(), 0)],
             put: vec![(row, b"{}".to_vec())],
             remove: Vec::new(),
         };
@@ -355,7 +353,7 @@
 }
 
 /// What follows the queue's prefix in a path, without a query.
-fn job_part<'a>(queue: &Queue, path: &'a str) -> &'a str {
+fn id_in_path<'a>(queue: &Queue, path: &'a str) -> &'a str {
     let rest = path.strip_prefix(&*queue.prefix).unwrap_or_default();
     rest.split('?').next().unwrap_or_default()
 }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -92,15 +92,13 @@
 /// What a transaction was for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommitFor {
-    /// A batch of submissions.
-    Submissions(u64),
+    /// Submissions to a part.
+    Submissions(u8),
     /// A cancellation asked by a caller.
     Cancel(Ticket, JobId),
     /// Taking the placer's role.
     Take,
-    /// A heartbeat of the placer.
-    Beat,
-    /// Progress of jobs.
+    /// Progress of jobs, and the placer's heartbeat.
     Progress,
     /// VMs that are to be used.
     Roster,
@@ -132,8 +130,8 @@
 /// What a new placer reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Load {
-    /// Jobs.
-    Jobs,
+    /// Jobs of one part.
+    Jobs(u8),
     /// Progress.
     Progress,
     /// Roster.
--- a/src/core/workload/intake.rs
+++ b/src/core/workload/intake.rs
@@ -1,34 +1,46 @@
-//! Submissions on their way into the table. Those that arrive together share a transaction, and a
-//! job is accepted only when its transaction has taken effect.
+//! Submissions on their way into the table. Each part of the table takes its transactions one by
+//! one, so that a daemon has one under way to a part, which the submissions that came meanwhile
+//! follow together. A job is accepted only when its transaction has taken effect.
 
-use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::cx::Cx;
+use super::cx::millis;
 use super::cx::sooner;
 use super::decision::Decision;
 use super::effect::Reply;
 use super::event::CommitFor;
-use super::rows::JOBS_PART;
 use super::rows::JobRow;
 use super::rows::encode;
+use super::rows::job_part;
+use super::rows::job_row;
 use super::table::Committed;
-use super::table::JOBS;
-use super::table::RowId;
+use super::table::TableRow;
 use super::table::Transaction;
 use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
 
-/// Largest number of transactions of submissions under way.
-const MAX_BATCHES: usize = 4;
+/// Time after its arrival up to which a submission that the table refused is sent again.
+const RETRY_WINDOW: Duration = Duration::from_millis(1_200);
+
+/// Delay before a refused transaction is sent again.
+const RETRY_DELAY: Duration = Duration::from_millis(120);
 
 /// Jobs that wait for a transaction, or for its outcome.
 #[derive(Debug, Default)]
 pub(super) struct Intake {
+    parts: BTreeMap<u8, Part>,
+}
+
+/// Jobs of one part of the table.
+#[derive(Debug, Default)]
+struct Part {
     waiting: Vec<Pending>,
-    since: Now,
-    batches: FxHashMap<u64, Vec<Pending>>,
-    last_batch: u64,
+    /// When the jobs that wait are sent.
+    due: Now,
+    under_way: Vec<Pending>,
 }
 
 /// A job that its submitter waits for.
@@ -37,110 +49,120 @@
     id: JobId,
     row: JobRow,
     config: u64,
+    arrived: Now,
     tickets: Vec<Ticket>,
 }
 
 impl Intake {
     /// Takes a submission. A repeat of one under way shares its outcome.
     pub fn submit(&mut self, cx: &mut Cx, ticket: Ticket, id: JobId, row: JobRow, config: u64) {
-        let under_way = self.batches.values_mut().flatten();
-        let mut pending = self.waiting.iter_mut().chain(under_way);
+        let part = self.parts.entry(job_part(&id)).or_default();
+        let mut pending = part.waiting.iter_mut().chain(&mut part.under_way);
         if let Some(pending) = pending.find(|pending| pending.id == id) {
             pending.tickets.push(ticket);
             return;
         }
-        if self.waiting.is_empty() {
-            self.since = cx.now;
+        if part.waiting.is_empty() {
+            part.due = cx.now + cx.options.table.batch_delay;
         }
-        self.waiting.push(Pending {
+        part.waiting.push(Pending {
             id,
             row,
             config,
+            arrived: cx.now,
             tickets: vec![ticket],
         });
     }
 
     /// Whether no submission waits for an answer.
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.batches.is_empty()
+        self.parts.is_empty()
     }
 
-    /// Sends a transaction if one is due.
+    /// Sends the transactions that are due.
     pub fn poll(&mut self, cx: &mut Cx) {
-        let options = &cx.options.table;
-        let due =
-            cx.now >= self.since + options.batch_delay || self.waiting.len() >= options.batch_jobs;
-        if self.waiting.is_empty() || !due || self.batches.len() >= MAX_BATCHES {
-            return;
-        }
-        let count = self.waiting.len().min(options.batch_jobs);
-        let batch: Vec<Pending> = self.waiting.drain(..count).collect();
-        let mut txn = Transaction::default();
-        for pending in &batch {
-            let row = RowId::new(JOBS, JOBS_PART, &pending.id);
-            txn.expect.push((row.clone(), 0));
-            txn.put.push((row, encode(&pending.row)));
+        let most = cx.options.table.batch_jobs;
+        for (&number, part) in &mut self.parts {
+            if !part.is_due(cx.now) {
+                continue;
+            }
+            let count = part.waiting.len().min(most);
+            part.under_way = part.waiting.drain(..count).collect();
+            let mut txn = Transaction::default();
+            for pending in &part.under_way {
+                let row = job_row(&pending.id, &pending.id);
+                txn.expect.push((row.clone(), 0));
+                txn.put.push((row, encode(&pending.row)));
+            }
+            cx.commit(CommitFor::Submissions(number), txn);
         }
-        self.last_batch += 1;
-        self.batches.insert(self.last_batch, batch);
-        cx.commit(CommitFor::Submissions(self.last_batch), txn);
     }
 
     /// Takes the outcome of a transaction.
-    pub fn committed(&mut self, cx: &mut Cx, batch: u64, outcome: Committed) {
-        let Some(batch) = self.batches.remove(&batch) else {
+    pub fn committed(&mut self, cx: &mut Cx, number: u8, outcome: &Committed) {
+        let Some(part) = self.parts.get_mut(&number) else {
             return;
         };
-        match outcome {
-            Committed::Done(_) => {
-                for pending in batch {
-                    accept(cx, &pending, false);
-                }
-            }
-            Committed::Conflict(rows) => {
-                for pending in batch {
-                    let present = |row: &&super::table::TableRow| {
-                        row.key == pending.id && row.value.is_some()
-                    };
-                    if rows.iter().any(|row| present(&row)) {
-                        accept(cx, &pending, true);
+        let batch = std::mem::take(&mut part.under_way);
+        for pending in batch {
+            match outcome {
+                Committed::Done(_) => accept(cx, &pending, false),
+                Committed::Conflict(rows) if holds(rows, &pending.id) => accept(cx, &pending, true),
+                Committed::Conflict(_) => part.waiting.push(pending),
+                Committed::Refused(reason) => {
+                    if cx.now < pending.arrived + RETRY_WINDOW {
+                        part.due = cx.now + RETRY_DELAY;
+                        part.waiting.push(pending);
                     } else {
-                        self.waiting.push(pending);
+                        refuse(cx, &pending, reason);
                     }
                 }
-            }
-            Committed::Refused(reason) => {
-                let delay = super::calls::UNAVAILABLE_RETRY;
-                for pending in batch {
-                    cx.log(Decision::Refused {
-                        id: pending.id,
-                        reason: reason.clone(),
-                        config: pending.config,
-                        table_age_ms: 0,
-                    });
-                    answer(cx, &pending.tickets, &Reply::Unavailable(delay));
-                }
-            }
-            Committed::Unknown(reason) => {
-                for pending in batch {
+                Committed::Unknown(reason) => {
                     cx.log(Decision::Unsettled {
-                        id: pending.id,
+                        id: pending.id.clone(),
                         reason: reason.clone(),
                     });
                     answer(cx, &pending.tickets, &Reply::Unknown);
                 }
             }
         }
+        if part.waiting.is_empty() {
+            self.parts.remove(&number);
+        }
+    }
+
+    /// Refuses what waits and was not sent, as the table does not answer.
+    pub fn refuse_waiting(&mut self, cx: &mut Cx) {
+        for part in self.parts.values_mut() {
+            for pending in part.waiting.drain(..) {
+                refuse(cx, &pending, "the table does not answer");
+            }
+        }
+        self.parts.retain(|_, part| !part.under_way.is_empty());
     }
 
     /// When a transaction is due.
-    pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
-        let at = self.since + cx.options.table.batch_delay;
-        let open = !self.waiting.is_empty() && self.batches.len() < MAX_BATCHES;
-        sooner(None, open.then_some(at))
+    pub fn wake_at(&self) -> Option<Now> {
+        let waiting = self.parts.values().filter(|part| part.can_send());
+        waiting.fold(None, |at, part| sooner(at, Some(part.due)))
+    }
+}
+
+impl Part {
+    fn can_send(&self) -> bool {
+        self.under_way.is_empty() && !self.waiting.is_empty()
+    }
+
+    fn is_due(&self, now: Now) -> bool {
+        self.can_send() && now >= self.due
     }
 }
 
+fn holds(rows: &[TableRow], id: &str) -> bool {
+    rows.iter()
+        .any(|row| &*row.key == id && row.value.is_some())
+}
+
 fn accept(cx: &mut Cx, pending: &Pending, repeat: bool) {
     cx.log(Decision::Accepted {
         id: pending.id.clone(),
@@ -152,6 +174,17 @@
     answer(cx, &pending.tickets, &Reply::Accepted);
 }
 
+fn refuse(cx: &mut Cx, pending: &Pending, reason: &str) {
+    cx.log(Decision::Refused {
+        id: pending.id.clone(),
+        reason: reason.into(),
+        config: pending.config,
+        table_age_ms: millis(cx.now.saturating_sub(pending.arrived)),
+    });
+    let delay = super::calls::UNAVAILABLE_RETRY;
+    answer(cx, &pending.tickets, &Reply::Unavailable(delay));
+}
+
 fn answer(cx: &mut Cx, tickets: &[Ticket], reply: &Reply) {
     for &ticket in tickets {
         cx.reply(ticket, reply.clone());
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -18,6 +18,8 @@
     pub nonce: u64,
     /// Part of the VMs that the placer of this daemon's group holds.
     pub part: Box<str>,
+    /// Longest time from the order to stop to the end of the process.
+    pub drain_timeout: Duration,
     /// Table calls.
     pub table: TableOptions,
     /// The placer's role.
@@ -109,6 +111,7 @@
             peer_address: "".into(),
             nonce,
             part: "p0".into(),
+            drain_timeout: Duration::from_secs(4),
             table: TableOptions::default(),
             placer: PlacerOptions::default(),
             vms: VmOptions::default(),
@@ -119,7 +122,7 @@
 impl Default for TableOptions {
     fn default() -> Self {
         Self {
-            commit_timeout: Duration::from_secs(1),
+            commit_timeout: Duration::from_secs(2),
             read_timeout: Duration::from_millis(800),
             watch_wait: Duration::from_secs(1),
             watch_margin: Duration::from_millis(600),
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -50,8 +50,8 @@
     pub draining_since: Option<Now>,
     /// When it may be gone, if it is leaving.
     pub leaves_at: Option<Now>,
-    /// Whether it is in the roster.
-    pub registered: bool,
+    /// Whether the next placer would know of it.
+    pub roster: Roster,
     /// Start of its lifetime; zero while unknown.
     pub born: u64,
     /// Reading of its clock.
@@ -60,8 +60,6 @@
     pub lease_end_ms: u64,
     /// Whether it has answered a renewal of this epoch.
     pub fenced: bool,
-    /// Whether an earlier placer may have used it.
-    pub inherited: bool,
     /// Not used before: a run that is being stopped, and that no list holds, may take its room.
     pub unclear_until: Now,
     /// Last end that was taken in.
@@ -86,6 +84,17 @@
     pub failed_job: Option<JobKey>,
 }
 
+/// Whether a VM is in the roster, from which the next placer learns where tasks may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Roster {
+    /// It is not; nothing may be started there yet.
+    Absent,
+    /// This placer has entered it.
+    Registered,
+    /// An earlier placer has, and may have started tasks there.
+    Inherited,
+}
+
 /// State of a VM's renewals.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Hold {
@@ -196,12 +205,11 @@
             listed: false,
             draining_since: None,
             leaves_at: None,
-            registered: false,
+            roster: Roster::Absent,
             born: 0,
             clock: None,
             lease_end_ms: 0,
             fenced: false,
-            inherited: false,
             unclear_until: Now::ZERO,
             seen_end: 0,
             noted_end: 0,
@@ -238,7 +246,7 @@
     /// Whether new work may be started there.
     pub fn is_usable(&self, now: Now) -> bool {
         self.listed
-            && self.registered
+            && self.roster != Roster::Absent
             && self.fenced
             && self.draining_since.is_none()
             && self.hold.misses == 0
@@ -300,7 +308,9 @@
         self.clock = None;
         self.lease_end_ms = 0;
         self.fenced = false;
-        self.inherited = false;
+        if self.roster == Roster::Inherited {
+            self.roster = Roster::Registered;
+        }
         self.unclear_until = Now::ZERO;
         self.seen_end = 0;
         self.noted_end = 0;
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -8,6 +8,7 @@
 use super::book::TaskKey;
 use super::fleet::ClockReading;
 use super::fleet::Phase;
+use super::fleet::Roster;
 use super::fleet::Run;
 use super::fleet::Vm;
 use super::fleet::VmKey;
@@ -170,7 +171,7 @@
             let Some(vm) = self.fleet.vms.get(&key) else {
                 continue;
             };
-            unsettled |= !vm.fenced && vm.registered && cx.now < horizon;
+            unsettled |= !vm.fenced && vm.roster == Roster::Inherited && cx.now < horizon;
             let silent_for = cx.now.saturating_sub(vm.heard);
             let forget = silent && !vm.listed && vm.runs.is_empty();
             if forget && silent_for > cx.options.vms.forget_after {
@@ -209,7 +210,7 @@
         }
         if !vm.fenced {
             vm.fenced = true;
-            if vm.inherited {
+            if vm.roster == Roster::Inherited {
                 vm.unclear_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
             }
             self.round_at = Some(cx.now);
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -10,6 +10,7 @@
 use super::book::JobKey;
 use super::book::Place;
 use super::fleet::Fleet;
+use super::fleet::Roster;
 use super::progress::Progress;
 use super::retire::Retire;
 use super::usage::Usage;
@@ -38,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct Loaded {
     /// Version from which changes of the jobs are followed.
-    pub version: Rev,
+    pub version: Option<Rev>,
     /// Jobs and cancellations.
     pub jobs: Vec<TableRow>,
     /// Progress.
@@ -155,8 +156,7 @@
             Ok(known) => {
                 let key = self.fleet.add(&row.key, &known.address, cx.now);
                 if let Some(vm) = self.fleet.vms.get_mut(&key) {
-                    vm.registered = true;
-                    vm.inherited = true;
+                    vm.roster = Roster::Inherited;
                 }
             }
             Err(reason) => cx.log(Decision::RowUnreadable {
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -27,17 +27,15 @@
 use super::event::FeedRow;
 use super::feeds::Update;
 use super::pulse::Pulse;
-use super::rows::BEAT_KEY;
 use super::rows::BeatRow;
-use super::rows::JOBS_PART;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
 use super::rows::RosterRow;
 use super::rows::decode;
 use super::rows::encode;
+use super::rows::is_job_part;
 use super::table::Committed;
 use super::table::JOBS;
-use super::table::PULSE;
 use super::table::ROSTER;
 use super::table::RowId;
 use super::table::TableRow;
@@ -121,7 +119,6 @@
             self.write_progress(cx);
             return None;
         }
-        self.beat(cx);
         self.register(cx);
         self.begin_due(cx);
         self.check_leases(cx);
@@ -134,11 +131,10 @@
 
     /// When it next needs the time.
     pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
-        let mut at = Some(self.beat_at);
         let due = self.book.next_due(cx.unix, cx.options.placer.early);
-        at = sooner(at, due.map(|left| cx.now + left));
+        let mut at = due.map(|left| cx.now + left);
         at = sooner(at, self.round_at.map(|at| self.earliest_round(cx).max(at)));
-        at = sooner(at, self.progress.wake_at(&self.book));
+        at = sooner(at, self.progress.wake_at(&self.book, self.beat_at));
         sooner(at, self.next_renewal())
     }
 
@@ -182,15 +178,6 @@
     /// Takes the outcome of one of its transactions.
     pub fn committed(&mut self, cx: &mut Cx, purpose: &CommitFor, outcome: &Committed) -> Lost {
         match purpose {
-            CommitFor::Beat => {
-                if self.release == Release::UnderWay {
-                    self.release = Release::Done;
-                }
-                match outcome {
-                    Committed::Conflict(_) => Some("the owner row has changed".into()),
-                    _ => None,
-                }
-            }
             CommitFor::Roster => self.registered(cx, outcome),
             CommitFor::Progress => self.progress_written(cx, outcome),
             CommitFor::Retire => {
@@ -220,9 +207,10 @@
     pub fn release(&mut self, cx: &mut Cx) -> bool {
         if self.release == Release::Not {
             self.release = Release::UnderWay;
-            self.write_beat(cx, true);
+            self.beat_at = Now::ZERO;
+            self.write_progress(cx);
         }
-        self.release == Release::Done && self.progress.is_idle()
+        self.release == Release::Done
     }
 
     fn want_round(&mut self, at: Now) {
@@ -233,30 +221,17 @@
         self.rounded + cx.options.placer.dispatch_every
     }
 
-    fn beat(&mut self, cx: &mut Cx) {
-        if cx.now >= self.beat_at {
-            self.write_beat(cx, false);
-        }
-    }
-
-    fn write_beat(&mut self, cx: &mut Cx, released: bool) {
-        self.beat_at = cx.now + cx.options.placer.beat_every;
+    /// The placer's heartbeat, with what waits in each queue.
+    fn beat_row(&self) -> BeatRow {
         let mut waiting = rustc_hash::FxHashMap::default();
         for (_, job) in self.book.open_jobs().filter(|(_, job)| job.is_untouched()) {
             *waiting.entry(job.queue.name.clone()).or_insert(0) += 1;
         }
-        let row = BeatRow {
+        BeatRow {
             owner: self.owner.clone(),
-            released,
+            released: self.release != Release::Not,
             waiting,
-        };
-        let part = &cx.options.part;
-        let txn = Transaction {
-            expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.version)],
-            put: vec![(RowId::new(PULSE, part, BEAT_KEY), encode(&row))],
-            remove: Vec::new(),
-        };
-        cx.commit(CommitFor::Beat, txn);
+        }
     }
 
     /// Writes VMs into the roster before they are used, so that the next placer knows of them.
@@ -264,7 +239,7 @@
         if self.registering.is_some() {
             return;
         }
-        let wanting = |vm: &fleet::Vm| vm.listed && !vm.registered;
+        let wanting = |vm: &fleet::Vm| vm.listed && vm.roster == fleet::Roster::Absent;
         let vms = self.fleet.vms.iter().filter(|(_, vm)| wanting(vm));
         let keys: Vec<_> = vms.map(|(&key, _)| key).take(MAX_REGISTERED).collect();
         if keys.is_empty() {
@@ -290,7 +265,7 @@
             Committed::Done(_) => {
                 for key in keys {
                     if let Some(vm) = self.fleet.vms.get_mut(&key) {
-                        vm.registered = true;
+                        vm.roster = fleet::Roster::Registered;
                     }
                 }
                 self.want_round(cx.now);
@@ -318,7 +293,7 @@
                 None => Some("the owner row was removed".into()),
             };
         }
-        if &*row.part == JOBS_PART {
+        if is_job_part(&row.part) {
             self.add_job_row(cx, row);
         }
         None
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -3,6 +3,7 @@
 
 use super::Lost;
 use super::Placer;
+use super::Release;
 use super::book::Book;
 use super::book::Job;
 use super::book::JobKey;
@@ -14,6 +15,7 @@
 use crate::core::workload::cx::Cx;
 use crate::core::workload::event::CommitFor;
 use crate::core::workload::event::ReadFor;
+use crate::core::workload::rows::BEAT_KEY;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::ProgressRow;
 use crate::core::workload::rows::SEQUENCE_KEY;
@@ -23,6 +25,7 @@
 use crate::core::workload::submission::StepIndex;
 use crate::core::workload::table::Committed;
 use crate::core::workload::table::PROGRESS;
+use crate::core::workload::table::PULSE;
 use crate::core::workload::table::Page;
 use crate::core::workload::table::Range;
 use crate::core::workload::table::RowId;
@@ -49,6 +52,8 @@
 #[derive(Debug, Default)]
 struct Batch {
     jobs: Vec<JobKey>,
+    /// Whether it gives the role up.
+    releases: bool,
     /// Last end of each VM whose consequences it holds.
     cursors: Vec<(VmKey, u64, u64)>,
 }
@@ -64,15 +69,18 @@
         }
     }
 
-    /// Whether no write is under way.
-    pub fn is_idle(&self) -> bool {
-        self.under_way.is_none()
-    }
-
     /// When the next write is due.
-    pub fn wake_at(&self, book: &Book) -> Option<Now> {
+    pub fn wake_at(&self, book: &Book, beat_at: Now) -> Option<Now> {
+        if self.under_way.is_some() {
+            return None;
+        }
         let wanted = self.unsettled || !book.marked().is_empty();
-        (wanted && self.under_way.is_none()).then_some(self.next_at)
+        let at = if wanted {
+            self.next_at
+        } else {
+            beat_at.max(self.next_at)
+        };
+        Some(at)
     }
 }
 
@@ -87,7 +95,8 @@
         }
         let mut jobs: Vec<JobKey> = self.book.marked().iter().copied().collect();
         let cursors = self.cursors();
-        if jobs.is_empty() && cursors.is_empty() {
+        let beats = cx.now >= self.beat_at;
+        if jobs.is_empty() && cursors.is_empty() && !beats {
             return;
         }
         let part = &cx.options.part;
@@ -112,9 +121,15 @@
             txn.put.push((RowId::new(PROGRESS, part, &job.id), value));
             self.book.unmark(*key);
         }
+        if beats {
+            self.beat_at = cx.now + cx.options.placer.beat_every;
+            let row = RowId::new(PULSE, part, BEAT_KEY);
+            txn.put.push((row, encode(&self.beat_row())));
+        }
         let whole = taken == jobs.len();
         jobs.truncate(taken);
         self.progress.under_way = Some(Batch {
+            releases: beats && self.release == Release::UnderWay,
             jobs,
             cursors: if whole { cursors } else { Vec::new() },
         });
@@ -127,6 +142,9 @@
         let batch = self.progress.under_way.take()?;
         if let Committed::Done(version) = outcome {
             self.progress.sequence = *version;
+            if batch.releases {
+                self.release = Release::Done;
+            }
             for (key, born, end) in batch.cursors {
                 if let Some(vm) = self.fleet.vms.get_mut(&key)
                     && vm.born == born
--- a/src/core/workload/placer/retire.rs
+++ b/src/core/workload/placer/retire.rs
@@ -1,4 +1,4 @@
-//! Removal of jobs that ended long ago: first the job's own rows, so that no later placer can take
+//! Removal of jobs that ended long ago, one part of the table at a time: first the job's own rows, so that no later placer can take
 //! it up again without its progress, then the progress.
 
 use std::time::Duration;
@@ -9,16 +9,16 @@
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::event::CommitFor;
-use crate::core::workload::rows::JOBS_PART;
 use crate::core::workload::rows::cancel_key;
+use crate::core::workload::rows::job_part;
+use crate::core::workload::rows::job_row;
 use crate::core::workload::table::Committed;
-use crate::core::workload::table::JOBS;
 use crate::core::workload::table::PROGRESS;
 use crate::core::workload::table::RowId;
 use crate::core::workload::table::Transaction;
 
 /// Time between looks for jobs to remove.
-const INTERVAL: Duration = Duration::from_secs(5);
+const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Largest number of jobs removed at a time; each has up to two rows in a part.
 const MAX_JOBS: usize = 45;
@@ -53,16 +53,20 @@
             job.ended_at
                 .is_some_and(|ended| cx.now >= ended + retention)
         };
-        let jobs = self.book.jobs.iter().filter(|(_, job)| over(job));
-        let jobs: Vec<JobKey> = jobs.map(|(&key, _)| key).take(MAX_JOBS).collect();
-        if jobs.is_empty() {
+        let ended = || self.book.jobs.iter().filter(|(_, job)| over(job));
+        let Some(part) = ended().next().map(|(_, job)| job_part(&job.id)) else {
             return;
-        }
-        let keys = |job: &Job| [job.id.clone(), cancel_key(&job.id)];
+        };
+        let jobs = ended().filter(|(_, job)| job_part(&job.id) == part);
+        let jobs: Vec<JobKey> = jobs.map(|(&key, _)| key).take(MAX_JOBS).collect();
+        let rows = |job: &Job| {
+            [
+                job_row(&job.id, &job.id),
+                job_row(&job.id, &cancel_key(&job.id)),
+            ]
+        };
         let list = jobs.iter().filter_map(|key| self.book.jobs.get(key));
-        let remove = list
-            .flat_map(keys)
-            .map(|key| RowId::new(JOBS, JOBS_PART, &key));
+        let remove = list.flat_map(rows);
         let txn = Transaction {
             remove: remove.collect(),
             ..Transaction::default()
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -16,12 +16,13 @@
 use super::pulse::Pulse;
 use super::rows::BEAT_KEY;
 use super::rows::BeatRow;
-use super::rows::JOBS_PART;
+use super::rows::JOB_PARTS;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
 use super::rows::SEQUENCE_KEY;
 use super::rows::decode;
 use super::rows::encode;
+use super::rows::job_part_name;
 use super::table::Committed;
 use super::table::JOBS;
 use super::table::PROGRESS;
@@ -68,10 +69,18 @@
     owner: OwnerRow,
     version: Rev,
     since: Now,
-    next: Load,
+    reads: Vec<Reading>,
+    loaded: Loaded,
+}
+
+/// A range that is being read.
+#[derive(Debug)]
+struct Reading {
+    load: Load,
+    /// First key of the next page.
     from: Box<str>,
+    /// When a read that failed is repeated.
     retry_at: Option<Now>,
-    loaded: Loaded,
 }
 
 impl Role {
@@ -117,7 +126,7 @@
                 Some(due_at(cx, pulse).max(*not_before))
             }
             Self::Follower { .. } | Self::Taking(_) => None,
-            Self::Loading(loading) => loading.retry_at,
+            Self::Loading(loading) => loading.wake_at(),
             Self::Placing(placer) => placer.wake_at(cx),
         }
     }
@@ -167,11 +176,12 @@
         let Self::Loading(loading) = self else {
             return;
         };
-        if loading.next != load || !loading.take(cx, page) {
+        loading.take(cx, load, page);
+        if !loading.reads.is_empty() {
             return;
         }
         feeds.follow(Feed::Vms, None);
-        feeds.follow(Feed::Jobs, Some(loading.loaded.version));
+        feeds.follow(Feed::Jobs, loading.loaded.version);
         let took = cx.now.saturating_sub(loading.since);
         let epoch = loading.owner.epoch;
         let loaded = std::mem::take(&mut loading.loaded);
@@ -214,12 +224,12 @@
             owner,
             version,
             since: cx.now,
-            next: Load::Jobs,
-            from: "".into(),
-            retry_at: None,
+            reads: Reading::all(),
             loaded: Loaded::default(),
         };
-        loading.read(cx);
+        for reading in &loading.reads {
+            reading.send(cx);
+        }
         *self = Self::Loading(Box::new(loading));
     }
 
@@ -276,52 +286,76 @@
 
 impl Loading {
     fn poll(&mut self, cx: &mut Cx) {
-        if self.retry_at.is_some_and(|at| cx.now >= at) {
-            self.retry_at = None;
-            self.read(cx);
+        for reading in &mut self.reads {
+            if reading.retry_at.is_some_and(|at| cx.now >= at) {
+                reading.retry_at = None;
+                reading.send(cx);
+            }
         }
     }
 
-    fn read(&self, cx: &mut Cx) {
-        let timeout = cx.options.table.read_timeout * 2;
-        let own = cx.options.part.clone();
-        let mut range = match self.next {
-            Load::Jobs => Range::part(JOBS, JOBS_PART, timeout),
-            Load::Progress => Range::part(PROGRESS, &own, timeout),
-            Load::Roster => Range::part(ROSTER, &own, timeout),
-        };
-        range.from = self.from.clone();
-        cx.read(ReadFor::Load(self.next), range);
+    fn wake_at(&self) -> Option<Now> {
+        self.reads
+            .iter()
+            .filter_map(|reading| reading.retry_at)
+            .min()
     }
 
-    /// Takes a page; true when all is read.
-    fn take(&mut self, cx: &mut Cx, page: Result<Page, Box<str>>) -> bool {
+    /// Takes a page; a range that is read to its end leaves the list.
+    fn take(&mut self, cx: &mut Cx, load: Load, page: Result<Page, Box<str>>) {
+        let Some(ix) = self.reads.iter().position(|reading| reading.load == load) else {
+            return;
+        };
+        let reading = &mut self.reads[ix];
         let Ok(page) = page else {
-            self.retry_at = Some(cx.now + cx.options.table.retry_delay);
-            return false;
+            reading.retry_at = Some(cx.now + cx.options.table.retry_delay);
+            return;
         };
-        if self.next == Load::Jobs && self.loaded.version == 0 {
-            self.loaded.version = page.version;
-        }
         let last = page.rows.last().map(|row| format!("{}\0", row.key));
-        match self.next {
-            Load::Jobs => self.loaded.jobs.extend(page.rows),
+        match load {
+            Load::Jobs(_) => {
+                let version = self.loaded.version.get_or_insert(page.version);
+                *version = page.version.min(*version);
+                self.loaded.jobs.extend(page.rows);
+            }
             Load::Progress => self.loaded.progress.extend(page.rows),
             Load::Roster => self.loaded.roster.extend(page.rows),
         }
-        if let (true, Some(last)) = (page.more, last) {
-            self.from = last.into();
-            self.read(cx);
-            return false;
+        match last {
+            Some(last) if page.more => {
+                reading.from = last.into();
+                reading.send(cx);
+            }
+            _ => {
+                self.reads.swap_remove(ix);
+            }
         }
-        self.from = "".into();
-        self.next = match self.next {
-            Load::Jobs => Load::Progress,
-            Load::Progress => Load::Roster,
-            Load::Roster => return true,
+    }
+}
+
+impl Reading {
+    /// All that a new placer reads, each range from its start.
+    fn all() -> Vec<Self> {
+        let jobs = (0..JOB_PARTS).map(Load::Jobs);
+        let loads = jobs.chain([Load::Progress, Load::Roster]);
+        let reading = |load| Self {
+            load,
+            from: "".into(),
+            retry_at: None,
         };
-        self.read(cx);
-        false
+        loads.map(reading).collect()
+    }
+
+    fn send(&self, cx: &mut Cx) {
+        let timeout = cx.options.table.read_timeout * 2;
+        let own = cx.options.part.clone();
+        let mut range = match self.load {
+            Load::Jobs(part) => Range::part(JOBS, &job_part_name(part), timeout),
+            Load::Progress => Range::part(PROGRESS, &own, timeout),
+            Load::Roster => Range::part(ROSTER, &own, timeout),
+        };
+        range.from = self.from.clone();
+        cx.read(ReadFor::Load(self.load), range);
     }
 }
 
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -13,6 +13,8 @@
 use super::submission::OccurrenceIndex;
 use super::submission::StepIndex;
 use super::submission::Submission;
+use super::table::JOBS;
+use super::table::RowId;
 use super::task::Checkpoint;
 use super::task::RunNumber;
 use crate::core::model::DaemonId;
@@ -24,8 +26,11 @@
 /// Result of reading a row's value.
 pub(super) type Result<T, E = Box<str>> = std::result::Result<T, E>;
 
-/// Part that holds all jobs.
-pub(super) const JOBS_PART: &str = "jobs";
+/// Number of parts that jobs are spread over, as each part takes its transactions one by one.
+pub(super) const JOB_PARTS: u8 = 32;
+
+/// What the name of a part that holds jobs begins with.
+const JOBS_PART_PREFIX: &str = "jobs-";
 
 /// Part that holds the daemons' addresses.
 pub(super) const DAEMONS_PART: &str = "daemons";
@@ -149,6 +154,29 @@
     serde_json::from_slice(value).map_err(|err| err.to_string().into())
 }
 
+/// Number of the part that holds a job.
+pub(super) fn job_part(job: &str) -> u8 {
+    let sum = job
+        .bytes()
+        .fold(0_u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    sum % JOB_PARTS
+}
+
+/// Name of a part that holds jobs.
+pub(super) fn job_part_name(part: u8) -> Box<str> {
+    format!("{JOBS_PART_PREFIX}{part}").into()
+}
+
+/// Whether a part holds jobs.
+pub(super) fn is_job_part(part: &str) -> bool {
+    part.starts_with(JOBS_PART_PREFIX)
+}
+
+/// Identifies the row of a job, or the row that cancels it, in the part of the job.
+pub(super) fn job_row(job: &str, key: &str) -> RowId {
+    RowId::new(JOBS, &job_part_name(job_part(job)), key)
+}
+
 /// Key of the row that cancels a job.
 pub(super) fn cancel_key(job: &str) -> Box<str> {
     format!("{job}{CANCEL_SUFFIX}").into()
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -49,7 +49,8 @@
     calls: Calls,
     role: Role,
     address: Announcement,
-    draining: bool,
+    /// When the drain began.
+    draining: Option<Now>,
     exited: bool,
 }
 
@@ -78,7 +79,7 @@
             calls: Calls::default(),
             role: Role::new(),
             address: Announcement::Due(Now::ZERO),
-            draining: false,
+            draining: None,
             exited: false,
         }
     }
@@ -104,7 +105,7 @@
             &mut out,
         );
         let mut at = self.feeds.wake_at();
-        at = sooner(at, self.intake.wake_at(&cx));
+        at = sooner(at, self.intake.wake_at());
         at = sooner(at, self.role.wake_at(&cx, &self.feeds, &self.pulse));
         if let Announcement::Due(due) = self.address {
             at = sooner(at, Some(due));
@@ -117,7 +118,7 @@
     pub fn is_ready(&self, now: Now) -> bool {
         let heard = self.feeds.heard();
         let fresh = heard.is_some_and(|at| now < at + self.options.table.stale_after);
-        self.catalog.is_some() && fresh && !self.draining
+        self.catalog.is_some() && fresh && self.draining.is_none()
     }
 
     /// Version of the configuration in force; zero before the first.
@@ -137,7 +138,7 @@
             Event::Tick { unix } => self.epoch = unix.saturating_sub(now),
             Event::Call { ticket, call } => self.call(now, out, ticket, call),
             Event::Answer(answer) => self.answer(now, out, answer),
-            Event::Drain => self.drain(out),
+            Event::Drain => self.drain(now, out),
         }
     }
 
@@ -187,7 +188,7 @@
             });
         }
         match purpose {
-            CommitFor::Submissions(batch) => self.intake.committed(cx, batch, outcome),
+            CommitFor::Submissions(batch) => self.intake.committed(cx, batch, &outcome),
             CommitFor::Cancel(ticket, id) => {
                 self.calls.cancel_committed(cx, ticket, id, outcome);
             }
@@ -280,9 +281,9 @@
         self.role.lose(&mut cx, &mut self.feeds, reason);
     }
 
-    fn drain(&mut self, out: &mut Effects) {
-        if !self.draining {
-            self.draining = true;
+    fn drain(&mut self, now: Now, out: &mut Effects) {
+        if self.draining.is_none() {
+            self.draining = Some(now);
             out.push(Effect::Log(Decision::Draining));
         }
     }
@@ -290,11 +291,15 @@
     fn poll(&mut self, now: Now, out: &mut Effects) {
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
         self.feeds.poll(&mut cx);
+        if !self.feeds.is_up(Feed::Pulse) {
+            self.intake.refuse_waiting(&mut cx);
+        }
         self.intake.poll(&mut cx);
         self.announce(now, out);
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
         let feeds = &mut self.feeds;
-        self.role.poll(&mut cx, feeds, &self.pulse, self.draining);
+        self.role
+            .poll(&mut cx, feeds, &self.pulse, self.draining.is_some());
         self.finish_drain(now, out);
     }
 
@@ -322,15 +327,16 @@
 
     /// Leaves once no caller waits and the role is handed over.
     fn finish_drain(&mut self, now: Now, out: &mut Effects) {
-        if !self.draining || self.exited {
+        let Some(began) = self.draining.filter(|_| !self.exited) else {
             return;
-        }
+        };
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
         let released = match self.role.placer() {
             Some(placer) => placer.release(&mut cx),
             None => true,
         };
-        if released && self.intake.is_idle() && self.calls.is_idle() {
+        let idle = released && self.intake.is_idle() && self.calls.is_idle();
+        if idle || now >= began + self.options.drain_timeout {
             self.exited = true;
             out.push(Effect::Exit);
         }
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -105,3 +105,24 @@
     assert_eq!(world.state(1, ID), Some(JobState::Completed));
     assert_eq!(world.starts.len(), 1);
 }
+
+#[test]
+fn submissions_that_a_busy_table_refused_are_sent_again() {
+    let mut world = World::new(2, 1);
+    world.busy_until = world.now + Duration::from_millis(700);
+    let one = job(vec![step(1, 300, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    assert!(world.now >= world.busy_until);
+}
+
+#[test]
+fn a_submission_that_the_table_refuses_for_long_is_refused_and_never_runs() {
+    let mut world = World::new(2, 1);
+    world.busy_until = world.now + Duration::from_secs(3);
+    let begun = world.now;
+    let reply = world.submit(0, ID, job(vec![step(1, 300, &[])]));
+    assert!(matches!(reply, Reply::Unavailable(_)), "{reply:?}");
+    assert!(world.now < begun + Duration::from_millis(1_500));
+    world.run_for(5_000);
+    assert!(world.starts.is_empty());
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -49,6 +49,12 @@
 /// Key of the team.
 pub(crate) const KEY: &str = "key-of-dairy";
 
+/// Table, part and key of a row.
+type RowKey = (&'static str, Box<str>, Box<str>);
+
+/// Version of a row and its value; `None` once removed.
+type StoredRow = (u64, Option<Vec<u8>>);
+
 /// A daemon and whether it runs.
 struct SimDaemon {
     state: Workload,
@@ -94,11 +100,13 @@
     pub table_up: bool,
     /// Number of the next commits that take effect without an answer.
     pub lost_commits: u32,
+    /// Time up to which the table refuses all commits.
+    pub busy_until: Now,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
     daemons: Vec<SimDaemon>,
     jobs: BTreeMap<Box<str>, Submission>,
     done: BTreeSet<TaskName>,
-    rows: BTreeMap<(&'static str, Box<str>, Box<str>), (u64, Option<Vec<u8>>)>,
+    rows: BTreeMap<RowKey, StoredRow>,
     version: u64,
     catalog: Rc<Queue>,
     queue: BTreeMap<(Now, u64), Due>,
@@ -136,6 +144,7 @@
             mute_starts: BTreeSet::new(),
             table_up: true,
             lost_commits: 0,
+            busy_until: Now::ZERO,
             starts: Vec::new(),
             daemons: Vec::new(),
             jobs: BTreeMap::new(),
@@ -300,6 +309,9 @@
         let reaches = self.table_up && self.daemons[daemon].sees_table;
         let lost: Box<str> = "no answer".into();
         let answer = match req {
+            Request::Commit { purpose, .. } if reaches && self.now < self.busy_until => {
+                Answer::Committed(purpose, Committed::Refused("busy".into()))
+            }
             Request::Commit { purpose, txn, .. } if reaches => {
                 let outcome = self.commit(&txn);
                 if self.lost_commits > 0 && matches!(outcome, Committed::Done(_)) {
@@ -529,11 +541,7 @@
     options
 }
 
-fn table_row(
-    key: &(&'static str, Box<str>, Box<str>),
-    version: u64,
-    value: Option<&Vec<u8>>,
-) -> TableRow {
+fn table_row(key: &RowKey, version: u64, value: Option<&Vec<u8>>) -> TableRow {
     TableRow {
         part: key.1.clone(),
         key: key.2.clone(),
