Bound a former placer to 2 s without the table, take the role once, lease 3.6 s

A placer that neither the table nor a quarter of its VMs answer now stops renewing after 2 s, so that a successor can count from the last heartbeat.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -47,6 +47,8 @@
         id: JobId,
         state: JobState,
         reason: Box<str>,
+        took_ms: u64,
+        objective_ms: u64,
     },
     /// A start was ordered.
     Placed {
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -56,6 +56,8 @@
     pub beat_every: Duration,
     /// A placer without a heartbeat for longer is replaced.
     pub takeover_after: Duration,
+    /// A placer without the table goes on renewing leases for this long if many VMs are silent too.
+    pub alone_for: Duration,
     /// Least time between two writes of progress.
     pub progress_every: Duration,
     /// Least time between two rounds of placement.
@@ -73,8 +75,14 @@
     pub lease: Duration,
     /// Longest lease that a VM grants.
     pub max_lease: Duration,
-    /// Longest time for which a renewal waits for the end of a task.
+    /// Time for which a renewal waits for the end of a task, in a small fleet.
     pub hold_wait: Duration,
+    /// The same in a large fleet.
+    pub max_hold_wait: Duration,
+    /// Renewals a second that the placer aims not to exceed.
+    pub renewals_per_second: u32,
+    /// A VM silent for longer gets no new work.
+    pub quiet_after: Duration,
     /// Time beyond the wait after which a renewal counts as lost.
     pub hold_margin: Duration,
     /// Time after which an order counts as lost.
@@ -137,8 +145,9 @@
 impl Default for PlacerOptions {
     fn default() -> Self {
         Self {
-            beat_every: Duration::from_millis(400),
-            takeover_after: Duration::from_millis(1_600),
+            beat_every: Duration::from_millis(250),
+            takeover_after: Duration::from_millis(1_100),
+            alone_for: Duration::from_secs(2),
             progress_every: Duration::from_millis(20),
             dispatch_every: Duration::from_millis(20),
             retention: Duration::from_secs(150),
@@ -150,11 +159,14 @@
 impl Default for VmOptions {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(4_500),
+            lease: Duration::from_millis(3_600),
             max_lease: Duration::from_secs(6),
-            hold_wait: Duration::from_millis(1_500),
-            hold_margin: Duration::from_millis(700),
-            order_timeout: Duration::from_millis(800),
+            hold_wait: Duration::from_millis(500),
+            max_hold_wait: Duration::from_secs(2),
+            renewals_per_second: 100,
+            quiet_after: Duration::from_millis(250),
+            hold_margin: Duration::from_millis(500),
+            order_timeout: Duration::from_millis(600),
             hold_gap: Duration::from_millis(30),
             retry_delay: Duration::from_millis(250),
             stop_timeout: Duration::from_secs(1),
--- a/src/core/workload/placer/choose.rs
+++ b/src/core/workload/placer/choose.rs
@@ -4,8 +4,8 @@
 use super::book::StepKey;
 use super::fleet::Vm;
 use super::fleet::VmKey;
-use crate::core::model::Now;
 use crate::core::model::Resources;
+use crate::core::workload::cx::Cx;
 use crate::core::workload::submission::Step;
 
 /// A VM that tasks of a step may go to, with the room that a plan has left on it.
@@ -28,15 +28,16 @@
 
 impl Placer {
     /// VMs that may run a step, without asking for advice.
-    pub(super) fn candidates(&self, key: StepKey, now: Now) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, cx: &Cx, key: StepKey) -> Vec<Candidate> {
         let Some(job) = self.book.jobs.get(&key.job) else {
             return Vec::new();
         };
         let spec = job.spec(key.step);
         let room = spec.room();
+        let most_silent = self.hold_wait(cx) + cx.options.vms.quiet_after;
         let fits = |vm: &Vm| {
             vm.service == job.queue.service
-                && vm.is_usable(now)
+                && vm.is_usable(cx.now, most_silent)
                 && vm.free().holds(&room)
                 && (spec.required_label.is_empty() || vm.labels.contains(&spec.required_label))
         };
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -5,13 +5,13 @@
 
 use super::Placer;
 use super::WAITING_ROUND;
-use super::book::JobKey;
 use super::book::Place;
 use super::book::StepKey;
 use super::book::TaskKey;
 use super::choose::Candidate;
 use super::choose::best;
 use super::fleet::VmKey;
+use super::order::Rank;
 use crate::core::model::Now;
 use crate::core::model::TaskIndex;
 use crate::core::model::VmId;
@@ -32,9 +32,6 @@
 /// Delay before advice that failed is asked for again.
 const ADVICE_RETRY: Duration = Duration::from_millis(150);
 
-/// Place of a step in the order of a round; the least goes first.
-type Rank = (u32, Duration, JobKey);
-
 /// A planned start.
 type Planned = (TaskIndex, VmKey);
 
@@ -48,7 +45,7 @@
         self.round_at = None;
         self.rounded = cx.now;
         self.repeat_stops(cx);
-        let steps = self.ready_steps();
+        let steps = self.ready_steps(cx);
         let waits = !steps.is_empty();
         for (_, key) in steps {
             self.place_step(cx, pulse, key);
@@ -116,14 +113,14 @@
     }
 
     /// Steps with tasks that wait, the most urgent first.
-    fn ready_steps(&self) -> Vec<(Rank, StepKey)> {
+    fn ready_steps(&self, cx: &Cx) -> Vec<(Rank, StepKey)> {
         let mut list = Vec::new();
         for (job_key, job) in self.book.open_jobs() {
             let old = job.version <= self.version;
             if old && !self.settled {
                 continue;
             }
-            let due = job.at + job.objective();
+            let rank = job.rank(job_key, cx.unix);
             for (&occurrence, steps) in &job.occurrences {
                 let ready = steps.iter().enumerate();
                 let ready = ready.filter(|(_, run)| run.ready_at.is_some() && run.waiting > 0);
@@ -133,7 +130,7 @@
                         occurrence,
                         step: u16::try_from(step).unwrap_or(u16::MAX),
                     };
-                    list.push(((job.queue.priority, due, job_key), key));
+                    list.push((rank, key));
                 }
             }
         }
@@ -147,7 +144,7 @@
         };
         let (sub, terms) = (job.sub.clone(), job.queue.advice);
         let spec = &sub.steps[usize::from(key.step)];
-        let mut candidates = self.candidates(key, cx.now);
+        let mut candidates = self.candidates(cx, key);
         if terms.is_some() {
             self.ask_advice(cx, pulse, key, spec, &candidates);
             let step = self.book.step(key);
--- a/src/core/workload/placer/ends.rs
+++ b/src/core/workload/placer/ends.rs
@@ -6,6 +6,7 @@
 use super::fleet::VmKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
+use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::task::End;
@@ -178,6 +179,8 @@
             id: job.id.clone(),
             state,
             reason: reason.into(),
+            took_ms: millis(cx.unix.saturating_sub(job.at)),
+            objective_ms: millis(job.objective()),
         });
         self.book.mark(key);
         self.book.close(key);
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -243,9 +243,10 @@
         }
     }
 
-    /// Whether new work may be started there.
-    pub fn is_usable(&self, now: Now) -> bool {
+    /// Whether new work may be started there; not after a silence of `most_silent`.
+    pub fn is_usable(&self, now: Now, most_silent: Duration) -> bool {
         self.listed
+            && now < self.heard + most_silent
             && self.roster != Roster::Absent
             && self.fenced
             && self.draining_since.is_none()
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -36,8 +36,8 @@
 /// Time between looks for leases that have lapsed.
 const LEASE_CHECKS: Duration = Duration::from_millis(20);
 
-/// Time for which a former placer may have renewed leases after it lost the role.
-const FORMER_RENEWALS: Duration = Duration::from_secs(3);
+/// Longest lease in true time, for one of its length on a VM's slow clock.
+const LEASE_STRETCH: f64 = 1.03;
 
 impl Placer {
     /// Takes what a VM says of itself in the table.
@@ -90,6 +90,7 @@
         if self.next_renewal().is_none_or(|at| cx.now < at) {
             return;
         }
+        let hold_wait = self.hold_wait(cx);
         for key in self.fleet.keys() {
             let Some(vm) = self.fleet.vms.get_mut(&key) else {
                 continue;
@@ -104,11 +105,7 @@
             let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let waits = vm.fenced && vm.noted_end == vm.seen_end && vm.hold.misses == 0;
-            let wait = if waits {
-                options.hold_wait
-            } else {
-                Duration::ZERO
-            };
+            let wait = if waits { hold_wait } else { Duration::ZERO };
             vm.hold.sent = Some(cx.now);
             let by = HeldBy {
                 vm: vm.id.clone(),
@@ -127,6 +124,14 @@
         }
     }
 
+    /// Time for which a renewal waits for an end: longer in a large fleet.
+    pub(super) fn hold_wait(&self, cx: &Cx) -> Duration {
+        let options = &cx.options.vms;
+        let vms = u32::try_from(self.fleet.vms.len()).unwrap_or(u32::MAX);
+        let wait = Duration::from_secs(1) * vms / options.renewals_per_second.max(1);
+        wait.clamp(options.hold_wait, options.max_hold_wait)
+    }
+
     /// When the next renewal is due.
     pub(super) fn next_renewal(&self) -> Option<Now> {
         let idle = self.fleet.vms.values().filter(|vm| vm.hold.sent.is_none());
@@ -158,7 +163,7 @@
             return;
         }
         self.leases_at = cx.now + LEASE_CHECKS;
-        let horizon = self.taken_at + FORMER_RENEWALS + cx.options.vms.max_lease.mul_f64(1.05);
+        let horizon = self.former_until + cx.options.vms.lease.mul_f64(LEASE_STRETCH);
         let mut unsettled = false;
         for key in self.fleet.keys() {
             let Some(vm) = self.fleet.vms.get(&key) else {
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -48,13 +48,31 @@
     pub roster: Vec<TableRow>,
 }
 
+/// The role as it was granted.
+#[derive(Debug)]
+pub(in crate::core::workload) struct Term {
+    /// Holder and epoch.
+    pub owner: OwnerRow,
+    /// Version of the owner row.
+    pub version: Rev,
+    /// Up to when a former placer may still renew leases.
+    pub former_until: Now,
+}
+
 impl Placer {
     /// A placer that has read its rows.
-    pub fn new(cx: &mut Cx, owner: OwnerRow, version: Rev, loaded: Loaded) -> Self {
+    pub fn new(cx: &mut Cx, term: Term, loaded: Loaded) -> Self {
+        let Term {
+            owner,
+            version,
+            former_until,
+        } = term;
         let mut placer = Self {
             owner,
             version,
             taken_at: cx.now,
+            former_until,
+            committed: cx.now,
             book: Book::default(),
             fleet: Fleet::default(),
             usage: Usage::default(),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod hold;
 mod load;
+mod order;
 mod orders;
 mod pace;
 mod progress;
@@ -17,6 +18,7 @@
 use book::Book;
 use fleet::Fleet;
 pub(super) use load::Loaded;
+pub(super) use load::Term;
 
 use super::cx::Cx;
 use super::cx::sooner;
@@ -51,6 +53,9 @@
 /// Largest number of VMs registered in one transaction.
 const MAX_REGISTERED: usize = 90;
 
+/// One in so many VMs is silent when the placer takes itself to be cut off.
+const CUT_OFF_SHARE: usize = 4;
+
 /// Time from one round of placement to the next while work waits.
 const WAITING_ROUND: Now = Now::from_millis(60);
 
@@ -61,6 +66,10 @@
     /// Version of the owner row that granted the role.
     version: Rev,
     taken_at: Now,
+    /// Up to when a former placer may still renew leases.
+    former_until: Now,
+    /// When the last write of progress that took effect was sent.
+    committed: Now,
     book: Book,
     fleet: Fleet,
     usage: usage::Usage,
@@ -123,9 +132,11 @@
         self.begin_due(cx);
         self.check_leases(cx);
         self.retire(cx);
-        self.renew(cx);
         self.write_progress(cx);
-        self.round(cx, pulse);
+        if !self.is_cut_off(cx) {
+            self.renew(cx);
+            self.round(cx, pulse);
+        }
         None
     }
 
@@ -213,6 +224,22 @@
         self.release == Release::Done
     }
 
+    /// Whether this daemon seems to be on the smaller side of a cut: the table does not answer and
+    /// neither do many VMs. Another daemon may then have the role, and cannot reach the VMs that
+    /// this one reaches.
+    fn is_cut_off(&self, cx: &Cx) -> bool {
+        if cx.now < self.committed + cx.options.placer.alone_for {
+            return false;
+        }
+        let silent = self
+            .fleet
+            .vms
+            .values()
+            .filter(|vm| vm.hold.misses > 0)
+            .count();
+        silent * CUT_OFF_SHARE >= self.fleet.vms.len()
+    }
+
     fn want_round(&mut self, at: Now) {
         self.round_at = Some(self.round_at.map_or(at, |other| other.min(at)));
     }
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -135,6 +135,7 @@
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Unconfirmed;
                 }
+                vm.avoid_until = cx.now + REFUSAL_PAUSE;
                 return None;
             }
             StartError::NoRoom
@@ -166,6 +167,8 @@
                 id: job.id.clone(),
                 state: JobState::Running,
                 reason: "".into(),
+                took_ms: millis(cx.unix.saturating_sub(job.at)),
+                objective_ms: millis(job.objective()),
             });
             self.book.mark(task.step.job);
         }
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -52,6 +52,7 @@
 #[derive(Debug, Default)]
 struct Batch {
     jobs: Vec<JobKey>,
+    sent: Now,
     /// Whether it gives the role up.
     releases: bool,
     /// Last end of each VM whose consequences it holds.
@@ -129,6 +130,7 @@
         let whole = taken == jobs.len();
         jobs.truncate(taken);
         self.progress.under_way = Some(Batch {
+            sent: cx.now,
             releases: beats && self.release == Release::UnderWay,
             jobs,
             cursors: if whole { cursors } else { Vec::new() },
@@ -142,6 +144,7 @@
         let batch = self.progress.under_way.take()?;
         if let Committed::Done(version) = outcome {
             self.progress.sequence = *version;
+            self.committed = batch.sent;
             if batch.releases {
                 self.release = Release::Done;
             }
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -13,6 +13,7 @@
 use super::feeds::Feeds;
 use super::placer::Loaded;
 use super::placer::Placer;
+use super::placer::Term;
 use super::pulse::Pulse;
 use super::rows::BEAT_KEY;
 use super::rows::BeatRow;
@@ -33,6 +34,7 @@
 use super::table::RowId;
 use super::table::TableRow;
 use super::table::Transaction;
+use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
@@ -59,6 +61,10 @@
 #[derive(Debug)]
 pub(super) struct Taking {
     claim: Option<OwnerRow>,
+    /// Epoch of the holder that is to be replaced.
+    replaced: Epoch,
+    /// Up to when a former holder may still renew leases.
+    former_until: Now,
     former: Box<str>,
     beat_age: Duration,
 }
@@ -67,6 +73,7 @@
 #[derive(Debug)]
 pub(super) struct Loading {
     owner: OwnerRow,
+    former_until: Now,
     version: Rev,
     since: Now,
     reads: Vec<Reading>,
@@ -150,6 +157,12 @@
             return self.back_off(cx);
         }
         let version = row.as_ref().map_or(0, |row| row.version);
+        if current
+            .as_ref()
+            .is_some_and(|(_, owner)| owner.epoch > taking.replaced)
+        {
+            return self.back_off(cx);
+        }
         taking.claim(cx, current.map(|(_, owner)| owner), version);
     }
 
@@ -185,7 +198,12 @@
         let took = cx.now.saturating_sub(loading.since);
         let epoch = loading.owner.epoch;
         let loaded = std::mem::take(&mut loading.loaded);
-        let placer = Placer::new(cx, loading.owner.clone(), loading.version, loaded);
+        let term = Term {
+            owner: loading.owner.clone(),
+            version: loading.version,
+            former_until: loading.former_until,
+        };
+        let placer = Placer::new(cx, term, loaded);
         cx.log(Decision::RoleReady {
             epoch,
             jobs: placer.jobs(),
@@ -221,6 +239,7 @@
             beat_age_ms: millis(taking.beat_age),
         });
         let loading = Loading {
+            former_until: taking.former_until,
             owner,
             version,
             since: cx.now,
@@ -247,6 +266,8 @@
         let beat = pulse.beat();
         Self {
             claim: None,
+            replaced: beat.map_or(0, |beat| beat.row.owner.epoch),
+            former_until: former_until(cx, pulse),
             former: beat.map_or("".into(), |beat| beat.row.owner.daemon.clone()),
             beat_age: beat.map_or(Duration::ZERO, |beat| cx.now.saturating_sub(beat.seen)),
         }
@@ -359,6 +380,23 @@
     }
 }
 
+/// Up to when the former holder may still renew leases: not at all if it has ended or released the
+/// role, otherwise as long as it goes on without the table.
+fn former_until(cx: &Cx, pulse: &Pulse) -> Now {
+    match pulse.beat() {
+        None => cx.now + cx.options.placer.alone_for,
+        Some(beat) if is_over(cx, &beat.row) => cx.now,
+        Some(beat) => beat.seen + cx.options.placer.alone_for,
+    }
+}
+
+/// Whether a holder is known not to act any more.
+fn is_over(cx: &Cx, beat: &BeatRow) -> bool {
+    let owner = &beat.owner;
+    let mine = owner.daemon == cx.options.me && owner.nonce != cx.options.nonce;
+    mine || beat.released
+}
+
 /// When a follower may take the role: at once from an earlier process of its own and from a holder
 /// that released it, otherwise once the heartbeat is overdue.
 fn due_at(cx: &Cx, pulse: &Pulse) -> Now {
