--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -144,8 +144,11 @@
     pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
         let due = self.book.next_due(cx.unix, cx.options.placer.early);
         let mut at = due.map(|left| cx.now + left);
-        at = sooner(at, self.round_at.map(|at| self.earliest_round(cx).max(at)));
         at = sooner(at, self.progress.wake_at(&self.book, self.beat_at));
+        if self.is_cut_off(cx) {
+            return at;
+        }
+        at = sooner(at, self.round_at.map(|at| self.earliest_round(cx).max(at)));
         sooner(at, self.next_renewal())
     }
 
