--- a/src/core/workload/intake.rs
+++ b/src/core/workload/intake.rs
@@ -28,6 +28,9 @@
 /// Delay before a refused transaction is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
+/// Time for which new submissions to a part are refused after one got no answer.
+const BROKEN_PAUSE: Duration = Duration::from_millis(300);
+
 /// Jobs that wait for a transaction, or for its outcome.
 #[derive(Debug, Default)]
 pub(super) struct Intake {
@@ -41,6 +44,8 @@
     /// When the jobs that wait are sent.
     due: Now,
     under_way: Vec<Pending>,
+    /// New submissions are refused before this time, as the part does not answer.
+    broken_until: Option<Now>,
 }
 
 /// A job that its submitter waits for.
@@ -50,6 +55,8 @@
     row: JobRow,
     config: u64,
     arrived: Now,
+    /// Whether a transaction with it may have taken effect, or may still do so.
+    maybe: bool,
     tickets: Vec<Ticket>,
 }
 
@@ -62,21 +69,27 @@
             pending.tickets.push(ticket);
             return;
         }
-        if part.waiting.is_empty() {
-            part.due = cx.now + cx.options.table.batch_delay;
-        }
-        part.waiting.push(Pending {
+        let pending = Pending {
             id,
             row,
             config,
             arrived: cx.now,
+            maybe: false,
             tickets: vec![ticket],
-        });
+        };
+        if part.broken_until.is_some_and(|until| cx.now < until) {
+            return refuse(cx, &pending, "the table's part does not answer");
+        }
+        if part.waiting.is_empty() {
+            part.due = cx.now + cx.options.table.batch_delay;
+        }
+        part.waiting.push(pending);
     }
 
     /// Whether no submission waits for an answer.
     pub fn is_idle(&self) -> bool {
-        self.parts.is_empty()
+        let jobs = |part: &Part| part.waiting.len() + part.under_way.len();
+        self.parts.values().all(|part| jobs(part) == 0)
     }
 
     /// Sends the transactions that are due.
@@ -104,31 +117,30 @@
             return;
         };
         let batch = std::mem::take(&mut part.under_way);
-        for pending in batch {
+        for mut pending in batch {
             match outcome {
                 Committed::Done(_) => accept(cx, &pending, false),
                 Committed::Conflict(rows) if holds(rows, &pending.id) => accept(cx, &pending, true),
                 Committed::Conflict(_) => part.waiting.push(pending),
-                Committed::Refused(reason) => {
+                Committed::Refused(reason) | Committed::Unknown(reason) => {
+                    pending.maybe |= matches!(outcome, Committed::Unknown(_));
                     if cx.now < pending.arrived + RETRY_WINDOW {
+                        // The transaction expects that there is no such job, so that it can be
+                        // sent again even if it has taken effect.
                         part.due = cx.now + RETRY_DELAY;
                         part.waiting.push(pending);
                     } else {
                         refuse(cx, &pending, reason);
                     }
                 }
-                Committed::Unknown(reason) => {
-                    cx.log(Decision::Unsettled {
-                        id: pending.id.clone(),
-                        reason: reason.clone(),
-                    });
-                    answer(cx, &pending.tickets, &Reply::Unknown);
-                }
             }
         }
-        if part.waiting.is_empty() {
-            self.parts.remove(&number);
-        }
+        part.broken_until = match outcome {
+            Committed::Unknown(_) => Some(cx.now + BROKEN_PAUSE),
+            _ => None,
+        };
+        let now = cx.now;
+        self.parts.retain(|_, part| !part.is_idle(now));
     }
 
     /// Refuses what waits and was not sent, as the table does not answer.
@@ -138,7 +150,8 @@
                 refuse(cx, &pending, "the table does not answer");
             }
         }
-        self.parts.retain(|_, part| !part.under_way.is_empty());
+        let now = cx.now;
+        self.parts.retain(|_, part| !part.is_idle(now));
     }
 
     /// When a transaction is due.
@@ -149,6 +162,12 @@
 }
 
 impl Part {
+    /// Whether nothing needs to be kept of it.
+    fn is_idle(&self, now: Now) -> bool {
+        let broken = self.broken_until.is_some_and(|until| now < until);
+        self.waiting.is_empty() && self.under_way.is_empty() && !broken
+    }
+
     fn can_send(&self) -> bool {
         self.under_way.is_empty() && !self.waiting.is_empty()
     }
@@ -174,7 +193,15 @@
     answer(cx, &pending.tickets, &Reply::Accepted);
 }
 
+/// Gives a submission up: as not run only if that is certain.
 fn refuse(cx: &mut Cx, pending: &Pending, reason: &str) {
+    if pending.maybe {
+        cx.log(Decision::Unsettled {
+            id: pending.id.clone(),
+            reason: reason.into(),
+        });
+        return answer(cx, &pending.tickets, &Reply::Unknown);
+    }
     cx.log(Decision::Refused {
         id: pending.id.clone(),
         reason: reason.into(),
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -56,6 +56,8 @@
     pub beat_every: Duration,
     /// A placer without a heartbeat for longer is replaced.
     pub takeover_after: Duration,
+    /// Time that a new placer has to read what it needs.
+    pub load_patience: Duration,
     /// A placer without the table goes on renewing leases for this long if many VMs are silent too.
     pub alone_for: Duration,
     /// Least time between two writes of progress.
@@ -147,6 +149,7 @@
         Self {
             beat_every: Duration::from_millis(250),
             takeover_after: Duration::from_millis(1_100),
+            load_patience: Duration::from_secs(4),
             alone_for: Duration::from_secs(2),
             progress_every: Duration::from_millis(20),
             dispatch_every: Duration::from_millis(20),
@@ -161,7 +164,7 @@
         Self {
             lease: Duration::from_millis(3_600),
             max_lease: Duration::from_secs(6),
-            hold_wait: Duration::from_millis(500),
+            hold_wait: Duration::from_millis(900),
             max_hold_wait: Duration::from_secs(2),
             renewals_per_second: 100,
             quiet_after: Duration::from_millis(250),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -260,6 +260,7 @@
         BeatRow {
             owner: self.owner.clone(),
             released: self.release != Release::Not,
+            loading: false,
             waiting,
         }
     }
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -286,6 +286,7 @@
         let beat = BeatRow {
             owner: claim.clone(),
             released: false,
+            loading: true,
             waiting: rustc_hash::FxHashMap::default(),
         };
         let txn = Transaction {
@@ -408,7 +409,12 @@
     if mine || beat.row.released {
         return beat.seen + if mine { Duration::ZERO } else { jitter(cx) / 4 };
     }
-    beat.seen + cx.options.placer.takeover_after + jitter(cx)
+    let patience = if beat.row.loading {
+        cx.options.placer.load_patience
+    } else {
+        cx.options.placer.takeover_after
+    };
+    beat.seen + patience + jitter(cx)
 }
 
 fn jitter(cx: &Cx) -> Duration {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -125,6 +125,9 @@
     /// Whether it has given the role up.
     #[serde(default)]
     pub released: bool,
+    /// Whether it still reads what it needs and sends no further heartbeat before it has.
+    #[serde(default)]
+    pub loading: bool,
     /// For each queue, jobs of which no task has started.
     #[serde(default)]
     pub waiting: FxHashMap<QueueId, u64>,
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_submission_whose_answer_was_lost_is_unknown_and_then_found() {
+fn a_submission_whose_answer_was_lost_is_sent_again_and_found() {
     let mut world = World::new(2, 1);
     let one = job(vec![step(1, 300, &[])]);
     world.run_for(450);
@@ -126,3 +126,16 @@
     world.run_for(5_000);
     assert!(world.starts.is_empty());
 }
+
+#[test]
+fn a_submission_that_may_have_taken_effect_is_never_said_not_to_have_run() {
+    let mut world = World::new(2, 1);
+    world.mute_until = world.now + Duration::from_secs(3);
+    let one = job(vec![step(1, 300, &[])]);
+    assert_eq!(world.submit(0, ID, one.clone()), Reply::Unknown);
+    // Others of the part are refused unsent, which is certain.
+    let next = world.submit(0, ID, one);
+    assert!(matches!(next, Reply::Unavailable(_)), "{next:?}");
+    world.run_for(6_000);
+    assert_eq!(world.state(1, ID), Some(JobState::Completed));
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -102,6 +102,8 @@
     pub lost_commits: u32,
     /// Time up to which the table refuses all commits.
     pub busy_until: Now,
+    /// Time up to which commits take effect without an answer.
+    pub mute_until: Now,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
     daemons: Vec<SimDaemon>,
     jobs: BTreeMap<Box<str>, Submission>,
@@ -145,6 +147,7 @@
             table_up: true,
             lost_commits: 0,
             busy_until: Now::ZERO,
+            mute_until: Now::ZERO,
             starts: Vec::new(),
             daemons: Vec::new(),
             jobs: BTreeMap::new(),
@@ -314,7 +317,10 @@
             }
             Request::Commit { purpose, txn, .. } if reaches => {
                 let outcome = self.commit(&txn);
-                if self.lost_commits > 0 && matches!(outcome, Committed::Done(_)) {
+                let mute = self.now < self.mute_until;
+                if mute {
+                    Answer::Committed(purpose, Committed::Unknown(lost))
+                } else if self.lost_commits > 0 && matches!(outcome, Committed::Done(_)) {
                     self.lost_commits -= 1;
                     Answer::Committed(purpose, Committed::Unknown(lost))
                 } else {
