Count leases from when the VM's clock was read, not from when the renewal was sent

Ruled out: the former placer going on beyond its 2 s (its last renewal was at 35.4 s). The test fails without the change.

--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -111,10 +111,8 @@
 pub(super) struct ClockReading {
     /// What it showed, in milliseconds.
     pub ms: u64,
-    /// Latest time at which it can have shown it.
+    /// When the answer with it came.
     pub received: Now,
-    /// Earliest time at which it can have shown it.
-    pub sent: Now,
 }
 
 /// A run that a VM has, or may have.
@@ -263,7 +261,7 @@
     /// End of a lease of `length` from now, on the VM's clock; `None` before its clock was read.
     pub fn lease_from(&self, now: Now, length: Duration) -> Option<u64> {
         let reading = self.clock?;
-        Some(reading.latest(now) + ms(length))
+        Some(reading.likely(now) + ms(length))
     }
 
     /// Whether no lease that was asked for can still hold.
@@ -326,9 +324,9 @@
         self.ms + (passed * 1_000.0) as u64
     }
 
-    /// The most that the clock can show at `now`.
-    fn latest(&self, now: Now) -> u64 {
-        self.ms + ms(now.saturating_sub(self.sent))
+    /// What a clock at true speed shows at `now`, if the answer took no time.
+    fn likely(&self, now: Now) -> u64 {
+        self.ms + ms(now.saturating_sub(self.received))
     }
 }
 
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -223,7 +223,6 @@
         vm.clock = Some(ClockReading {
             ms: report.clock_ms,
             received: cx.now,
-            sent,
         });
         contact(cx, vm);
         for ended in report
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -139,3 +139,22 @@
     world.run_for(6_000);
     assert_eq!(world.state(1, ID), Some(JobState::Completed));
 }
+
+#[test]
+fn a_renewal_that_waited_for_an_end_makes_no_lease_longer() {
+    let mut world = World::new(1, 2);
+    let longest = ragwortstall::core::workload::options::VmOptions::default().lease;
+    for _ in 0..100 {
+        world.run_for(37);
+        let latest = world.now + longest;
+        for vm in world.vms.values() {
+            let end = Duration::from_millis(vm.lease_end);
+            assert!(
+                end <= latest,
+                "{} has a lease up to {end:?} at {:?}",
+                vm.id,
+                world.now
+            );
+        }
+    }
+}
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -31,7 +31,8 @@
     /// Whether it refuses starts for want of room.
     pub full: bool,
     pub epoch: u64,
-    lease_end: u64,
+    /// End of its lease, in milliseconds of its clock, which is the true one.
+    pub lease_end: u64,
     pub runs: BTreeMap<TaskName, SimRun>,
     ended: Vec<EndedTask>,
     last_end: u64,
@@ -92,6 +93,14 @@
         }
     }
 
+    /// Takes a renewal when it arrives; its answer may wait.
+    pub(crate) fn renew(&mut self, now: Now, epoch: u64, deadline_ms: Option<u64>) {
+        self.advance(now);
+        if self.fence(epoch).is_ok() {
+            self.lease_end = self.lease_end.max(deadline_ms.unwrap_or(0));
+        }
+    }
+
     pub(crate) fn hold(
         &mut self,
         now: Now,
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -349,8 +349,18 @@
             Request::ReadAll { feed, .. } | Request::Watch { feed, .. } => {
                 Answer::Feed(feed, FeedAnswer::Failed(lost))
             }
-            Request::Hold { wait, .. } => {
+            Request::Hold {
+                wait,
+                ref by,
+                epoch,
+                deadline_ms,
+                ..
+            } => {
                 let until = self.now + wait;
+                let vm = self.vms.get_mut(&by.vm).expect("a known VM");
+                if vm.connected {
+                    vm.renew(self.now, epoch, deadline_ms);
+                }
                 return self.held.push(Held {
                     daemon,
                     life,
