--- a/src/bin/ragwortstall/cmd/mod.rs
+++ b/src/bin/ragwortstall/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 pub mod check;
+pub mod explain;
 pub mod job;
 pub mod key;
 pub mod queue;
--- a/src/bin/ragwortstall/main.rs
+++ b/src/bin/ragwortstall/main.rs
@@ -36,6 +36,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     Check(cmd::check::Args),
+    Explain(cmd::explain::Args),
     Record(cmd::record::Args),
     Team(cmd::team::Args),
     Service(cmd::service::Args),
@@ -68,6 +69,7 @@
     let target = cli.target;
     match cli.command {
         Command::Check(args) => cmd::check::run(&args, &target),
+        Command::Explain(args) => cmd::explain::run(&args, &target),
         Command::Record(args) => cmd::record::run(args, &target).await,
         Command::Team(args) => cmd::team::run(args, &target).await,
         Command::Service(args) => cmd::service::run(args, &target).await,
--- a/src/core/workload/calls.rs
+++ b/src/core/workload/calls.rs
@@ -87,7 +87,7 @@
         let team = team_of(&catalog, call.key.as_deref());
         if !queue.public && team.is_none() {
             cx.log(Decision::Refused {
-                id: call.path,
+                id: id_in_path(&queue, &call.path).into(),
                 reason: "unknown key".into(),
                 config: catalog.version,
                 table_age_ms: table_age(cx, parts.feeds),
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -174,7 +174,7 @@
             retry_delay: Duration::from_millis(250),
             stop_timeout: Duration::from_secs(1),
             drain: Duration::from_secs(2),
-            forget_after: Duration::from_secs(20),
+            forget_after: Duration::from_secs(8),
             rack_patience: Duration::from_millis(400),
             advice_vms: 30,
             advice_each: 1,
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Keys of the first `most` VMs of a kind.
+    pub fn select(&self, is_wanted: impl Fn(&Vm) -> bool, most: usize) -> Vec<VmKey> {
+        let vms = self.vms.iter().filter(|(_, vm)| is_wanted(vm));
+        vms.map(|(&key, _)| key).take(most).collect()
+    }
+
     /// Keys of all VMs, in steady order.
     pub fn keys(&self) -> Vec<VmKey> {
         self.vms.keys().copied().collect()
@@ -280,6 +286,13 @@
         u32::try_from(runs.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether it has left: it is not listed, has been silent for long, and nothing can run there.
+    pub fn is_gone(&self, now: Now, silence: Duration) -> bool {
+        let silent = self.hold.misses > 0 && now > self.heard + silence;
+        let lapsed = self.clock.is_none() || self.has_lapsed(now);
+        !self.listed && silent && lapsed && self.runs.is_empty()
+    }
+
     /// Notes a run.
     pub fn insert(&mut self, key: TaskKey, run: Run) {
         self.used = self.used.plus(&run.room);
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -177,15 +177,6 @@
                 continue;
             };
             unsettled |= !vm.fenced && vm.roster == Roster::Inherited && cx.now < horizon;
-            let silent_for = cx.now.saturating_sub(vm.heard);
-            let forget = silent && !vm.listed && vm.runs.is_empty();
-            if forget && silent_for > cx.options.vms.forget_after {
-                cx.log(Decision::VmGone {
-                    vm: vm.id.clone(),
-                    reason: "unlisted and silent",
-                });
-                self.fleet.remove(key);
-            }
         }
         if !self.settled && !unsettled {
             self.settled = true;
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -80,7 +80,7 @@
     pending_ends: Vec<(fleet::VmKey, EndedTask)>,
     beat_at: Now,
     leases_at: Now,
-    registering: Option<Vec<fleet::VmKey>>,
+    registering: Option<Registration>,
     /// Whether all that an earlier placer may have started is accounted for.
     settled: bool,
     /// When the next round of placement is wanted, if one is.
@@ -89,6 +89,13 @@
     release: Release,
 }
 
+/// A change of the roster under way.
+#[derive(Debug)]
+struct Registration {
+    added: Vec<fleet::VmKey>,
+    removed: Vec<fleet::VmKey>,
+}
+
 /// How far the hand-over of the role has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Release {
@@ -265,15 +272,17 @@
         }
     }
 
-    /// Writes VMs into the roster before they are used, so that the next placer knows of them.
+    /// Writes VMs into the roster before they are used, so that the next placer knows of them, and
+    /// takes out those that are gone, so that it does not wait for them.
     fn register(&mut self, cx: &mut Cx) {
         if self.registering.is_some() {
             return;
         }
-        let wanting = |vm: &fleet::Vm| vm.listed && vm.roster == fleet::Roster::Absent;
-        let vms = self.fleet.vms.iter().filter(|(_, vm)| wanting(vm));
-        let keys: Vec<_> = vms.map(|(&key, _)| key).take(MAX_REGISTERED).collect();
-        if keys.is_empty() {
+        let wanted = |vm: &fleet::Vm| vm.listed && vm.roster == fleet::Roster::Absent;
+        let added = self.fleet.select(wanted, MAX_REGISTERED);
+        let gone = |vm: &fleet::Vm| vm.is_gone(cx.now, cx.options.vms.forget_after);
+        let removed = self.fleet.select(gone, MAX_REGISTERED - added.len());
+        if added.is_empty() && removed.is_empty() {
             return;
         }
         let part = &cx.options.part;
@@ -281,24 +290,30 @@
             expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.version)],
             ..Transaction::default()
         };
-        for vm in keys.iter().filter_map(|key| self.fleet.vms.get(key)) {
+        for vm in added.iter().filter_map(|key| self.fleet.vms.get(key)) {
             let address = vm.address.clone();
             let row = RowId::new(ROSTER, part, &vm.id);
             txn.put.push((row, encode(&RosterRow { address })));
         }
-        self.registering = Some(keys);
+        for vm in removed.iter().filter_map(|key| self.fleet.vms.get(key)) {
+            txn.remove.push(RowId::new(ROSTER, part, &vm.id));
+        }
+        self.registering = Some(Registration { added, removed });
         cx.commit(CommitFor::Roster, txn);
     }
 
     fn registered(&mut self, cx: &mut Cx, outcome: &Committed) -> Lost {
-        let keys = self.registering.take().unwrap_or_default();
+        let registration = self.registering.take()?;
         match outcome {
             Committed::Done(_) => {
-                for key in keys {
+                for key in registration.added {
                     if let Some(vm) = self.fleet.vms.get_mut(&key) {
                         vm.roster = fleet::Roster::Registered;
                     }
                 }
+                for key in registration.removed {
+                    self.unregistered(cx, key);
+                }
                 self.want_round(cx.now);
                 None
             }
@@ -307,6 +322,22 @@
         }
     }
 
+    /// A VM was taken out of the roster.
+    fn unregistered(&mut self, cx: &mut Cx, key: fleet::VmKey) {
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        if vm.listed {
+            vm.roster = fleet::Roster::Absent;
+            return;
+        }
+        cx.log(Decision::VmGone {
+            vm: vm.id.clone(),
+            reason: "unlisted, silent, and its lease has lapsed",
+        });
+        self.fleet.remove(key);
+    }
+
     fn begin_due(&mut self, cx: &Cx) {
         let early = cx.options.placer.early;
         if self.book.begin_due(cx.now, cx.unix, early) {
--- a/tests/tool/main.rs
+++ b/tests/tool/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod check;
+mod explain;
 mod fake;
 mod job;
 mod key;
