--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -8,6 +8,7 @@
 use super::book::JobKey;
 use super::book::StepKey;
 use super::book::TaskKey;
+use super::pace::FULL;
 use crate::core::model::Now;
 use crate::core::model::RackId;
 use crate::core::model::Resources;
@@ -70,6 +71,10 @@
     pub used: Resources,
     /// Processor time that tasks which fill ask for, in thousandths of a core.
     pub filler_milli: u32,
+    /// Speed of the tasks that fill there, in percent.
+    pub filler_percent: u32,
+    /// When that was last changed.
+    pub paced_at: Now,
     /// Number of its tasks that have a latency target.
     pub serving: u32,
     pub runs: FxHashMap<TaskKey, Run>,
@@ -125,10 +130,12 @@
     pub serves: bool,
     pub sent: Now,
     pub phase: Phase,
-    /// Speed in percent, as the VM last listed it.
+    /// Speed in percent, as the VM last took it.
     pub percent: u32,
-    /// Speed last ordered and not yet listed.
+    /// Speed ordered and not yet answered.
     pub ordered_percent: Option<u32>,
+    /// When a change of speed that failed is ordered again.
+    pub pace_retry_at: Now,
     /// Tail latency in milliseconds or processor use, as last listed.
     pub figure: u64,
 }
@@ -219,6 +226,8 @@
             noted_end: 0,
             used: Resources::ZERO,
             filler_milli: 0,
+            filler_percent: FULL,
+            paced_at: Now::ZERO,
             serving: 0,
             runs: FxHashMap::default(),
             hold: Hold::default(),
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -226,6 +226,7 @@
         let complete = report.ended.len() < ENDS_IN_ANSWER;
         self.take_ends(cx);
         self.reconcile(cx, key, sent, &report.running, complete);
+        self.pace_fillers(cx, key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             let noted = vm.noted_end == vm.seen_end;
             let renewed = vm.lease_end_ms > report.clock_ms;
@@ -336,11 +337,7 @@
         if let Some(run) = vm.runs.get_mut(&task)
             && run.number == row.run
         {
-            run.percent = row.percent;
             run.figure = row.figure;
-            if run.ordered_percent == Some(row.percent) {
-                run.ordered_percent = None;
-            }
             if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
                 run.phase = Phase::Running { since: cx.now };
                 self.mark_started(cx, task);
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -8,6 +8,7 @@
 use super::fleet::Phase;
 use super::fleet::Run;
 use super::fleet::VmKey;
+use super::pace::FULL;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
@@ -187,7 +188,6 @@
         };
         let mut run = Run::new(row.run, room, demand, serves, cx.now);
         run.phase = Phase::Running { since: cx.now };
-        run.percent = row.percent;
         run.figure = row.figure;
         vm.insert(task, run);
         self.usage.add(team.as_ref(), &demand);
@@ -400,8 +400,9 @@
             serves,
             sent: now,
             phase: Phase::Starting,
-            percent: 100,
+            percent: FULL,
             ordered_percent: None,
+            pace_retry_at: Now::ZERO,
             figure: 0,
         }
     }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod jobs;
+mod pace;
 mod takeover;
 mod vm;
 mod world;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -30,6 +30,8 @@
     pub draining: bool,
     /// Whether it refuses starts for want of room.
     pub full: bool,
+    /// Tail latency of its serving tasks.
+    pub tail_ms: u64,
     pub epoch: u64,
     /// End of its lease, in milliseconds of its clock, which is the true one.
     pub lease_end: u64,
@@ -58,6 +60,7 @@
             connected: true,
             draining: false,
             full: false,
+            tail_ms: 0,
             epoch: 0,
             lease_end: 0,
             runs: BTreeMap::new(),
@@ -118,7 +121,11 @@
             run: run.number,
             checkpoint: "".into(),
             percent: 100,
-            figure: 0,
+            figure: if run.step.target_ms > 0 {
+                self.tail_ms
+            } else {
+                0
+            },
         });
         Ok(HoldReport {
             born: self.born,
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -105,6 +105,8 @@
     /// Time up to which commits take effect without an answer.
     pub mute_until: Now,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
+    /// Speeds ordered, in percent.
+    pub paces: Vec<(TaskName, u32)>,
     daemons: Vec<SimDaemon>,
     jobs: BTreeMap<Box<str>, Submission>,
     done: BTreeSet<TaskName>,
@@ -149,6 +151,7 @@
             busy_until: Now::ZERO,
             mute_until: Now::ZERO,
             starts: Vec::new(),
+            paces: Vec::new(),
             daemons: Vec::new(),
             jobs: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -405,6 +408,10 @@
                 };
                 Answer::Stopped(order, result)
             }
+            Request::Pace { order, percent, .. } => {
+                self.paces.push((order.task.clone(), percent));
+                Answer::Paced(order, Ok(0))
+            }
             other => panic!("unexpected request {other:?}"),
         }
     }
