--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -119,10 +119,10 @@
         VM_KINDS.contains(&&*line.kind) && line.text_of("vm").is_some_and(|vm| vms.contains(vm))
     };
     let of_cell = |line: &Line| CELL_KINDS.contains(&&*line.kind);
-    let list = lines
+    let shown = lines
         .iter()
         .filter(|line| line.is_about(id) || meanwhile(line) && (of_vm(line) || of_cell(line)));
-    list.cloned().collect()
+    shown.cloned().collect()
 }
 
 /// What the lines say about why the job went as it did.
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -38,6 +38,9 @@
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
+/// A heartbeat may be late by so many times the table's time to answer a read.
+const SLOW_TABLE_FACTOR: u32 = 6;
+
 /// Largest part of the takeover time that is added at random, so that one daemon goes first.
 const JITTER_DIVISOR: u32 = 3;
 
@@ -61,6 +64,9 @@
 #[derive(Debug)]
 pub(super) struct Taking {
     claim: Option<OwnerRow>,
+    started: Now,
+    /// When the last heartbeat of a holder that may still act was seen.
+    beat_seen: Option<Now>,
     /// Epoch of the holder that is to be replaced.
     replaced: Epoch,
     /// Up to when a former holder may still renew leases.
@@ -163,6 +169,10 @@
         {
             return self.back_off(cx);
         }
+        if let Some(not_before) = taking.wait_for_slow_table(cx) {
+            *self = Self::Follower { not_before };
+            return;
+        }
         taking.claim(cx, current.map(|(_, owner)| owner), version);
     }
 
@@ -266,6 +276,10 @@
         let beat = pulse.beat();
         Self {
             claim: None,
+            started: cx.now,
+            beat_seen: beat
+                .filter(|beat| !is_over(cx, &beat.row))
+                .map(|beat| beat.seen),
             replaced: beat.map_or(0, |beat| beat.row.owner.epoch),
             former_until: former_until(cx, pulse),
             former: beat.map_or("".into(), |beat| beat.row.owner.daemon.clone()),
@@ -273,6 +287,15 @@
         }
     }
 
+    /// Up to when a heartbeat may be late because the table is slow: each one takes a transaction
+    /// and the answer to a watch.
+    fn wait_for_slow_table(&self, cx: &Cx) -> Option<Now> {
+        let answered_in = cx.now.saturating_sub(self.started);
+        let patience = cx.options.placer.takeover_after + answered_in * SLOW_TABLE_FACTOR;
+        let until = self.beat_seen? + patience;
+        (cx.now < until).then_some(until)
+    }
+
     /// Claims the role. The sequence row is written along, so that no progress write of the former
     /// holder can take effect afterwards.
     fn claim(&mut self, cx: &mut Cx, current: Option<OwnerRow>, version: Rev) {
