--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -1,5 +1,7 @@
 //! Placers that end, are cut off from the table, or come back.
 
+use std::time::Duration;
+
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::task::TaskName;
@@ -91,3 +93,12 @@
     assert_eq!(world.state(placer, ID), Some(JobState::Completed));
     assert_eq!(world.starts.len(), 2);
 }
+
+#[test]
+fn a_slow_table_does_not_make_the_role_change_hands() {
+    let mut world = World::new(3, 2);
+    let epoch = world.epoch();
+    world.table_delay = Duration::from_millis(600);
+    world.run_for(8_000);
+    assert_eq!(world.epoch(), epoch);
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -100,6 +100,8 @@
     pub table_up: bool,
     /// Number of the next commits that take effect without an answer.
     pub lost_commits: u32,
+    /// Additional time that the table takes for each answer.
+    pub table_delay: Duration,
     /// Time up to which the table refuses all commits.
     pub busy_until: Now,
     /// Time up to which commits take effect without an answer.
@@ -148,6 +150,7 @@
             mute_starts: BTreeSet::new(),
             table_up: true,
             lost_commits: 0,
+            table_delay: Duration::ZERO,
             busy_until: Now::ZERO,
             mute_until: Now::ZERO,
             starts: Vec::new(),
@@ -230,6 +233,12 @@
         list.find_map(|(ix, daemon)| placing(daemon).then_some(ix))
     }
 
+    /// Epoch of the daemon that places, if one does.
+    pub(crate) fn epoch(&mut self) -> Option<u64> {
+        let placer = self.placer()?;
+        self.daemons[placer].state.epoch()
+    }
+
     /// Ends a daemon's process.
     pub(crate) fn kill(&mut self, daemon: usize) {
         self.daemons[daemon].up = false;
@@ -304,7 +313,16 @@
     }
 
     fn answer(&mut self, daemon: usize, life: u64, answer: Answer) {
-        self.at(DELAY, Due::Answer(daemon, life, answer));
+        let of_table = matches!(
+            answer,
+            Answer::Committed(..) | Answer::Read(..) | Answer::Feed(..)
+        );
+        let delay = if of_table {
+            self.table_delay
+        } else {
+            Duration::ZERO
+        };
+        self.at(DELAY + delay, Due::Answer(daemon, life, answer));
     }
 
     fn is_alive(&self, daemon: usize, life: u64) -> bool {
