--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -98,7 +98,7 @@
 fn a_slow_table_does_not_make_the_role_change_hands() {
     let mut world = World::new(3, 2);
     let epoch = world.epoch();
-    world.table_delay = Duration::from_millis(600);
+    world.table_delay = Duration::from_millis(350);
     world.run_for(8_000);
     assert_eq!(world.epoch(), epoch);
 }
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -43,6 +43,9 @@
 /// Time that a message takes one way.
 const DELAY: Duration = Duration::from_millis(1);
 
+/// Time of a transaction on a slow table, for one of a read.
+const COMMIT_FACTOR: u32 = 4;
+
 /// Wall time at the start.
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 
@@ -100,7 +103,7 @@
     pub table_up: bool,
     /// Number of the next commits that take effect without an answer.
     pub lost_commits: u32,
-    /// Additional time that the table takes for each answer.
+    /// Additional time that the table takes for each read.
     pub table_delay: Duration,
     /// Time up to which the table refuses all commits.
     pub busy_until: Now,
@@ -313,14 +316,10 @@
     }
 
     fn answer(&mut self, daemon: usize, life: u64, answer: Answer) {
-        let of_table = matches!(
-            answer,
-            Answer::Committed(..) | Answer::Read(..) | Answer::Feed(..)
-        );
-        let delay = if of_table {
-            self.table_delay
-        } else {
-            Duration::ZERO
+        let delay = match answer {
+            Answer::Committed(..) => self.table_delay * COMMIT_FACTOR,
+            Answer::Read(..) | Answer::Feed(..) => self.table_delay,
+            _ => Duration::ZERO,
         };
         self.at(DELAY + delay, Due::Answer(daemon, life, answer));
     }
