--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -142,11 +142,6 @@
         self.write(event);
     }
 
-    /// Waits until what was written has left the queue.
-    pub fn flush(&self) {
-        self.logger.flush();
-    }
-
     fn write<T: Serialize>(&self, body: &T) {
         if !self.budget.take() {
             counter!("ragwortstall_log_lines_dropped_total").increment(1);
