--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -31,10 +31,13 @@
 const QUEUE_LINES: usize = 4_096;
 
 /// Lines a second on average.
-const LINES_PER_SECOND: f64 = 400.0;
+const LINES_PER_SECOND: f64 = 1_000.0;
 
 /// Lines that may come at once after a quiet time.
-const BURST_LINES: f64 = 1_200.0;
+const BURST_LINES: f64 = 3_000.0;
+
+/// Time between two lines that tell how many were dropped.
+const DROP_NOTICE_EVERY: Duration = Duration::from_secs(1);
 
 pub use spdlog::Error;
 
@@ -54,6 +57,7 @@
     tokens: Cell<f64>,
     filled: Cell<Instant>,
     dropped: Cell<u64>,
+    noticed: Cell<Instant>,
 }
 
 /// What every line holds.
@@ -147,15 +151,23 @@
             counter!("ragwortstall_log_lines_dropped_total").increment(1);
             return;
         }
+        self.notice_drops();
+        self.line(body);
+    }
+
+    fn notice_drops(&self) {
+        if self.budget.noticed.get().elapsed() < DROP_NOTICE_EVERY {
+            return;
+        }
         let over_budget = self.budget.dropped.take();
         let queue_full = self.lost.swap(0, Ordering::Relaxed);
         if over_budget + queue_full > 0 {
+            self.budget.noticed.set(Instant::now());
             self.line(&ProcessEvent::LinesDropped {
                 over_budget,
                 queue_full,
             });
         }
-        self.line(body);
     }
 
     fn line<T: Serialize>(&self, body: &T) {
@@ -175,6 +187,7 @@
             tokens: Cell::new(BURST_LINES),
             filled: Cell::new(Instant::now()),
             dropped: Cell::new(0),
+            noticed: Cell::new(Instant::now()),
         }
     }
 
