--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -195,8 +195,6 @@
     pub zone: ZoneId,
     /// Whether it is leaving.
     pub draining: bool,
-    /// Least time left before it leaves, if it is leaving.
-    pub remaining: Option<Duration>,
     /// Room for tasks.
     pub capacity: Resources,
     /// Labels that a step may require.
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -95,20 +95,14 @@
     pub retry_delay: Duration,
     /// Longest time that a stop takes on a VM.
     pub stop_timeout: Duration,
-    /// Time after the notice after which a leaving VM gets no new work.
-    pub drain: Duration,
     /// Time after which an unlisted VM that does not answer is forgotten.
     pub forget_after: Duration,
-    /// A step may wait this long for room on its preferred rack.
-    pub rack_patience: Duration,
     /// Largest number of VMs named in one request for advice.
     pub advice_vms: usize,
     /// Requests for advice under way at a time by way of one daemon.
     pub advice_each: u32,
     /// Time beyond the expected one after which a request for advice counts as lost.
     pub advice_margin: Duration,
-    /// Time a gang has to come together.
-    pub gang_timeout: Duration,
 }
 
 impl Options {
@@ -173,13 +167,10 @@
             hold_gap: Duration::from_millis(30),
             retry_delay: Duration::from_millis(250),
             stop_timeout: Duration::from_secs(1),
-            drain: Duration::from_secs(2),
             forget_after: Duration::from_secs(8),
-            rack_patience: Duration::from_millis(400),
             advice_vms: 30,
             advice_each: 1,
             advice_margin: Duration::from_secs(1),
-            gang_timeout: Duration::from_secs(3),
         }
     }
 }
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -49,8 +49,6 @@
     pub listed: bool,
     /// When it was first seen to be leaving.
     pub draining_since: Option<Now>,
-    /// When it may be gone, if it is leaving.
-    pub leaves_at: Option<Now>,
     /// Whether the next placer would know of it.
     pub roster: Roster,
     /// Start of its lifetime; zero while unknown.
@@ -215,7 +213,6 @@
             capacity: Resources::ZERO,
             listed: false,
             draining_since: None,
-            leaves_at: None,
             roster: Roster::Absent,
             born: 0,
             clock: None,
@@ -249,10 +246,8 @@
         self.capacity = row.capacity;
         if row.draining {
             self.draining_since.get_or_insert(now);
-            self.leaves_at = row.remaining.map(|left| now + left);
         } else {
             self.draining_since = None;
-            self.leaves_at = None;
         }
     }
 
--- /dev/null
+++ b/tests/workload/catalog.rs
@@ -0,0 +1,40 @@
+//! The configuration of the simulated cell: one queue and one team.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ragwortstall::core::model::Resources;
+use ragwortstall::core::workload::catalog::Catalog;
+use ragwortstall::core::workload::catalog::Queue;
+use ragwortstall::core::workload::catalog::Team;
+
+/// Key of the team.
+pub(crate) const KEY: &str = "key-of-dairy";
+
+/// The configuration.
+pub(crate) fn catalog() -> Catalog {
+    let queue = Queue {
+        name: "labels".into(),
+        host: "labels.example".into(),
+        prefix: "/jobs/".into(),
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        target: Duration::from_millis(250),
+        advice: None,
+        public: false,
+    };
+    let mut catalog = Catalog {
+        version: 1,
+        queues: vec![Rc::new(queue)],
+        ..Catalog::default()
+    };
+    catalog.keys.insert(KEY.into(), "dairy".into());
+    let team = Team {
+        weight: 1.0,
+        cap: Resources::ZERO,
+    };
+    catalog.teams.insert("dairy".into(), team);
+    catalog
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,8 +1,10 @@
 //! The workload reducer against a simulated table, VMs and advice service, in virtual time.
 
+mod catalog;
 mod faults;
 mod jobs;
 mod pace;
+mod table;
 mod takeover;
 mod vm;
 mod world;
--- /dev/null
+++ b/tests/workload/table.rs
@@ -0,0 +1,82 @@
+//! A simulated table: transactions, ranges and changes since a version.
+
+use std::collections::BTreeMap;
+
+use ragwortstall::core::workload::table::Committed;
+use ragwortstall::core::workload::table::Page;
+use ragwortstall::core::workload::table::Range;
+use ragwortstall::core::workload::table::RowId;
+use ragwortstall::core::workload::table::TableRow;
+use ragwortstall::core::workload::table::Transaction;
+
+/// Table, part and key of a row.
+type RowKey = (&'static str, Box<str>, Box<str>);
+
+/// Version of a row and its value; `None` once removed.
+type StoredRow = (u64, Option<Vec<u8>>);
+
+/// All rows; removed ones are kept for those who follow the table.
+#[derive(Debug, Default)]
+pub(crate) struct SimTable {
+    rows: BTreeMap<RowKey, StoredRow>,
+    /// Version of the last transaction.
+    pub version: u64,
+}
+
+impl SimTable {
+    pub(crate) fn commit(&mut self, txn: &Transaction) -> Committed {
+        let key = |row: &RowId| (row.table, row.part.clone(), row.key.clone());
+        let differs = txn.expect.iter().any(|(row, version)| {
+            let current = self.rows.get(&key(row));
+            let current = current.filter(|(_, value)| value.is_some());
+            current.map_or(0, |(version, _)| *version) != *version
+        });
+        if differs {
+            let rows = txn.expect.iter().filter_map(|(row, _)| {
+                let (version, value) = self.rows.get(&key(row))?;
+                Some(table_row(&key(row), *version, value.as_ref()))
+            });
+            return Committed::Conflict(rows.collect());
+        }
+        self.version += 1;
+        for (row, value) in &txn.put {
+            self.rows
+                .insert(key(row), (self.version, Some(value.clone())));
+        }
+        for row in &txn.remove {
+            self.rows.insert(key(row), (self.version, None));
+        }
+        Committed::Done(self.version)
+    }
+
+    pub(crate) fn page(&self, range: &Range) -> Page {
+        let inside = |key: &str| key >= &*range.from && (range.to.is_empty() || key < &*range.to);
+        let rows = self.rows.iter().filter(|((table, part, key), (_, value))| {
+            *table == range.table && *part == range.part && inside(key) && value.is_some()
+        });
+        Page {
+            rows: rows
+                .map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
+                .collect(),
+            more: false,
+            version: self.version,
+        }
+    }
+
+    /// Rows of a table that have changed after a version.
+    pub(crate) fn changes(&self, table: &str, after: u64) -> Vec<TableRow> {
+        let rows = self.rows.iter();
+        let rows = rows.filter(|(key, (version, _))| key.0 == table && *version > after);
+        rows.map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
+            .collect()
+    }
+}
+
+fn table_row(key: &RowKey, version: u64, value: Option<&Vec<u8>>) -> TableRow {
+    TableRow {
+        part: key.1.clone(),
+        key: key.2.clone(),
+        version,
+        value: value.cloned(),
+    }
+}
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -9,6 +9,7 @@
 use ragwortstall::core::workload::event::HoldReport;
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::StartError;
+use ragwortstall::core::workload::event::VmRow;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::task::End;
 use ragwortstall::core::workload::task::EndedTask;
@@ -70,6 +71,22 @@
         }
     }
 
+    /// What it writes about itself in the table.
+    pub(crate) fn row(&self) -> VmRow {
+        VmRow {
+            id: self.id.clone(),
+            service: "pool".into(),
+            address: "127.0.0.1:1".into(),
+            zone: "zone-a".into(),
+            draining: self.draining,
+            capacity: self.capacity,
+            labels: vec!["a".into(), "r1".into()],
+            rack: "r1".into(),
+            born: self.born,
+            machine: self.id.clone(),
+        }
+    }
+
     /// Starts anew under the same id.
     pub(crate) fn restart(&mut self) {
         let id = self.id.clone();
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
@@ -12,9 +11,6 @@
 use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
-use ragwortstall::core::workload::catalog::Catalog;
-use ragwortstall::core::workload::catalog::Queue;
-use ragwortstall::core::workload::catalog::Team;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::effect::Request;
@@ -26,18 +22,16 @@
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::StartError;
-use ragwortstall::core::workload::event::VmRow;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::table::Committed;
 use ragwortstall::core::workload::table::JOBS;
 use ragwortstall::core::workload::table::PULSE;
-use ragwortstall::core::workload::table::Page;
-use ragwortstall::core::workload::table::Range;
-use ragwortstall::core::workload::table::TableRow;
-use ragwortstall::core::workload::table::Transaction;
 use ragwortstall::core::workload::task::End;
 use ragwortstall::core::workload::task::TaskName;
 
+use crate::catalog::KEY;
+use crate::catalog::catalog;
+use crate::table::SimTable;
 use crate::vm::SimVm;
 
 /// Time that a message takes one way.
@@ -49,15 +43,6 @@
 /// Wall time at the start.
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 
-/// Key of the team.
-pub(crate) const KEY: &str = "key-of-dairy";
-
-/// Table, part and key of a row.
-type RowKey = (&'static str, Box<str>, Box<str>);
-
-/// Version of a row and its value; `None` once removed.
-type StoredRow = (u64, Option<Vec<u8>>);
-
 /// A daemon and whether it runs.
 struct SimDaemon {
     state: Workload,
@@ -115,9 +100,7 @@
     daemons: Vec<SimDaemon>,
     jobs: BTreeMap<Box<str>, Submission>,
     done: BTreeSet<TaskName>,
-    rows: BTreeMap<RowKey, StoredRow>,
-    version: u64,
-    catalog: Rc<Queue>,
+    table: SimTable,
     queue: BTreeMap<(Now, u64), Due>,
     sequence: u64,
     watches: Vec<Watch>,
@@ -129,18 +112,6 @@
 impl World {
     /// A cell of so many daemons and VMs of 16 cores, after its start.
     pub(crate) fn new(daemons: usize, vms: usize) -> Self {
-        let queue = Queue {
-            name: "labels".into(),
-            host: "labels.example".into(),
-            prefix: "/jobs/".into(),
-            service: "pool".into(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 2.0,
-            target: Duration::from_millis(250),
-            advice: None,
-            public: false,
-        };
         let capacity = Resources::new(16_000, 64_000, 0, u32::MAX);
         let vms = (0..vms).map(|ix| {
             let id: Box<str> = format!("vm-{ix}").into();
@@ -161,9 +132,7 @@
             daemons: Vec::new(),
             jobs: BTreeMap::new(),
             done: BTreeSet::new(),
-            rows: BTreeMap::new(),
-            version: 1,
-            catalog: Rc::new(queue),
+            table: SimTable::default(),
             queue: BTreeMap::new(),
             sequence: 0,
             watches: Vec::new(),
@@ -336,7 +305,7 @@
                 Answer::Committed(purpose, Committed::Refused("busy".into()))
             }
             Request::Commit { purpose, txn, .. } if reaches => {
-                let outcome = self.commit(&txn);
+                let outcome = self.table.commit(&txn);
                 let mute = self.now < self.mute_until;
                 if mute {
                     Answer::Committed(purpose, Committed::Unknown(lost))
@@ -349,12 +318,13 @@
             }
             Request::Commit { purpose, .. } => Answer::Committed(purpose, Committed::Refused(lost)),
             Request::Read { purpose, range } if reaches => {
-                Answer::Read(purpose, Ok(self.page(&range)))
+                Answer::Read(purpose, Ok(self.table.page(&range)))
             }
             Request::Read { purpose, .. } => Answer::Read(purpose, Err(lost)),
-            Request::ReadAll { feed, .. } if reaches => {
-                Answer::Feed(feed, FeedAnswer::Whole(self.rows(feed, 0), self.version))
-            }
+            Request::ReadAll { feed, .. } if reaches => Answer::Feed(
+                feed,
+                FeedAnswer::Whole(self.rows(feed, 0), self.table.version),
+            ),
             Request::Watch {
                 feed, after, wait, ..
             } if reaches => {
@@ -467,7 +437,7 @@
                 self.watches.push(watch);
                 continue;
             }
-            let answer = FeedAnswer::Changes(rows, self.version);
+            let answer = FeedAnswer::Changes(rows, self.table.version);
             self.answer(watch.daemon, watch.life, Answer::Feed(watch.feed, answer));
         }
         for held in std::mem::take(&mut self.held) {
@@ -501,76 +471,18 @@
         }
     }
 
-    fn commit(&mut self, txn: &Transaction) -> Committed {
-        let key = |row: &ragwortstall::core::workload::table::RowId| {
-            (row.table, row.part.clone(), row.key.clone())
-        };
-        let differs = txn.expect.iter().any(|(row, version)| {
-            let current = self.rows.get(&key(row));
-            let current = current.filter(|(_, value)| value.is_some());
-            current.map_or(0, |(version, _)| *version) != *version
-        });
-        if differs {
-            let rows = txn.expect.iter().filter_map(|(row, _)| {
-                let (version, value) = self.rows.get(&key(row))?;
-                Some(table_row(&key(row), *version, value.as_ref()))
-            });
-            return Committed::Conflict(rows.collect());
-        }
-        self.version += 1;
-        for (row, value) in &txn.put {
-            self.rows
-                .insert(key(row), (self.version, Some(value.clone())));
-        }
-        for row in &txn.remove {
-            self.rows.insert(key(row), (self.version, None));
-        }
-        Committed::Done(self.version)
-    }
-
-    fn page(&self, range: &Range) -> Page {
-        let inside = |key: &str| key >= &*range.from && (range.to.is_empty() || key < &*range.to);
-        let rows = self.rows.iter().filter(|((table, part, key), (_, value))| {
-            *table == range.table && *part == range.part && inside(key) && value.is_some()
-        });
-        Page {
-            rows: rows
-                .map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
-                .collect(),
-            more: false,
-            version: self.version,
-        }
-    }
-
     fn rows(&self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
-            Feed::Config if after == 0 => return vec![FeedRow::Config(Box::new(self.catalog()))],
+            Feed::Config if after == 0 => return vec![FeedRow::Config(Box::new(catalog()))],
             Feed::Vms if after == 0 => {
-                return self.vms.values().map(vm_row).map(FeedRow::Vm).collect();
+                return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
             }
             Feed::Config | Feed::Vms => return Vec::new(),
             Feed::Jobs => JOBS,
             Feed::Pulse => PULSE,
         };
-        let rows = self.rows.iter();
-        let rows = rows.filter(|(key, (version, _))| key.0 == table && *version > after);
-        rows.map(|(key, (version, value))| FeedRow::Own(table_row(key, *version, value.as_ref())))
-            .collect()
-    }
-
-    fn catalog(&self) -> Catalog {
-        let mut catalog = Catalog {
-            version: 1,
-            queues: vec![Rc::clone(&self.catalog)],
-            ..Catalog::default()
-        };
-        catalog.keys.insert(KEY.into(), "dairy".into());
-        let team = Team {
-            weight: 1.0,
-            cap: Resources::ZERO,
-        };
-        catalog.teams.insert("dairy".into(), team);
-        catalog
+        let rows = self.table.changes(table, after).into_iter();
+        rows.map(FeedRow::Own).collect()
     }
 }
 
@@ -580,28 +492,3 @@
     options.vms.stop_timeout = crate::vm::STOP_TIME;
     options
 }
-
-fn table_row(key: &RowKey, version: u64, value: Option<&Vec<u8>>) -> TableRow {
-    TableRow {
-        part: key.1.clone(),
-        key: key.2.clone(),
-        version,
-        value: value.cloned(),
-    }
-}
-
-fn vm_row(vm: &SimVm) -> VmRow {
-    VmRow {
-        id: vm.id.clone(),
-        service: "pool".into(),
-        address: "127.0.0.1:1".into(),
-        zone: "zone-a".into(),
-        draining: vm.draining,
-        remaining: None,
-        capacity: vm.capacity,
-        labels: vec!["a".into(), "r1".into()],
-        rack: "r1".into(),
-        born: vm.born,
-        machine: vm.id.clone(),
-    }
-}
