Count tasks that may run unseen against their teams' caps until a takeover is settled

Cause: the placer's zone was cut off; its successor did not count the tasks on the VMs it could not reach, and started new jobs of the team up to its cap. Ruled out: a wrong count at the same placer (settled only at 39.0 s). The test has 16 starts without the change, 10 with it.

--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -45,6 +45,7 @@
         self.round_at = None;
         self.rounded = cx.now;
         self.repeat_stops(cx);
+        self.count_unseen();
         let steps = self.ready_steps(cx);
         let waits = !steps.is_empty();
         for (_, key) in steps {
@@ -55,6 +56,29 @@
         }
     }
 
+    /// Until all VMs of the former placer are accounted for, counts the tasks that it may have
+    /// started against their teams' caps.
+    fn count_unseen(&mut self) {
+        self.usage.clear_unseen();
+        if self.settled {
+            return;
+        }
+        let old = self
+            .book
+            .open_jobs()
+            .filter(|(_, job)| job.version <= self.version);
+        for (_, job) in old {
+            let steps = job
+                .occurrences
+                .values()
+                .flat_map(|steps| steps.iter().zip(&job.sub.steps));
+            for (run, spec) in steps.filter(|(run, _)| run.ready_at.is_some()) {
+                let demand = spec.demand.times(run.waiting);
+                self.usage.add_unseen(job.team.as_ref(), &demand);
+            }
+        }
+    }
+
     /// Takes advice.
     pub(super) fn advised(
         &mut self,
--- a/src/core/workload/placer/usage.rs
+++ b/src/core/workload/placer/usage.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Usage {
     teams: FxHashMap<TeamId, Resources>,
+    /// What tasks may take that an earlier placer may have started on VMs not yet heard of.
+    unseen: FxHashMap<TeamId, Resources>,
 }
 
 impl Usage {
@@ -21,7 +23,8 @@
         let Some(terms) = cx.catalog.and_then(|catalog| catalog.teams.get(team)) else {
             return true;
         };
-        terms.allows(&self.of(team).plus(demand))
+        let unseen = self.unseen.get(team).copied().unwrap_or(Resources::ZERO);
+        terms.allows(&self.of(team).plus(&unseen).plus(demand))
     }
 
     /// What a team has running.
@@ -29,6 +32,19 @@
         self.teams.get(team).copied().unwrap_or(Resources::ZERO)
     }
 
+    /// Forgets what may run unseen.
+    pub fn clear_unseen(&mut self) {
+        self.unseen.clear();
+    }
+
+    /// Tasks of the team may run unseen.
+    pub fn add_unseen(&mut self, team: Option<&TeamId>, demand: &Resources) {
+        if let Some(team) = team {
+            let unseen = self.unseen.entry(team.clone()).or_default();
+            *unseen = unseen.plus(demand);
+        }
+    }
+
     /// A run of the team began.
     pub fn add(&mut self, team: Option<&TeamId>, demand: &Resources) {
         if let Some(team) = team {
--- a/tests/workload/catalog.rs
+++ b/tests/workload/catalog.rs
@@ -11,8 +11,8 @@
 /// Key of the team.
 pub(crate) const KEY: &str = "key-of-dairy";
 
-/// The configuration.
-pub(crate) fn catalog() -> Catalog {
+/// The configuration, with the team's cap.
+pub(crate) fn catalog(cap: Resources) -> Catalog {
     let queue = Queue {
         name: "labels".into(),
         host: "labels.example".into(),
@@ -31,10 +31,7 @@
         ..Catalog::default()
     };
     catalog.keys.insert(KEY.into(), "dairy".into());
-    let team = Team {
-        weight: 1.0,
-        cap: Resources::ZERO,
-    };
+    let team = Team { weight: 1.0, cap };
     catalog.teams.insert("dairy".into(), team);
     catalog
 }
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::task::TaskName;
@@ -102,3 +103,28 @@
     world.run_for(8_000);
     assert_eq!(world.epoch(), epoch);
 }
+
+#[test]
+fn tasks_that_may_run_on_a_silent_vm_count_against_the_cap_of_their_team() {
+    let mut world = World::new(2, 2);
+    let placer = world.placer().expect("a placer");
+    let next = 1 - placer;
+    // The next placer knows of a cap of 10 cores.
+    world.cap = Resources::new(10_000, 0, 0, 0);
+    world.kill(next);
+    world.revive(next);
+    world.run_for(300);
+    let one = job(vec![step(8, 20_000, &[])]);
+    assert_eq!(world.submit(placer, ID, one), Reply::Accepted);
+    world.run_for(500);
+    let vm = world.starts[0].3.clone();
+    world.kill(placer);
+    world.vms.get_mut(&vm).expect("a VM").connected = false;
+    world.run_for(2_000);
+    assert_eq!(world.placer(), Some(next));
+    let two = job(vec![step(8, 20_000, &[])]);
+    assert_eq!(world.submit(next, "00000000000000a2", two), Reply::Accepted);
+    world.run_for(600);
+    // Eight tasks of the first job may still run, so that two of the second may start.
+    assert_eq!(world.starts.len(), 10);
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -88,6 +88,8 @@
     pub table_up: bool,
     /// Number of the next commits that take effect without an answer.
     pub lost_commits: u32,
+    /// Cap of the team, for daemons that start from now on.
+    pub cap: Resources,
     /// Additional time that the table takes for each read.
     pub table_delay: Duration,
     /// Time up to which the table refuses all commits.
@@ -124,6 +126,7 @@
             mute_starts: BTreeSet::new(),
             table_up: true,
             lost_commits: 0,
+            cap: Resources::ZERO,
             table_delay: Duration::ZERO,
             busy_until: Now::ZERO,
             mute_until: Now::ZERO,
@@ -473,7 +476,9 @@
 
     fn rows(&self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
-            Feed::Config if after == 0 => return vec![FeedRow::Config(Box::new(catalog()))],
+            Feed::Config if after == 0 => {
+                return vec![FeedRow::Config(Box::new(catalog(self.cap)))];
+            }
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
             }
