Give a job up as hopeless only when all VMs are known, listed or not

Cause, found by reading: a job was failed against the VMs listed at that moment, and rows are missing for seconds after a store outage. The test fails when only listed VMs count.

--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -1,6 +1,7 @@
 //! What a new placer reads from the table, and how jobs enter its book.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::Placer;
 use super::Release;
@@ -30,11 +31,15 @@
 use crate::core::workload::rows::bit;
 use crate::core::workload::rows::cancelled_job;
 use crate::core::workload::rows::decode;
+use crate::core::workload::submission::Step;
 use crate::core::workload::table::TableRow;
 
 /// Numbers of runs set apart for each epoch, so that none is used by two placers.
 const RUNS_PER_EPOCH: u64 = 1_000;
 
+/// Time after a takeover in which all VMs have been listed.
+const LISTING_TIME: Duration = Duration::from_millis(1_800);
+
 /// Rows of the table when the role was taken.
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct Loaded {
@@ -151,23 +156,36 @@
         }
     }
 
-    /// Ends a job of which a task fits on no VM at all.
+    /// Ends a job of which a task fits on no VM at all, once all VMs are known.
     pub(super) fn fail_hopeless(&mut self, cx: &mut Cx, key: JobKey) {
-        let Some(job) = self.book.jobs.get(&key) else {
+        let Some(job) = self.book.jobs.get(&key).filter(|job| job.is_untouched()) else {
             return;
         };
-        let vms = || self.fleet.vms.values().filter(|vm| vm.listed);
-        let largest = vms()
+        let vms = self.fleet.vms.values();
+        let unknown = vms.clone().any(|vm| vm.capacity == Resources::ZERO);
+        let early = cx.now < self.taken_at + LISTING_TIME;
+        if unknown || early || !self.settled {
+            return;
+        }
+        // VMs whose rows are missing count as well: they may be back soon.
+        let largest = vms
             .filter(|vm| vm.service == job.queue.service)
             .fold(Resources::ZERO, |most, vm| most.max(&vm.capacity));
-        let hopeless =
-            |step: &crate::core::workload::submission::Step| !largest.holds(&step.room());
-        let known = largest != Resources::ZERO && self.settled;
-        if known && job.is_untouched() && job.sub.steps.iter().any(hopeless) {
+        let hopeless = |step: &Step| !largest.holds(&step.room());
+        if largest != Resources::ZERO && job.sub.steps.iter().any(hopeless) {
             self.finish_job(cx, key, JobState::Failed, "a task fits on no VM");
         }
     }
 
+    /// Looks again at the jobs that have not started.
+    pub(super) fn fail_all_hopeless(&mut self, cx: &mut Cx) {
+        let untouched = self.book.open_jobs().filter(|(_, job)| job.is_untouched());
+        let keys: Vec<JobKey> = untouched.map(|(key, _)| key).collect();
+        for key in keys {
+            self.fail_hopeless(cx, key);
+        }
+    }
+
     fn load_vm(&mut self, cx: &mut Cx, row: &TableRow) {
         let value = row.value.as_deref().unwrap_or_default();
         match decode::<RosterRow>(value) {
--- a/src/core/workload/placer/retire.rs
+++ b/src/core/workload/placer/retire.rs
@@ -48,6 +48,7 @@
             return;
         }
         self.retire.next_at = cx.now + INTERVAL;
+        self.fail_all_hopeless(cx);
         let retention = cx.options.placer.retention;
         let over = |job: &Job| {
             job.ended_at
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -158,3 +158,23 @@
         }
     }
 }
+
+#[test]
+fn a_job_is_not_given_up_because_the_rows_of_the_large_vms_are_missing() {
+    let mut world = World::new(1, 2);
+    let large = world.vms.values_mut().next().expect("a VM");
+    large.capacity.cpu_milli = 64_000;
+    let id = large.id.clone();
+    world.relist();
+    world.run_for(2_500);
+    world.unlist(&id);
+    world.run_for(300);
+    let mut wide = step(1, 200, &[]);
+    wide.demand.cpu_milli = 40_000;
+    assert_eq!(world.submit(0, ID, job(vec![wide])), Reply::Accepted);
+    world.run_for(500);
+    assert_eq!(world.state(0, ID), Some(JobState::Queued));
+    world.relist();
+    world.run_for(2_500);
+    assert_eq!(world.state(0, ID), Some(JobState::Completed));
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod faults;
 mod jobs;
+mod listing;
 mod pace;
 mod table;
 mod takeover;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -102,7 +102,9 @@
     daemons: Vec<SimDaemon>,
     jobs: BTreeMap<Box<str>, Submission>,
     done: BTreeSet<TaskName>,
-    table: SimTable,
+    pub(crate) table: SimTable,
+    /// Changes of the VMs' rows that the placer has not yet heard of.
+    pub(crate) vm_rows: Vec<(u64, FeedRow)>,
     queue: BTreeMap<(Now, u64), Due>,
     sequence: u64,
     watches: Vec<Watch>,
@@ -136,6 +138,7 @@
             jobs: BTreeMap::new(),
             done: BTreeSet::new(),
             table: SimTable::default(),
+            vm_rows: Vec::new(),
             queue: BTreeMap::new(),
             sequence: 0,
             watches: Vec::new(),
@@ -474,7 +477,7 @@
         }
     }
 
-    fn rows(&self, feed: Feed, after: u64) -> Vec<FeedRow> {
+    fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
             Feed::Config if after == 0 => {
                 return vec![FeedRow::Config(Box::new(catalog(self.cap)))];
@@ -482,7 +485,8 @@
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
             }
-            Feed::Config | Feed::Vms => return Vec::new(),
+            Feed::Vms => return self.vm_changes(after),
+            Feed::Config => return Vec::new(),
             Feed::Jobs => JOBS,
             Feed::Pulse => PULSE,
         };
