--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -5,6 +5,7 @@
 use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::event::Action;
 use ragwortstall::core::workload::task::TaskName;
 
 use crate::jobs::ID;
@@ -12,6 +13,9 @@
 use crate::jobs::step;
 use crate::world::World;
 
+/// Id of a second job.
+const OTHER: &str = "00000000000000a2";
+
 #[test]
 fn another_daemon_takes_over_and_adopts_what_runs() {
     let mut world = World::new(3, 2);
@@ -123,8 +127,44 @@
     world.run_for(2_000);
     assert_eq!(world.placer(), Some(next));
     let two = job(vec![step(8, 20_000, &[])]);
-    assert_eq!(world.submit(next, "00000000000000a2", two), Reply::Accepted);
+    assert_eq!(world.submit(next, OTHER, two), Reply::Accepted);
     world.run_for(600);
     // Eight tasks of the first job may still run, so that two of the second may start.
     assert_eq!(world.starts.len(), 10);
 }
+
+#[test]
+fn stops_under_way_at_a_takeover_keep_their_room() {
+    let mut world = World::new(2, 1);
+    let one = job(vec![step(16, 60_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(300);
+    let two = job(vec![step(16, 1_000, &[])]);
+    assert_eq!(world.submit(0, OTHER, two), Reply::Accepted);
+    let placer = world.placer().expect("a placer");
+    assert_eq!(world.call(0, ID, Action::Cancel), Reply::Cancelled);
+    world.run_for(30);
+    world.kill(placer);
+    world.run_for(20);
+    world.revive(placer);
+    // The VM checks that what it stops and what starts there fit together.
+    world.run_for(4_000);
+    assert_eq!(world.starts.len(), 32);
+}
+
+#[test]
+fn runs_that_are_not_to_run_keep_their_room_until_they_are_gone() {
+    let mut world = World::new(2, 1);
+    let one = job(vec![step(16, 60_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(300);
+    let two = job(vec![step(16, 1_000, &[])]);
+    assert_eq!(world.submit(0, OTHER, two), Reply::Accepted);
+    let placer = world.placer().expect("a placer");
+    world.kill(placer);
+    world.lost_stops = 16;
+    let reply = world.call(1 - placer, ID, Action::Cancel);
+    assert_eq!(reply, Reply::Cancelled);
+    world.run_for(7_000);
+    assert_eq!(world.starts.len(), 32);
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons, a table and VMs that exchange messages in virtual time.
 
+mod outside;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -18,19 +20,11 @@
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::Feed;
-use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
-use ragwortstall::core::workload::event::OrderError;
-use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Submission;
-use ragwortstall::core::workload::table::Committed;
-use ragwortstall::core::workload::table::JOBS;
-use ragwortstall::core::workload::table::PULSE;
-use ragwortstall::core::workload::task::End;
 use ragwortstall::core::workload::task::TaskName;
 
 use crate::catalog::KEY;
-use crate::catalog::catalog;
 use crate::table::SimTable;
 use crate::vm::SimVm;
 
@@ -85,6 +79,8 @@
     pub failing: BTreeMap<TaskName, u32>,
     /// VMs whose answers to starts are lost.
     pub mute_starts: BTreeSet<Box<str>>,
+    /// Number of the next orders to stop that are lost.
+    pub lost_stops: u32,
     pub table_up: bool,
     /// Number of the next commits that take effect without an answer.
     pub lost_commits: u32,
@@ -126,6 +122,7 @@
             vms: vms.collect(),
             failing: BTreeMap::new(),
             mute_starts: BTreeSet::new(),
+            lost_stops: 0,
             table_up: true,
             lost_commits: 0,
             cap: Resources::ZERO,
@@ -302,197 +299,6 @@
     fn is_alive(&self, daemon: usize, life: u64) -> bool {
         self.daemons[daemon].up && self.daemons[daemon].life == life
     }
-
-    fn arrive(&mut self, daemon: usize, life: u64, req: Request) {
-        let reaches = self.table_up && self.daemons[daemon].sees_table;
-        let lost: Box<str> = "no answer".into();
-        let answer = match req {
-            Request::Commit { purpose, .. } if reaches && self.now < self.busy_until => {
-                Answer::Committed(purpose, Committed::Refused("busy".into()))
-            }
-            Request::Commit { purpose, txn, .. } if reaches => {
-                let outcome = self.table.commit(&txn);
-                let mute = self.now < self.mute_until;
-                if mute {
-                    Answer::Committed(purpose, Committed::Unknown(lost))
-                } else if self.lost_commits > 0 && matches!(outcome, Committed::Done(_)) {
-                    self.lost_commits -= 1;
-                    Answer::Committed(purpose, Committed::Unknown(lost))
-                } else {
-                    Answer::Committed(purpose, outcome)
-                }
-            }
-            Request::Commit { purpose, .. } => Answer::Committed(purpose, Committed::Refused(lost)),
-            Request::Read { purpose, range } if reaches => {
-                Answer::Read(purpose, Ok(self.table.page(&range)))
-            }
-            Request::Read { purpose, .. } => Answer::Read(purpose, Err(lost)),
-            Request::ReadAll { feed, .. } if reaches => Answer::Feed(
-                feed,
-                FeedAnswer::Whole(self.rows(feed, 0), self.table.version),
-            ),
-            Request::Watch {
-                feed, after, wait, ..
-            } if reaches => {
-                return self.watches.push(Watch {
-                    daemon,
-                    life,
-                    feed,
-                    after,
-                    until: self.now + wait,
-                });
-            }
-            Request::ReadAll { feed, .. } | Request::Watch { feed, .. } => {
-                Answer::Feed(feed, FeedAnswer::Failed(lost))
-            }
-            Request::Hold {
-                wait,
-                ref by,
-                epoch,
-                deadline_ms,
-                ..
-            } => {
-                let until = self.now + wait;
-                let vm = self.vms.get_mut(&by.vm).expect("a known VM");
-                if vm.connected {
-                    vm.renew(self.now, epoch, deadline_ms);
-                }
-                return self.held.push(Held {
-                    daemon,
-                    life,
-                    req,
-                    until,
-                });
-            }
-            order => self.order(order),
-        };
-        self.answer(daemon, life, answer);
-    }
-
-    fn order(&mut self, req: Request) -> Answer {
-        let lost = || OrderError::NoAnswer("no answer".into());
-        match req {
-            Request::Start(start) => {
-                let name = start.order.task.clone();
-                let id = start.order.vm.clone();
-                if !self.vms[&id].connected {
-                    return Answer::Started(start.order, Err(StartError::Order(lost())));
-                }
-                let step = self.jobs[&name.job].steps[usize::from(name.step)].clone();
-                let fate = self.fate(&name, &step);
-                let vm = self.vms.get_mut(&id).expect("a known VM");
-                let result = vm.start(self.now, &start, &step, fate);
-                if result.is_ok() {
-                    self.check_once(&name);
-                    let run = start.order.run;
-                    self.starts.push((self.now, name, run, id.clone()));
-                }
-                if self.mute_starts.contains(&id) {
-                    return Answer::Started(start.order, Err(StartError::Order(lost())));
-                }
-                Answer::Started(start.order, result)
-            }
-            Request::Stop { order, epoch, .. } => {
-                let vm = self.vms.get_mut(&order.vm).expect("a known VM");
-                let result = if vm.connected {
-                    vm.stop(self.now, epoch, &order.task, order.run)
-                } else {
-                    Err(lost())
-                };
-                Answer::Stopped(order, result)
-            }
-            Request::Pace { order, percent, .. } => {
-                self.paces.push((order.task.clone(), percent));
-                Answer::Paced(order, Ok(0))
-            }
-            other => panic!("unexpected request {other:?}"),
-        }
-    }
-
-    /// When and how a run ends by itself.
-    fn fate(
-        &mut self,
-        name: &TaskName,
-        step: &ragwortstall::core::workload::submission::Step,
-    ) -> Option<(Now, End)> {
-        let ends_at = self.now + Duration::from_millis(step.estimate_ms);
-        if let Some(left) = self.failing.get_mut(name)
-            && *left > 0
-        {
-            *left -= 1;
-            return Some((ends_at, End::Failed));
-        }
-        (!step.traits.lasting).then_some((ends_at, End::Done))
-    }
-
-    /// No task runs on two VMs.
-    fn check_once(&self, name: &TaskName) {
-        let on = self.vms.values().filter(|vm| vm.runs.contains_key(name));
-        assert!(on.count() <= 1, "{name} runs twice at {:?}", self.now);
-        assert!(
-            !self.done.contains(name),
-            "{name} starts after it was noted as done"
-        );
-    }
-
-    fn serve_waiting(&mut self) {
-        let now = self.now;
-        for watch in std::mem::take(&mut self.watches) {
-            let rows = self.rows(watch.feed, watch.after);
-            if rows.is_empty() && now < watch.until {
-                self.watches.push(watch);
-                continue;
-            }
-            let answer = FeedAnswer::Changes(rows, self.table.version);
-            self.answer(watch.daemon, watch.life, Answer::Feed(watch.feed, answer));
-        }
-        for held in std::mem::take(&mut self.held) {
-            let Request::Hold {
-                by,
-                epoch,
-                deadline_ms,
-                ack,
-                ..
-            } = &held.req
-            else {
-                continue;
-            };
-            let vm = self.vms.get_mut(&by.vm).expect("a known VM");
-            if vm.connected && !vm.has_news() && now < held.until && vm.epoch == *epoch {
-                self.held.push(held);
-                continue;
-            }
-            let result = if vm.connected {
-                vm.hold(now, *epoch, *deadline_ms, *ack)
-            } else {
-                Err(OrderError::NoAnswer("no answer".into()))
-            };
-            if let Ok(report) = &result {
-                let done = report.ended.iter().filter(|ended| ended.end == End::Done);
-                let noted = done.filter(|ended| ended.number <= *ack);
-                self.done.extend(noted.map(|ended| ended.task.clone()));
-            }
-            let by = by.clone();
-            self.answer(held.daemon, held.life, Answer::Held(by, result));
-        }
-    }
-
-    fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
-        let table = match feed {
-            Feed::Config if after == 0 => {
-                return vec![FeedRow::Config(Box::new(catalog(self.cap)))];
-            }
-            Feed::Vms if after == 0 => {
-                return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
-            }
-            Feed::Vms => return self.vm_changes(after),
-            Feed::Config => return Vec::new(),
-            Feed::Jobs => JOBS,
-            Feed::Pulse => PULSE,
-        };
-        let rows = self.table.changes(table, after).into_iter();
-        rows.map(FeedRow::Own).collect()
-    }
 }
 
 fn options(name: &str, life: u64) -> Options {
