Take VMs whose leases have lapsed out of the roster

Cause: after a placer was lost, the next one waited up to 3.7 s for VMs that had been silent, with lapsed leases, long before: their rows stayed in the roster until they were unlisted and silent for 8 s. Ruled out: the takeover itself (0.8 s) and reading the table (16 ms). Now a VM that is silent, without runs, and whose lease has lapsed leaves the roster, and is entered again before it is used; the removal expects the row's version, so that one carried out late undoes no later entry.

--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -9,6 +9,7 @@
 use super::book::StepKey;
 use super::book::TaskKey;
 use super::pace::FULL;
+use super::roster::Roster;
 use crate::core::model::Now;
 use crate::core::model::RackId;
 use crate::core::model::Resources;
@@ -87,17 +88,6 @@
     pub failed_job: Option<JobKey>,
 }
 
-/// Whether a VM is in the roster, from which the next placer learns where tasks may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Roster {
-    /// It is not; nothing may be started there yet.
-    Absent,
-    /// This placer has entered it.
-    Registered,
-    /// An earlier placer has, and may have started tasks there.
-    Inherited,
-}
-
 /// State of a VM's renewals.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Hold {
@@ -255,7 +245,7 @@
     pub fn is_usable(&self, now: Now, most_silent: Duration) -> bool {
         self.listed
             && now < self.heard + most_silent
-            && self.roster != Roster::Absent
+            && !matches!(self.roster, Roster::Absent | Roster::Leaving)
             && self.fenced
             && self.draining_since.is_none()
             && self.hold.misses == 0
@@ -290,11 +280,10 @@
         u32::try_from(runs.count()).unwrap_or(u32::MAX)
     }
 
-    /// Whether it has left: it is not listed, has been silent for long, and nothing can run there.
+    /// Whether it has left: it is not listed, has been silent for long, and has no runs.
     pub fn is_gone(&self, now: Now, silence: Duration) -> bool {
         let silent = self.hold.misses > 0 && now > self.heard + silence;
-        let lapsed = self.clock.is_none() || self.has_lapsed(now);
-        !self.listed && silent && lapsed && self.runs.is_empty()
+        !self.listed && silent && self.runs.is_empty()
     }
 
     /// Notes a run.
@@ -324,9 +313,7 @@
         self.clock = None;
         self.lease_end_ms = 0;
         self.fenced = false;
-        if self.roster == Roster::Inherited {
-            self.roster = Roster::Registered;
-        }
+        self.roster = self.roster.heard();
         self.unclear_until = Now::ZERO;
         self.seen_end = 0;
         self.noted_end = 0;
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -8,7 +8,6 @@
 use super::book::TaskKey;
 use super::fleet::ClockReading;
 use super::fleet::Phase;
-use super::fleet::Roster;
 use super::fleet::Run;
 use super::fleet::Vm;
 use super::fleet::VmKey;
@@ -176,7 +175,7 @@
             let Some(vm) = self.fleet.vms.get(&key) else {
                 continue;
             };
-            unsettled |= !vm.fenced && vm.roster == Roster::Inherited && cx.now < horizon;
+            unsettled |= !vm.fenced && vm.roster.is_inherited() && cx.now < horizon;
         }
         if !self.settled && !unsettled {
             self.settled = true;
@@ -186,6 +185,7 @@
             });
             self.want_round(cx.now);
         }
+        self.register(cx);
     }
 
     fn reported(&mut self, cx: &mut Cx, key: VmKey, sent: Now, report: &HoldReport) {
@@ -206,7 +206,7 @@
         }
         if !vm.fenced {
             vm.fenced = true;
-            if vm.roster == Roster::Inherited {
+            if vm.roster.is_inherited() {
                 vm.unclear_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
             }
             self.round_at = Some(cx.now);
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -11,9 +11,9 @@
 use super::book::JobKey;
 use super::book::Place;
 use super::fleet::Fleet;
-use super::fleet::Roster;
 use super::progress::Progress;
 use super::retire::Retire;
+use super::roster::Roster;
 use super::usage::Usage;
 use crate::core::model::Now;
 use crate::core::model::Resources;
@@ -192,7 +192,7 @@
             Ok(known) => {
                 let key = self.fleet.add(&row.key, &known.address, cx.now);
                 if let Some(vm) = self.fleet.vms.get_mut(&key) {
-                    vm.roster = Roster::Inherited;
+                    vm.roster = Roster::Inherited(row.version);
                 }
             }
             Err(reason) => cx.log(Decision::RowUnreadable {
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod progress;
 mod retire;
+mod roster;
 mod usage;
 
 use book::Book;
@@ -32,16 +33,10 @@
 use super::rows::BeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
-use super::rows::RosterRow;
 use super::rows::decode;
-use super::rows::encode;
 use super::rows::is_job_part;
 use super::table::Committed;
-use super::table::JOBS;
-use super::table::ROSTER;
-use super::table::RowId;
 use super::table::TableRow;
-use super::table::Transaction;
 use super::task::EndedTask;
 use crate::core::model::Epoch;
 use crate::core::model::Now;
@@ -50,9 +45,6 @@
 /// Why the role is lost, if it is.
 pub(super) type Lost = Option<Box<str>>;
 
-/// Largest number of VMs registered in one transaction.
-const MAX_REGISTERED: usize = 90;
-
 /// One in so many VMs is silent when the placer takes itself to be cut off.
 const CUT_OFF_SHARE: usize = 4;
 
@@ -80,7 +72,7 @@
     pending_ends: Vec<(fleet::VmKey, EndedTask)>,
     beat_at: Now,
     leases_at: Now,
-    registering: Option<Registration>,
+    registering: Option<roster::Change>,
     /// Whether all that an earlier placer may have started is accounted for.
     settled: bool,
     /// When the next round of placement is wanted, if one is.
@@ -89,13 +81,6 @@
     release: Release,
 }
 
-/// A change of the roster under way.
-#[derive(Debug)]
-struct Registration {
-    added: Vec<fleet::VmKey>,
-    removed: Vec<fleet::VmKey>,
-}
-
 /// How far the hand-over of the role has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Release {
@@ -135,7 +120,6 @@
             self.write_progress(cx);
             return None;
         }
-        self.register(cx);
         self.begin_due(cx);
         self.check_leases(cx);
         self.retire(cx);
@@ -179,7 +163,10 @@
         }
         for row in update.rows {
             match row {
-                FeedRow::Vm(row) => self.vm_seen(cx, row),
+                FeedRow::Vm(row) => {
+                    self.leases_at = cx.now;
+                    self.vm_seen(cx, row);
+                }
                 FeedRow::VmGone(id) => self.vm_unlisted(&id),
                 FeedRow::Own(row) if feed == Feed::Jobs => {
                     if let Some(lost) = self.job_row(cx, row) {
@@ -272,72 +259,6 @@
         }
     }
 
-    /// Writes VMs into the roster before they are used, so that the next placer knows of them, and
-    /// takes out those that are gone, so that it does not wait for them.
-    fn register(&mut self, cx: &mut Cx) {
-        if self.registering.is_some() {
-            return;
-        }
-        let wanted = |vm: &fleet::Vm| vm.listed && vm.roster == fleet::Roster::Absent;
-        let added = self.fleet.select(wanted, MAX_REGISTERED);
-        let gone = |vm: &fleet::Vm| vm.is_gone(cx.now, cx.options.vms.forget_after);
-        let removed = self.fleet.select(gone, MAX_REGISTERED - added.len());
-        if added.is_empty() && removed.is_empty() {
-            return;
-        }
-        let part = &cx.options.part;
-        let mut txn = Transaction {
-            expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.version)],
-            ..Transaction::default()
-        };
-        for vm in added.iter().filter_map(|key| self.fleet.vms.get(key)) {
-            let address = vm.address.clone();
-            let row = RowId::new(ROSTER, part, &vm.id);
-            txn.put.push((row, encode(&RosterRow { address })));
-        }
-        for vm in removed.iter().filter_map(|key| self.fleet.vms.get(key)) {
-            txn.remove.push(RowId::new(ROSTER, part, &vm.id));
-        }
-        self.registering = Some(Registration { added, removed });
-        cx.commit(CommitFor::Roster, txn);
-    }
-
-    fn registered(&mut self, cx: &mut Cx, outcome: &Committed) -> Lost {
-        let registration = self.registering.take()?;
-        match outcome {
-            Committed::Done(_) => {
-                for key in registration.added {
-                    if let Some(vm) = self.fleet.vms.get_mut(&key) {
-                        vm.roster = fleet::Roster::Registered;
-                    }
-                }
-                for key in registration.removed {
-                    self.unregistered(cx, key);
-                }
-                self.want_round(cx.now);
-                None
-            }
-            Committed::Conflict(_) => Some("the owner row has changed".into()),
-            Committed::Refused(_) | Committed::Unknown(_) => None,
-        }
-    }
-
-    /// A VM was taken out of the roster.
-    fn unregistered(&mut self, cx: &mut Cx, key: fleet::VmKey) {
-        let Some(vm) = self.fleet.vms.get_mut(&key) else {
-            return;
-        };
-        if vm.listed {
-            vm.roster = fleet::Roster::Absent;
-            return;
-        }
-        cx.log(Decision::VmGone {
-            vm: vm.id.clone(),
-            reason: "unlisted, silent, and its lease has lapsed",
-        });
-        self.fleet.remove(key);
-    }
-
     fn begin_due(&mut self, cx: &Cx) {
         let early = cx.options.placer.early;
         if self.book.begin_due(cx.now, cx.unix, early) {
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -168,3 +168,39 @@
     world.run_for(7_000);
     assert_eq!(world.starts.len(), 32);
 }
+
+#[test]
+fn a_vm_that_was_lost_before_the_placer_does_not_delay_the_next_one() {
+    let mut world = World::new(2, 3);
+    let one = job(vec![step(6, 60_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(300);
+    let lost = world.starts[0].3.clone();
+    world.vms.get_mut(&lost).expect("a VM").connected = false;
+    world.run_for(6_000);
+    let placer = world.placer().expect("a placer");
+    world.kill(placer);
+    let two = job(vec![step(1, 300, &[])]);
+    let next = 1 - placer;
+    assert_eq!(world.submit(next, OTHER, two), Reply::Accepted);
+    world.run_for(2_500);
+    assert_eq!(world.state(next, OTHER), Some(JobState::Completed));
+}
+
+#[test]
+fn a_vm_that_comes_back_is_used_only_once_it_is_in_the_roster_again() {
+    let mut world = World::new(2, 2);
+    let one = job(vec![step(30, 60_000, &[])]);
+    assert_eq!(world.submit(0, ID, one), Reply::Accepted);
+    world.run_for(300);
+    let lost = world.starts[0].3.clone();
+    world.vms.get_mut(&lost).expect("a VM").connected = false;
+    world.run_for(6_000);
+    let started = world.starts.len();
+    world.busy_until = world.now + Duration::from_millis(900);
+    world.vms.get_mut(&lost).expect("a VM").connected = true;
+    world.run_for(850);
+    assert_eq!(world.starts.len(), started);
+    world.run_for(1_000);
+    assert!(world.starts.len() > started);
+}
