Share the VMs among teams by weight when they are full

Work of a team that uses more than its weight's part of the room now goes after that of the others, and takes what they leave. Ruled out: that the hot team's own jobs bind (they are not owed beyond its weight). tests/workload/load.rs names the pattern; it fails without the shares.

--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -47,13 +47,22 @@
         self.repeat_stops(cx);
         self.count_unseen();
         let steps = self.ready_steps(cx);
-        let waits = !steps.is_empty();
+        if steps.is_empty() {
+            return;
+        }
+        let shares = self.shares(cx, steps.iter().map(|(_, key)| key));
+        let mut beyond = Vec::new();
         for (_, key) in steps {
-            self.place_step(cx, pulse, key);
+            if self.is_over_share(&shares, key) {
+                beyond.push(key);
+            } else {
+                self.place_step(cx, pulse, key);
+            }
         }
-        if waits {
-            self.want_round(cx.now + WAITING_ROUND);
+        for key in beyond {
+            self.place_step(cx, pulse, key);
         }
+        self.want_round(cx.now + WAITING_ROUND);
     }
 
     /// Until all VMs of the former placer are accounted for, counts the tasks that it may have
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod retire;
 mod roster;
+mod shares;
 mod usage;
 
 use book::Book;
--- a/src/core/workload/placer/usage.rs
+++ b/src/core/workload/placer/usage.rs
@@ -27,6 +27,12 @@
         terms.allows(&self.of(team).plus(&unseen).plus(demand))
     }
 
+    /// Teams that have something running.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
+        let running = self.teams.iter().filter(|(_, used)| used.cpu_milli > 0);
+        running.map(|(team, _)| team)
+    }
+
     /// What a team has running.
     pub fn of(&self, team: &TeamId) -> Resources {
         self.teams.get(team).copied().unwrap_or(Resources::ZERO)
--- a/tests/workload/catalog.rs
+++ b/tests/workload/catalog.rs
@@ -1,4 +1,4 @@
-//! The configuration of the simulated cell: one queue and one team.
+//! The configuration of the simulated cell: one queue and two teams.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,9 @@
 /// Key of the team.
 pub(crate) const KEY: &str = "key-of-dairy";
 
+/// Key of another team of the same weight.
+pub(crate) const OTHER_KEY: &str = "key-of-bakery";
+
 /// The configuration, with the team's cap.
 pub(crate) fn catalog(cap: Resources) -> Catalog {
     let queue = Queue {
@@ -32,6 +35,8 @@
     };
     catalog.keys.insert(KEY.into(), "dairy".into());
     let team = Team { weight: 1.0, cap };
+    catalog.keys.insert(OTHER_KEY.into(), "bakery".into());
+    catalog.teams.insert("bakery".into(), team.clone());
     catalog.teams.insert("dairy".into(), team);
     catalog
 }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod jobs;
 mod listing;
+mod load;
 mod pace;
 mod table;
 mod takeover;
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -169,8 +169,19 @@
 
     /// Submits a job by way of a daemon and waits for the answer.
     pub(crate) fn submit(&mut self, daemon: usize, id: &str, job: Submission) -> Reply {
+        self.submit_as(KEY, daemon, id, job)
+    }
+
+    /// The same with the key of a team.
+    pub(crate) fn submit_as(
+        &mut self,
+        key: &str,
+        daemon: usize,
+        id: &str,
+        job: Submission,
+    ) -> Reply {
         self.jobs.insert(id.into(), job.clone());
-        self.call(daemon, id, Action::Submit(Ok(job)))
+        self.call_as(key, daemon, id, Action::Submit(Ok(job)))
     }
 
     /// State of a job, as a daemon tells it.
@@ -183,12 +194,16 @@
 
     /// Sends a call and waits up to three seconds for its answer.
     pub(crate) fn call(&mut self, daemon: usize, id: &str, action: Action) -> Reply {
+        self.call_as(KEY, daemon, id, action)
+    }
+
+    fn call_as(&mut self, key: &str, daemon: usize, id: &str, action: Action) -> Reply {
         self.tickets += 1;
         let ticket = self.tickets;
         let call = Call {
             host: "labels.example".into(),
             path: format!("/jobs/{id}").into(),
-            key: Some(KEY.into()),
+            key: Some(key.into()),
             action,
         };
         self.feed(daemon, Event::Call { ticket, call });
