Look at a silent table in overlapping calls, and grant its holder a heartbeat

A watch sent just before the table's return was lost, and noticed only after its wait of 1.6 s; the placer's read of its sequence row likewise after 0.8 s. Ruled out: the VMs (held all the while) and a takeover (none). While a followed table does not answer, a look without wait is sent every 0.2 s; the first answer counts. The placer then reads its sequence row anew, and followers wait 0.6 s for its heartbeat, so that it is not replaced for the outage's length. Calls about followed tables carry the time they were sent. The test fails without the probes, without the read, and without the wait.

--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -6,7 +6,7 @@
 use super::decision::Decision;
 use super::event::AdviceFor;
 use super::event::CommitFor;
-use super::event::Feed;
+use super::event::FeedFor;
 use super::event::HeldBy;
 use super::event::OrderFor;
 use super::event::ReadFor;
@@ -54,15 +54,15 @@
     },
     /// Read all of a followed table.
     ReadAll {
-        /// Table.
-        feed: Feed,
+        /// Which call.
+        by: FeedFor,
         /// Time after which it is given up.
         timeout: Duration,
     },
     /// Wait for changes of a followed table.
     Watch {
-        /// Table.
-        feed: Feed,
+        /// Which call.
+        by: FeedFor,
         /// Version after which changes are wanted.
         after: Rev,
         /// Longest wait.
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -13,6 +13,7 @@
 use super::task::RunningTask;
 use crate::core::model::DaemonId;
 use crate::core::model::JobId;
+use crate::core::model::Now;
 use crate::core::model::RackId;
 use crate::core::model::Resources;
 use crate::core::model::Rev;
@@ -76,7 +77,7 @@
     /// A read ended; the error says why it failed.
     Read(ReadFor, Result<Page, Box<str>>),
     /// A watch or a whole read of a watched table ended.
-    Feed(Feed, FeedAnswer),
+    Feed(FeedFor, FeedAnswer),
     /// A renewal ended.
     Held(HeldBy, Result<HoldReport, OrderError>),
     /// A start ended.
@@ -152,6 +153,15 @@
     Pulse,
 }
 
+/// Which call about a followed table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FeedFor {
+    /// Table.
+    pub feed: Feed,
+    /// When the call was sent.
+    pub sent: Now,
+}
+
 /// How a read of a followed table ended.
 #[derive(Debug)]
 pub enum FeedAnswer {
--- a/src/core/workload/feeds.rs
+++ b/src/core/workload/feeds.rs
@@ -1,15 +1,21 @@
 //! Tables that a daemon follows: read whole once, then changes from the last version on.
 
+use std::time::Duration;
+
 use super::cx::Cx;
-use super::cx::sooner;
 use super::decision::Decision;
 use super::effect::Request;
 use super::event::Feed;
 use super::event::FeedAnswer;
+use super::event::FeedFor;
 use super::event::FeedRow;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
+/// Time between two looks at a table that does not answer. They overlap, as a lost one is noticed
+/// only at its timeout.
+const PROBE_GAP: Duration = Duration::from_millis(200);
+
 /// All followed tables.
 #[derive(Debug, Default)]
 pub(super) struct Feeds {
@@ -23,15 +29,20 @@
     feed: Feed,
     /// Version up to which it is known; `None` before it was read whole.
     version: Option<Rev>,
-    in_flight: bool,
+    /// When the last call that is still under way was sent.
+    sent: Option<Now>,
     next_at: Now,
     down: bool,
+    /// When it last began to answer after a failure.
+    regained: Option<Now>,
 }
 
 /// Rows to apply.
 pub(super) struct Update {
     /// Whether the rows are all there are.
     pub whole: bool,
+    /// Whether the table had not answered before.
+    pub regained: bool,
     /// Rows.
     pub rows: Vec<FeedRow>,
 }
@@ -43,9 +54,10 @@
         self.list.push(Follow {
             feed,
             version,
-            in_flight: false,
+            sent: None,
             next_at: Now::ZERO,
             down: false,
+            regained: None,
         });
     }
 
@@ -65,24 +77,34 @@
         list.any(|follow| follow.feed == feed && follow.version.is_some() && !follow.down)
     }
 
+    /// When a table last began to answer after a failure.
+    pub fn regained(&self, feed: Feed) -> Option<Now> {
+        let mut list = self.list.iter();
+        list.find(|follow| follow.feed == feed)?.regained
+    }
+
     /// Sends the calls that are due.
     pub fn poll(&mut self, cx: &mut Cx) {
         let options = &cx.options.table;
         let (wait, margin) = (options.watch_wait, options.watch_margin);
         let read_timeout = options.read_timeout;
         for follow in &mut self.list {
-            if follow.in_flight || cx.now < follow.next_at {
+            if cx.now < follow.due_at() {
                 continue;
             }
-            follow.in_flight = true;
-            let feed = follow.feed;
+            follow.sent = Some(cx.now);
+            let by = FeedFor {
+                feed: follow.feed,
+                sent: cx.now,
+            };
+            let wait = if follow.down { Duration::ZERO } else { wait };
             cx.ask(match follow.version {
                 None => Request::ReadAll {
-                    feed,
+                    by,
                     timeout: read_timeout,
                 },
                 Some(after) => Request::Watch {
-                    feed,
+                    by,
                     after,
                     wait,
                     timeout: wait + margin,
@@ -92,18 +114,30 @@
     }
 
     /// Takes an answer; returns the rows to apply.
-    pub fn answered(&mut self, cx: &mut Cx, feed: Feed, answer: FeedAnswer) -> Option<Update> {
-        let follow = self.list.iter_mut().find(|follow| follow.feed == feed)?;
-        follow.in_flight = false;
+    pub fn answered(&mut self, cx: &mut Cx, by: FeedFor, answer: FeedAnswer) -> Option<Update> {
+        let follow = self.list.iter_mut().find(|follow| follow.feed == by.feed)?;
+        let last = follow.sent == Some(by.sent);
+        if !last && !follow.is_news(&answer) {
+            return None;
+        }
+        follow.sent = None;
         follow.next_at = cx.now;
         let update = match answer {
             FeedAnswer::Whole(rows, version) => {
                 follow.version = Some(version);
-                Update { whole: true, rows }
+                Update {
+                    whole: true,
+                    regained: follow.down,
+                    rows,
+                }
             }
             FeedAnswer::Changes(rows, version) => {
                 follow.version = follow.version.max(Some(version));
-                Update { whole: false, rows }
+                Update {
+                    whole: false,
+                    regained: follow.down,
+                    rows,
+                }
             }
             FeedAnswer::HistoryGone => {
                 follow.version = None;
@@ -122,6 +156,7 @@
         self.heard = Some(cx.now);
         if follow.down {
             follow.down = false;
+            follow.regained = Some(cx.now);
             cx.log(follow.state(true, ""));
         }
         Some(update)
@@ -129,12 +164,30 @@
 
     /// When the next call is due.
     pub fn wake_at(&self) -> Option<Now> {
-        let due = self.list.iter().filter(|follow| !follow.in_flight);
-        due.fold(None, |at, follow| sooner(at, Some(follow.next_at)))
+        let due = self.list.iter().map(Follow::due_at);
+        due.min().filter(|&at| at < Now::MAX)
     }
 }
 
 impl Follow {
+    /// When its next call is due.
+    fn due_at(&self) -> Now {
+        match self.sent {
+            None => self.next_at,
+            Some(sent) if self.down && self.version.is_some() => sent + PROBE_GAP,
+            Some(_) => Now::MAX,
+        }
+    }
+
+    /// Whether the answer to an earlier call than the last one tells something new: that a table
+    /// answers again, with changes from where this daemon stands.
+    fn is_news(&self, answer: &FeedAnswer) -> bool {
+        match answer {
+            FeedAnswer::Changes(_, version) => self.down && Some(*version) >= self.version,
+            _ => false,
+        }
+    }
+
     fn state(&self, up: bool, reason: &str) -> Decision {
         Decision::FeedState {
             feed: self.feed,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -159,6 +159,9 @@
 
     /// Takes rows of a followed table.
     pub fn feed(&mut self, cx: &mut Cx, feed: Feed, update: Update) -> Lost {
+        if update.regained {
+            self.table_regained(cx);
+        }
         if feed == Feed::Vms && update.whole {
             self.unlist_all();
         }
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -170,6 +170,9 @@
     /// Takes the sequence row after a write whose outcome was unknown or in conflict. Whatever has
     /// taken effect, all of it is written again.
     pub fn sequence_read(&mut self, cx: &mut Cx, page: Result<Page, Box<str>>) -> Lost {
+        if !self.progress.unsettled {
+            return None;
+        }
         self.progress.under_way = None;
         self.progress.next_at = cx.now + cx.options.table.retry_delay;
         let Ok(page) = page else {
@@ -188,6 +191,13 @@
         }
     }
 
+    /// The table answers again: a read of the sequence row that has no answer yet is not waited for.
+    pub(super) fn table_regained(&mut self, cx: &mut Cx) {
+        if self.progress.unsettled {
+            self.read_sequence(cx);
+        }
+    }
+
     fn read_sequence(&mut self, cx: &mut Cx) {
         self.progress.under_way = Some(Batch::default());
         let timeout = cx.options.table.read_timeout;
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -41,6 +41,9 @@
 /// A heartbeat may be late by so many times the table's time to answer a read.
 const SLOW_TABLE_FACTOR: u32 = 6;
 
+/// Time for the holder to send a heartbeat once the table answers again.
+const REGAIN_GRACE: Duration = Duration::from_millis(600);
+
 /// Largest part of the takeover time that is added at random, so that one daemon goes first.
 const JITTER_DIVISOR: u32 = 3;
 
@@ -116,7 +119,7 @@
     pub fn poll(&mut self, cx: &mut Cx, feeds: &mut Feeds, pulse: &Pulse, draining: bool) {
         match self {
             Self::Follower { not_before } => {
-                let due = due_at(cx, pulse).max(*not_before);
+                let due = due_at(cx, feeds, pulse).max(*not_before);
                 let able = feeds.is_up(Feed::Pulse) && cx.catalog.is_some() && !draining;
                 if able && cx.now >= due {
                     *self = Self::Taking(Taking::start(cx, pulse));
@@ -136,7 +139,7 @@
     pub fn wake_at(&self, cx: &Cx, feeds: &Feeds, pulse: &Pulse) -> Option<Now> {
         match self {
             Self::Follower { not_before } if feeds.is_up(Feed::Pulse) => {
-                Some(due_at(cx, pulse).max(*not_before))
+                Some(due_at(cx, feeds, pulse).max(*not_before))
             }
             Self::Follower { .. } | Self::Taking(_) => None,
             Self::Loading(loading) => loading.wake_at(),
@@ -423,7 +426,7 @@
 
 /// When a follower may take the role: at once from an earlier process of its own and from a holder
 /// that released it, otherwise once the heartbeat is overdue.
-fn due_at(cx: &Cx, pulse: &Pulse) -> Now {
+fn due_at(cx: &Cx, feeds: &Feeds, pulse: &Pulse) -> Now {
     let Some(beat) = pulse.beat() else {
         return jitter(cx);
     };
@@ -437,7 +440,9 @@
     } else {
         cx.options.placer.takeover_after
     };
-    beat.seen + patience + jitter(cx)
+    let regained = feeds.regained(Feed::Pulse).unwrap_or(Now::ZERO);
+    let due = (beat.seen + patience).max(regained + REGAIN_GRACE);
+    due + jitter(cx)
 }
 
 fn jitter(cx: &Cx) -> Duration {
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -17,6 +17,7 @@
 use super::event::Event;
 use super::event::Feed;
 use super::event::FeedAnswer;
+use super::event::FeedFor;
 use super::event::FeedRow;
 use super::event::ReadFor;
 use super::feeds::Feeds;
@@ -153,8 +154,8 @@
     }
 
     fn answer(&mut self, now: Now, out: &mut Effects, answer: Answer) {
-        if let Answer::Feed(feed, answer) = answer {
-            return self.feed(now, out, feed, answer);
+        if let Answer::Feed(by, answer) = answer {
+            return self.feed(now, out, by, answer);
         }
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
         let cx = &mut cx;
@@ -228,12 +229,12 @@
         None
     }
 
-    fn feed(&mut self, now: Now, out: &mut Effects, feed: Feed, answer: FeedAnswer) {
+    fn feed(&mut self, now: Now, out: &mut Effects, by: FeedFor, answer: FeedAnswer) {
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
-        let Some(update) = self.feeds.answered(&mut cx, feed, answer) else {
+        let Some(update) = self.feeds.answered(&mut cx, by, answer) else {
             return;
         };
-        let lost = match feed {
+        let lost = match by.feed {
             Feed::Config => {
                 self.configure(now, out, update);
                 None
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -71,6 +71,23 @@
     assert_eq!(world.starts.len(), 4);
 }
 
+#[test]
+fn work_starts_soon_after_a_silent_table_answers_again() {
+    let mut world = World::new(3, 2);
+    let epoch = world.epoch();
+    world.silent_until = world.now + Duration::from_millis(4_150);
+    world.run_for(4_150);
+    while world.submit(0, ID, job(vec![step(1, 300, &[])])) != Reply::Accepted {
+        world.run_for(20);
+    }
+    world.run_for(100);
+    let started = world.starts.first().expect("a start").0;
+    let took = started.saturating_sub(world.silent_until);
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    world.run_for(2_000);
+    assert_eq!(world.epoch(), epoch, "the placer was not lost");
+}
+
 #[test]
 fn the_placer_goes_on_while_the_table_is_down() {
     let mut world = World::new(3, 2);
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -19,7 +19,7 @@
 use ragwortstall::core::workload::event::Action;
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::Call;
-use ragwortstall::core::workload::event::Feed;
+use ragwortstall::core::workload::event::FeedFor;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::task::TaskName;
@@ -58,7 +58,7 @@
 struct Watch {
     daemon: usize,
     life: u64,
-    feed: Feed,
+    by: FeedFor,
     after: u64,
     until: Now,
 }
@@ -90,6 +90,8 @@
     pub table_delay: Duration,
     /// Time up to which the table refuses all commits.
     pub busy_until: Now,
+    /// Time up to which no call on the table is answered, and none takes effect.
+    pub silent_until: Now,
     /// Time up to which commits take effect without an answer.
     pub mute_until: Now,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
@@ -128,6 +130,7 @@
             cap: Resources::ZERO,
             table_delay: Duration::ZERO,
             busy_until: Now::ZERO,
+            silent_until: Now::ZERO,
             mute_until: Now::ZERO,
             starts: Vec::new(),
             paces: Vec::new(),
--- a/tests/workload/world/outside.rs
+++ b/tests/workload/world/outside.rs
@@ -17,6 +17,7 @@
 use ragwortstall::core::workload::task::End;
 use ragwortstall::core::workload::task::TaskName;
 
+use super::Due;
 use super::Held;
 use super::Watch;
 use super::World;
@@ -26,6 +27,11 @@
 impl World {
     /// Takes a request of a daemon.
     pub(super) fn arrive(&mut self, daemon: usize, life: u64, req: Request) {
+        if self.now < self.silent_until
+            && let Some((timeout, answer)) = unanswered(&req)
+        {
+            return self.at(timeout, Due::Answer(daemon, life, answer));
+        }
         let reaches = self.table_up && self.daemons[daemon].sees_table;
         let lost: Box<str> = "no answer".into();
         let answer = match req {
@@ -49,23 +55,23 @@
                 Answer::Read(purpose, Ok(self.table.page(&range)))
             }
             Request::Read { purpose, .. } => Answer::Read(purpose, Err(lost)),
-            Request::ReadAll { feed, .. } if reaches => Answer::Feed(
-                feed,
-                FeedAnswer::Whole(self.rows(feed, 0), self.table.version),
+            Request::ReadAll { by, .. } if reaches => Answer::Feed(
+                by,
+                FeedAnswer::Whole(self.rows(by.feed, 0), self.table.version),
             ),
             Request::Watch {
-                feed, after, wait, ..
+                by, after, wait, ..
             } if reaches => {
                 return self.watches.push(Watch {
                     daemon,
                     life,
-                    feed,
+                    by,
                     after,
                     until: self.now + wait,
                 });
             }
-            Request::ReadAll { feed, .. } | Request::Watch { feed, .. } => {
-                Answer::Feed(feed, FeedAnswer::Failed(lost))
+            Request::ReadAll { by, .. } | Request::Watch { by, .. } => {
+                Answer::Feed(by, FeedAnswer::Failed(lost))
             }
             Request::Hold {
                 wait,
@@ -161,13 +167,13 @@
     pub(super) fn serve_waiting(&mut self) {
         let now = self.now;
         for watch in std::mem::take(&mut self.watches) {
-            let rows = self.rows(watch.feed, watch.after);
+            let rows = self.rows(watch.by.feed, watch.after);
             if rows.is_empty() && now < watch.until {
                 self.watches.push(watch);
                 continue;
             }
             let answer = FeedAnswer::Changes(rows, self.table.version);
-            self.answer(watch.daemon, watch.life, Answer::Feed(watch.feed, answer));
+            self.answer(watch.daemon, watch.life, Answer::Feed(watch.by, answer));
         }
         for held in std::mem::take(&mut self.held) {
             let Request::Hold {
@@ -217,3 +223,23 @@
         rows.map(FeedRow::Own).collect()
     }
 }
+
+/// What a daemon takes for the answer to a call on a silent table, and after how long.
+fn unanswered(req: &Request) -> Option<(Duration, Answer)> {
+    let lost: Box<str> = "no answer".into();
+    Some(match req {
+        Request::Commit {
+            purpose, timeout, ..
+        } => {
+            let answer = Answer::Committed(purpose.clone(), Committed::Unknown(lost));
+            (*timeout, answer)
+        }
+        Request::Read { purpose, range } => {
+            (range.timeout, Answer::Read(purpose.clone(), Err(lost)))
+        }
+        Request::ReadAll { by, timeout } | Request::Watch { by, timeout, .. } => {
+            (*timeout, Answer::Feed(*by, FeedAnswer::Failed(lost)))
+        }
+        _ => return None,
+    })
+}
