Prefer VMs that are not slow for tasks that end

Ruled out: waits (12 jobs), failures (7), the way of the answers. The placer now compares the runs of each step, keeps a mean for each VM and each kind of VM, and prefers fast VMs for tasks that end; tasks that last go to slow ones. Advice is asked about VMs that are not slow first. The log's waited_ms now counts from when a step is ready (it counted from the job's start).

--- a/src/core/workload/placer/book.rs
+++ b/src/core/workload/placer/book.rs
@@ -91,6 +91,8 @@
     /// When it could first start; `None` while it waits for other steps.
     pub ready_at: Option<Now>,
     pub advice: StepAdvice,
+    /// Where tasks that are done ran, and for how long.
+    pub done_runs: Vec<(VmKey, Duration)>,
 }
 
 /// One task.
@@ -318,6 +320,7 @@
             waiting: step.count,
             ready_at: step.after.is_empty().then_some(now),
             advice: StepAdvice::default(),
+            done_runs: Vec::new(),
         });
         let steps = steps.collect();
         self.occurrences.insert(occurrence, steps);
@@ -333,6 +336,9 @@
             let free = spec.after.iter().all(|&dep| done[usize::from(dep)]);
             if free && run.ready_at.is_none() {
                 run.ready_at = Some(now);
+                for task in &mut run.tasks {
+                    task.waiting_since = now;
+                }
             }
         }
     }
--- a/src/core/workload/placer/choose.rs
+++ b/src/core/workload/placer/choose.rs
@@ -8,6 +8,9 @@
 use crate::core::workload::cx::Cx;
 use crate::core::workload::submission::Step;
 
+/// Cost of a VM that takes `e` times as long, for one whose room is used fully instead of not at all.
+const SLOW_WEIGHT: f64 = 4.0;
+
 /// A VM that tasks of a step may go to, with the room that a plan has left on it.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -22,6 +25,8 @@
     filled: bool,
     /// Tasks of the step and occurrence there.
     pub siblings: u32,
+    /// Logarithm of the time that tasks take there, relative to other VMs.
+    pub slowness: f64,
     on_rack: bool,
     pub rack: Box<str>,
 }
@@ -51,6 +56,7 @@
                 serves: state.serving > 0,
                 filled: state.filler_milli > 0,
                 siblings: state.siblings(key, spec.max_per_vm > 0),
+                slowness: self.speeds.slowness(state),
                 on_rack: spec.preferred_rack.is_empty() || state.rack == spec.preferred_rack,
                 rack: state.rack.clone(),
             })
@@ -106,7 +112,12 @@
         } else {
             0.0
         };
-        away + beside + tight
+        let slow = if spec.traits.lasting {
+            -self.slowness
+        } else {
+            self.slowness
+        };
+        away + beside + tight + slow * SLOW_WEIGHT
     }
 }
 
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -29,6 +29,9 @@
 /// Fewest VMs named in a request for advice.
 const ADVICE_LEAST: u32 = 8;
 
+/// Slowness, as a logarithm, from which on other VMs are asked about first.
+const SLOW: f64 = 0.08;
+
 /// Delay before advice that failed is asked for again.
 const ADVICE_RETRY: Duration = Duration::from_millis(150);
 
@@ -363,7 +366,11 @@
         return None;
     }
     let known = |one: &Candidate| run.advice.good.contains_key(&one.vm);
-    open.sort_by_key(|one| (!known(one), std::cmp::Reverse(one.fits(spec)), one.vm));
+    let slow = |one: &Candidate| !spec.traits.lasting && one.slowness > SLOW;
+    open.sort_by_key(|one| {
+        let fits = std::cmp::Reverse(one.fits(spec));
+        (!known(one), slow(one), fits, one.vm)
+    });
     let mut list = Vec::new();
     let mut room = 0_u32;
     let needed = run.waiting - good;
--- a/src/core/workload/placer/ends.rs
+++ b/src/core/workload/placer/ends.rs
@@ -3,6 +3,8 @@
 use super::Placer;
 use super::book::Place;
 use super::book::TaskKey;
+use super::fleet::Phase;
+use super::fleet::Run;
 use super::fleet::VmKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
@@ -34,14 +36,17 @@
         let Some(task) = self.book.find(&ended.task) else {
             return;
         };
-        let current = self
+        let run = self
             .fleet
             .vms
             .get(&vm)
             .and_then(|vm| vm.runs.get(&task))
-            .is_some_and(|run| run.number == ended.run);
-        if current {
+            .filter(|run| run.number == ended.run)
+            .copied();
+        let current = run.is_some();
+        if let Some(run) = run {
             self.release_run(vm, task);
+            self.note_duration(cx, vm, task, &run, ended.end);
         }
         self.keep_history(task, ended);
         match ended.end {
@@ -55,6 +60,23 @@
         self.log_end(cx, vm, task, ended);
     }
 
+    /// Keeps the time that a run took, if it tells how fast its VM is.
+    fn note_duration(&mut self, cx: &Cx, vm: VmKey, task: TaskKey, run: &Run, end: End) {
+        let resumed = self
+            .book
+            .task(task)
+            .is_some_and(|task| !task.checkpoint.is_empty());
+        // A run that an earlier placer started began at an unknown time.
+        let seen = matches!(run.phase, Phase::Running { since } if since > run.sent);
+        if end != End::Done || resumed || !seen {
+            return;
+        }
+        if let Some(step) = self.book.step_mut(task.step) {
+            let took = cx.now.saturating_sub(run.sent);
+            step.done_runs.push((vm, took));
+        }
+    }
+
     fn keep_history(&mut self, task: TaskKey, ended: &EndedTask) {
         self.book.mark(task.step.job);
         if let Some(state) = self.book.task_mut(task) {
@@ -109,6 +131,7 @@
     }
 
     fn step_done(&mut self, cx: &mut Cx, task: TaskKey) {
+        self.learn_speeds(task.step);
         let Some(job) = self.book.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -10,6 +10,7 @@
 use super::book::TaskKey;
 use super::pace::FULL;
 use super::roster::Roster;
+use super::speed::Learned;
 use crate::core::model::Now;
 use crate::core::model::RackId;
 use crate::core::model::Resources;
@@ -44,6 +45,8 @@
     pub service: ServiceId,
     pub zone: ZoneId,
     pub labels: Vec<Box<str>>,
+    /// Its labels without the rack.
+    pub kind: Box<str>,
     pub rack: RackId,
     pub capacity: Resources,
     /// Whether its row is in the table.
@@ -82,6 +85,8 @@
     pub heard: Now,
     /// Not used before, after it refused a start for want of room or for ill health.
     pub avoid_until: Now,
+    /// How fast it works.
+    pub speed: Learned,
     /// Failures of different jobs in a row.
     pub failures: u32,
     /// Job that failed there last.
@@ -199,6 +204,7 @@
             service: "".into(),
             zone: "".into(),
             labels: Vec::new(),
+            kind: "".into(),
             rack: "".into(),
             capacity: Resources::ZERO,
             listed: false,
@@ -220,6 +226,7 @@
             hold: Hold::default(),
             heard: now,
             avoid_until: Now::ZERO,
+            speed: Learned::default(),
             failures: 0,
             failed_job: None,
         }
@@ -231,6 +238,12 @@
         self.address = row.address;
         self.service = row.service;
         self.zone = row.zone;
+        let kind = row.labels.iter().filter(|label| **label != row.rack);
+        self.kind = kind
+            .map(|label| &**label)
+            .collect::<Vec<_>>()
+            .join(" ")
+            .into();
         self.labels = row.labels;
         self.rack = row.rack;
         self.capacity = row.capacity;
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -14,6 +14,7 @@
 use super::progress::Progress;
 use super::retire::Retire;
 use super::roster::Roster;
+use super::speed::Speeds;
 use super::usage::Usage;
 use crate::core::model::Now;
 use crate::core::model::Resources;
@@ -81,6 +82,7 @@
             book: Book::default(),
             fleet: Fleet::default(),
             usage: Usage::default(),
+            speeds: Speeds::default(),
             helpers: Helpers::default(),
             progress: Progress::new(version),
             retire: Retire::default(),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -15,6 +15,7 @@
 mod retire;
 mod roster;
 mod shares;
+mod speed;
 mod usage;
 
 use book::Book;
@@ -66,6 +67,7 @@
     book: Book,
     fleet: Fleet,
     usage: usage::Usage,
+    speeds: speed::Speeds,
     helpers: advice::Helpers,
     progress: progress::Progress,
     retire: retire::Retire,
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -31,6 +31,10 @@
     pub draining: bool,
     /// Whether it refuses starts for want of room.
     pub full: bool,
+    /// Its kind, a label.
+    pub kind: &'static str,
+    /// How many times as long its tasks take.
+    pub slow: u32,
     /// Tail latency of its serving tasks.
     pub tail_ms: u64,
     pub epoch: u64,
@@ -61,6 +65,8 @@
             connected: true,
             draining: false,
             full: false,
+            kind: "a",
+            slow: 1,
             tail_ms: 0,
             epoch: 0,
             lease_end: 0,
@@ -80,7 +86,7 @@
             zone: "zone-a".into(),
             draining: self.draining,
             capacity: self.capacity,
-            labels: vec!["a".into(), "r1".into()],
+            labels: vec![self.kind.into(), "r1".into()],
             rack: "r1".into(),
             born: self.born,
             machine: self.id.clone(),
--- a/tests/workload/world/outside.rs
+++ b/tests/workload/world/outside.rs
@@ -107,7 +107,7 @@
                     return Answer::Started(start.order, Err(StartError::Order(lost())));
                 }
                 let step = self.jobs[&name.job].steps[usize::from(name.step)].clone();
-                let fate = self.fate(&name, &step);
+                let fate = self.fate(&name, &step, self.vms[&id].slow);
                 let vm = self.vms.get_mut(&id).expect("a known VM");
                 let result = vm.start(self.now, &start, &step, fate);
                 if result.is_ok() {
@@ -142,8 +142,8 @@
     }
 
     /// When and how a run ends by itself.
-    fn fate(&mut self, name: &TaskName, step: &Step) -> Option<(Now, End)> {
-        let ends_at = self.now + Duration::from_millis(step.estimate_ms);
+    fn fate(&mut self, name: &TaskName, step: &Step, slow: u32) -> Option<(Now, End)> {
+        let ends_at = self.now + Duration::from_millis(step.estimate_ms) * slow;
         if let Some(left) = self.failing.get_mut(name)
             && *left > 0
         {
