Look whether the placer's process is there when its heartbeat is late

Cause: a placer that was killed was replaced 1.1 to 1.5 s after its last heartbeat, though its host refuses connections from the first moment on. A follower now connects to it once, when its heartbeat is 375 ms old; if that is refused, the role is taken at once. No answer, or an accepted connection, leaves the 1.1 s as they were. How long the former leases count is unchanged: a refused connection may also come from a cut, behind which the placer goes on for 2 s. Tests: takeover.rs, one for each of the two ends.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -140,6 +140,12 @@
     VmGone { vm: VmId, reason: &'static str },
     /// A row of the platform could not be read.
     RowUnreadable { key: Box<str>, reason: Box<str> },
+    /// The placer's process has ended: its host refuses connections.
+    HolderEnded {
+        daemon: DaemonId,
+        epoch: Epoch,
+        beat_age_ms: u64,
+    },
     /// The placer's role was taken.
     RoleTaken {
         epoch: Epoch,
--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -113,6 +113,15 @@
         /// Time after which it is given up.
         timeout: Duration,
     },
+    /// Look whether a daemon's process listens at its address.
+    Reach {
+        /// Version of its last heartbeat.
+        beat: Rev,
+        /// Address.
+        address: Box<str>,
+        /// Time after which it is given up.
+        timeout: Duration,
+    },
     /// Ask which VMs may run a step.
     Advise {
         /// Which step and VMs.
@@ -203,6 +212,7 @@
             Self::Start(_) => "start",
             Self::Stop { .. } => "stop",
             Self::Pace { .. } => "pace",
+            Self::Reach { .. } => "reach",
             Self::Advise { .. } => "advise",
         }
     }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -86,6 +86,8 @@
     Stopped(OrderFor, Result<u64, OrderError>),
     /// A change of speed ended.
     Paced(OrderFor, Result<u64, OrderError>),
+    /// A look whether a daemon's process is there ended.
+    Reached(Rev, Reached),
     /// A request for advice ended.
     Advised(AdviceFor, Result<Vec<Advised>, Box<str>>),
 }
@@ -308,6 +310,17 @@
     pub ticket: Box<str>,
 }
 
+/// Whether a process listens at an address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reached {
+    /// It does.
+    Listening,
+    /// Its host refuses connections.
+    Refused,
+    /// No answer came, for this reason.
+    Silent(Box<str>),
+}
+
 /// Number of jobs that wait, for each queue.
 pub type Waiting = Vec<(QueueId, u64)>;
 
@@ -322,6 +335,7 @@
             Self::Held(_, result) => result.is_ok(),
             Self::Started(_, result) => result.is_ok(),
             Self::Stopped(_, result) | Self::Paced(_, result) => result.is_ok(),
+            Self::Reached(_, reached) => matches!(reached, Reached::Listening),
             Self::Advised(_, result) => result.is_ok(),
         }
     }
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -19,6 +19,7 @@
 mod intake;
 mod placer;
 mod pulse;
+mod reach;
 mod role;
 mod rows;
 mod state;
--- a/src/core/workload/pulse.rs
+++ b/src/core/workload/pulse.rs
@@ -3,9 +3,12 @@
 use rustc_hash::FxHashMap;
 
 use super::cx::Cx;
+use super::cx::millis;
 use super::decision::Decision;
 use super::event::FeedRow;
+use super::event::Reached;
 use super::feeds::Update;
+use super::reach::Reach;
 use super::rows::AddressRow;
 use super::rows::BEAT_KEY;
 use super::rows::BeatRow;
@@ -20,6 +23,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Pulse {
     beat: Option<Beat>,
+    reach: Reach,
     /// Addresses of the other daemons.
     pub daemons: FxHashMap<DaemonId, Box<str>>,
 }
@@ -41,6 +45,36 @@
         self.beat.as_ref()
     }
 
+    /// Asks for the holder if its heartbeat is late.
+    pub fn poll(&mut self, cx: &mut Cx) {
+        if let Some(beat) = &self.beat {
+            self.reach.poll(cx, beat, &self.daemons);
+        }
+    }
+
+    /// When it next needs the time.
+    pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
+        self.reach.wake_at(cx, self.beat.as_ref()?)
+    }
+
+    /// Takes the answer to whether the holder's process is there.
+    pub fn reached(&mut self, cx: &mut Cx, version: Rev, reached: &Reached) {
+        let ended = self.reach.answered(version, reached);
+        if ended && let Some(beat) = self.beat.as_ref().filter(|beat| beat.version == version) {
+            cx.log(Decision::HolderEnded {
+                daemon: beat.row.owner.daemon.clone(),
+                epoch: beat.row.owner.epoch,
+                beat_age_ms: millis(cx.now.saturating_sub(beat.seen)),
+            });
+        }
+    }
+
+    /// Whether the process that sent the last heartbeat has ended.
+    pub fn holder_has_ended(&self) -> bool {
+        let beat = self.beat.as_ref();
+        beat.is_some_and(|beat| self.reach.has_ended(beat))
+    }
+
     /// Applies rows of the followed table.
     pub fn apply(&mut self, cx: &mut Cx, update: Update) {
         for row in update.rows {
--- /dev/null
+++ b/src/core/workload/reach.rs
@@ -0,0 +1,71 @@
+//! Whether the placer's process is still there, asked once when its heartbeat is late.
+//!
+//! A process that has ended is known at once, as its host refuses connections; one that is cut off
+//! or stands still gives no answer, and only the time without a heartbeat tells.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use super::cx::Cx;
+use super::effect::Request;
+use super::event::Reached;
+use super::pulse::Beat;
+use crate::core::model::DaemonId;
+use crate::core::model::Now;
+use crate::core::model::Rev;
+
+/// A heartbeat is late after this many intervals.
+const LATE_BEATS: f64 = 1.5;
+
+/// Time for the answer.
+const REACH_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What was asked, and what is known.
+#[derive(Debug, Default)]
+pub(super) struct Reach {
+    /// Version of the heartbeat after which the holder was last asked for.
+    asked: Rev,
+    /// Version of the last heartbeat of a holder that has ended.
+    last_of_ended: Rev,
+}
+
+impl Reach {
+    /// Asks for the holder if its heartbeat is late.
+    pub fn poll(&mut self, cx: &mut Cx, beat: &Beat, daemons: &FxHashMap<DaemonId, Box<str>>) {
+        if self.asked == beat.version || cx.now < late_at(cx, beat) {
+            return;
+        }
+        self.asked = beat.version;
+        if let Some(address) = daemons.get(&beat.row.owner.daemon) {
+            cx.ask(Request::Reach {
+                beat: beat.version,
+                address: address.clone(),
+                timeout: REACH_TIMEOUT,
+            });
+        }
+    }
+
+    /// When it next needs the time.
+    pub fn wake_at(&self, cx: &Cx, beat: &Beat) -> Option<Now> {
+        (self.asked != beat.version).then(|| late_at(cx, beat))
+    }
+
+    /// Takes the answer; true if the holder is newly known to have ended.
+    pub fn answered(&mut self, beat: Rev, reached: &Reached) -> bool {
+        let ended = matches!(reached, Reached::Refused);
+        if ended {
+            self.last_of_ended = beat;
+        }
+        ended
+    }
+
+    /// Whether the process that sent a heartbeat, and no later one, has ended.
+    pub fn has_ended(&self, beat: &Beat) -> bool {
+        self.last_of_ended == beat.version
+    }
+}
+
+fn late_at(cx: &Cx, beat: &Beat) -> Now {
+    beat.seen + cx.options.placer.beat_every.mul_f64(LATE_BEATS)
+}
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether another daemon places, or none does.
+    pub fn is_follower(&self) -> bool {
+        matches!(self, Self::Follower { .. })
+    }
+
     /// The placer, if this daemon is it.
     pub fn placer(&mut self) -> Option<&mut Placer> {
         match self {
@@ -281,7 +286,7 @@
             claim: None,
             started: cx.now,
             beat_seen: beat
-                .filter(|beat| !is_over(cx, &beat.row))
+                .filter(|beat| !is_over(cx, &beat.row) && !pulse.holder_has_ended())
                 .map(|beat| beat.seen),
             replaced: beat.map_or(0, |beat| beat.row.owner.epoch),
             former_until: former_until(cx, pulse),
@@ -440,6 +445,9 @@
     } else {
         cx.options.placer.takeover_after
     };
+    if pulse.holder_has_ended() {
+        return beat.seen;
+    }
     let regained = feeds.regained(Feed::Pulse).unwrap_or(Now::ZERO);
     let due = (beat.seen + patience).max(regained + REGAIN_GRACE);
     due + jitter(cx)
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -108,6 +108,9 @@
         let mut at = self.feeds.wake_at();
         at = sooner(at, self.intake.wake_at());
         at = sooner(at, self.role.wake_at(&cx, &self.feeds, &self.pulse));
+        if self.role.is_follower() && self.feeds.is_up(Feed::Pulse) {
+            at = sooner(at, self.pulse.wake_at(&cx));
+        }
         if let Announcement::Due(due) = self.address {
             at = sooner(at, Some(due));
         }
@@ -163,6 +166,10 @@
             Answer::Committed(purpose, outcome) => self.committed(now, out, purpose, outcome),
             Answer::Read(purpose, page) => self.read(now, out, purpose, page),
             Answer::Feed(..) => None,
+            Answer::Reached(beat, reached) => {
+                self.pulse.reached(cx, beat, &reached);
+                None
+            }
             answer => match self.role.placer() {
                 Some(placer) => placer.order_answered(cx, answer),
                 None => None,
@@ -298,6 +305,9 @@
         self.intake.poll(&mut cx);
         self.announce(now, out);
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
+        if self.role.is_follower() && self.feeds.is_up(Feed::Pulse) {
+            self.pulse.poll(&mut cx);
+        }
         let feeds = &mut self.feeds;
         self.role
             .poll(&mut cx, feeds, &self.pulse, self.draining.is_some());
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -246,3 +246,29 @@
     let took = first.expect("a start").0.saturating_sub(killed);
     assert!(took < Duration::from_millis(1_800), "{took:?}");
 }
+
+#[test]
+fn a_placer_whose_process_has_ended_is_replaced_at_once() {
+    let took = time_to_replace(World::kill);
+    assert!(took < Duration::from_millis(700), "{took:?}");
+}
+
+#[test]
+fn a_placer_that_gives_no_answer_is_replaced_once_its_heartbeat_is_overdue() {
+    let took = time_to_replace(World::cut_power);
+    let patience = Duration::from_millis(1_000)..Duration::from_millis(1_800);
+    assert!(patience.contains(&took), "{took:?}");
+}
+
+/// Time from the end of the placer to the next one.
+fn time_to_replace(end: fn(&mut World, usize)) -> Duration {
+    let mut world = World::new(3, 2);
+    world.run_for(500);
+    let placer = world.placer().expect("a placer");
+    end(&mut world, placer);
+    let ended = world.now;
+    while world.placer().is_none() {
+        world.run_for(10);
+    }
+    world.now.saturating_sub(ended)
+}
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -43,6 +43,8 @@
     state: Workload,
     name: Box<str>,
     up: bool,
+    /// Whether its host is gone as well.
+    dark: bool,
     /// Whether it reaches the table.
     sees_table: bool,
     life: u64,
@@ -162,6 +164,7 @@
                 state: Workload::new(options(&name, 1, stop_time)),
                 name: name.into(),
                 up: true,
+                dark: false,
                 sees_table: true,
                 life: 1,
                 wake: Some(Now::ZERO),
@@ -248,10 +251,17 @@
         self.daemons[daemon].life += 1;
     }
 
+    /// Ends a daemon's process and its host.
+    pub(crate) fn cut_power(&mut self, daemon: usize) {
+        self.kill(daemon);
+        self.daemons[daemon].dark = true;
+    }
+
     /// Starts a daemon's process again.
     pub(crate) fn revive(&mut self, daemon: usize) {
         let one = &mut self.daemons[daemon];
         one.up = true;
+        one.dark = false;
         one.state = Workload::new(options(&one.name, one.life, self.stop_time));
         one.wake = Some(self.now);
     }
@@ -333,5 +343,6 @@
     let digits = name.bytes().map(u64::from).sum::<u64>();
     let mut options = Options::new(name, "zone-a", digits * 37 + life);
     options.vms.stop_timeout = stop_time;
+    options.peer_address = name.into();
     options
 }
--- a/tests/workload/world/outside.rs
+++ b/tests/workload/world/outside.rs
@@ -9,6 +9,7 @@
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
+use ragwortstall::core::workload::event::Reached;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::table::Committed;
@@ -92,6 +93,7 @@
                     until,
                 });
             }
+            Request::Reach { beat, address, .. } => Answer::Reached(beat, self.reached(&address)),
             order => self.order(order),
         };
         self.answer(daemon, life, answer);
@@ -153,6 +155,16 @@
         (!step.traits.lasting).then_some((ends_at, End::Done))
     }
 
+    /// What a look at a daemon's address tells.
+    fn reached(&self, address: &str) -> Reached {
+        let daemon = self.daemons.iter().find(|daemon| *daemon.name == *address);
+        match daemon {
+            Some(daemon) if daemon.up => Reached::Listening,
+            Some(daemon) if daemon.dark => Reached::Silent("no answer".into()),
+            _ => Reached::Refused,
+        }
+    }
+
     /// No task runs on two VMs.
     fn check_once(&self, name: &TaskName) {
         let on = self.vms.values().filter(|vm| vm.runs.contains_key(name));
