Serve room, queues, waits and ages as metrics, and name the VMs a takeover waits for

Metrics are counted from the decisions that the log tells, and from a status that the reducer gives once a second; histograms have buckets. Labels are queues and teams of the configuration, and outcomes. Orders are named in one place (they stood four times).

--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -25,7 +25,14 @@
 const VM_KINDS: [&str; 2] = ["vm_contact", "vm_gone"];
 
 /// Kinds of lines that are shown while the job was under way, whoever they are about.
-const CELL_KINDS: [&str; 4] = ["role_taken", "role_lost", "settled", "feed_state"];
+const CELL_KINDS: [&str; 6] = [
+    "holder_ended",
+    "role_taken",
+    "role_lost",
+    "settling",
+    "settled",
+    "feed_state",
+];
 
 /// Tells the story of a job or a task from the logs of several daemons, ending in its cause.
 #[derive(Debug, clap::Args)]
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -161,6 +161,12 @@
     },
     /// The placer's role was lost or given up.
     RoleLost { epoch: Epoch, reason: Box<str> },
+    /// Tasks of older jobs wait for these VMs, of which nothing was heard yet.
+    Settling {
+        epoch: Epoch,
+        vms: Box<[VmId]>,
+        latest_ms: u64,
+    },
     /// All VMs of the former placer are fenced or their leases have lapsed.
     Settled { epoch: Epoch, took_ms: u64 },
     /// A followed table was lost or regained.
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -9,6 +9,7 @@
 pub mod effect;
 pub mod event;
 pub mod options;
+pub mod status;
 pub mod submission;
 pub mod table;
 pub mod task;
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -19,8 +19,10 @@
 use crate::core::model::ServiceId;
 use crate::core::model::VmId;
 use crate::core::model::ZoneId;
+use crate::core::workload::event::OrderFor;
 use crate::core::workload::event::VmRow;
 use crate::core::workload::task::RunNumber;
+use crate::core::workload::task::TaskName;
 
 /// Key of a VM in the fleet.
 pub(super) type VmKey = u32;
@@ -312,6 +314,16 @@
         !self.listed && silent && self.runs.is_empty()
     }
 
+    /// Names an order for a run there.
+    pub fn order(&self, task: TaskName, run: RunNumber, now: Now) -> OrderFor {
+        OrderFor {
+            vm: self.id.clone(),
+            task,
+            run,
+            sent: now,
+        }
+    }
+
     /// Notes a run.
     pub fn insert(&mut self, key: TaskKey, run: Run) {
         self.used = self.used.plus(&run.room);
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -12,6 +12,7 @@
 use super::fleet::Vm;
 use super::fleet::VmKey;
 use crate::core::model::Now;
+use crate::core::model::VmId;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
 use crate::core::workload::cx::sooner;
@@ -32,6 +33,9 @@
 /// Time beyond that of a stop after which a run that no list holds is taken to be gone.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time after a takeover from which on VMs that still have not answered are logged.
+const SETTLING_NOTICE: Duration = Duration::from_millis(300);
+
 /// Time between looks for leases that have lapsed.
 const LEASE_CHECKS: Duration = Duration::from_millis(20);
 
@@ -162,30 +166,43 @@
             return;
         }
         self.leases_at = cx.now + LEASE_CHECKS;
-        let horizon = self.former_until + cx.options.vms.lease.mul_f64(LEASE_STRETCH);
-        let mut unsettled = false;
         for key in self.fleet.keys() {
-            let Some(vm) = self.fleet.vms.get(&key) else {
-                continue;
-            };
-            let silent = vm.hold.misses > 0;
-            if silent && !vm.runs.is_empty() && vm.has_lapsed(cx.now) {
+            let lapsed = self.fleet.vms.get(&key).is_some_and(|vm| {
+                vm.hold.misses > 0 && !vm.runs.is_empty() && vm.has_lapsed(cx.now)
+            });
+            if lapsed {
                 self.drop_runs(cx, key, "its lease lapsed");
             }
-            let Some(vm) = self.fleet.vms.get(&key) else {
-                continue;
-            };
-            unsettled |= !vm.fenced && vm.roster.is_inherited() && cx.now < horizon;
         }
-        if !self.settled && !unsettled {
+        self.settle(cx);
+        self.register(cx);
+    }
+
+    /// Notes when all that an earlier placer may have started is accounted for.
+    fn settle(&mut self, cx: &mut Cx) {
+        if self.settled {
+            return;
+        }
+        let horizon = self.former_until + cx.options.vms.lease.mul_f64(LEASE_STRETCH);
+        let unheard = |vm: &&Vm| !vm.fenced && vm.roster.is_inherited() && cx.now < horizon;
+        let unheard = self.fleet.vms.values().filter(unheard);
+        let vms: Box<[VmId]> = unheard.map(|vm| vm.id.clone()).collect();
+        let took = cx.now.saturating_sub(self.taken_at);
+        if vms.is_empty() {
             self.settled = true;
             cx.log(Decision::Settled {
                 epoch: self.owner.epoch,
-                took_ms: millis(cx.now.saturating_sub(self.taken_at)),
+                took_ms: millis(took),
             });
             self.want_round(cx.now);
+        } else if !self.settling_logged && took >= SETTLING_NOTICE {
+            self.settling_logged = true;
+            cx.log(Decision::Settling {
+                epoch: self.owner.epoch,
+                vms,
+                latest_ms: millis(horizon.saturating_sub(cx.now)),
+            });
         }
-        self.register(cx);
     }
 
     fn reported(&mut self, cx: &mut Cx, key: VmKey, sent: Now, report: &HoldReport) {
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -92,6 +92,7 @@
             leases_at: Now::ZERO,
             registering: None,
             settled: false,
+            settling_logged: false,
             round_at: Some(cx.now),
             rounded: Now::ZERO,
             release: Release::Not,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -38,6 +38,7 @@
 use super::rows::OwnerRow;
 use super::rows::decode;
 use super::rows::is_job_part;
+use super::status::PlacerStatus;
 use super::table::Committed;
 use super::table::TableRow;
 use super::task::EndedTask;
@@ -79,6 +80,8 @@
     registering: Option<roster::Change>,
     /// Whether all that an earlier placer may have started is accounted for.
     settled: bool,
+    /// Whether the log names the VMs that keep it from being settled.
+    settling_logged: bool,
     /// When the next round of placement is wanted, if one is.
     round_at: Option<Now>,
     rounded: Now,
@@ -109,6 +112,34 @@
         self.fleet.vms.len()
     }
 
+    /// What it tells of itself for metrics.
+    pub fn status(&self, cx: &Cx) -> PlacerStatus {
+        let most_silent = self.hold_wait(cx) + cx.options.vms.quiet_after;
+        let mut status = PlacerStatus {
+            epoch: self.owner.epoch,
+            vms: self.fleet.vms.len() as u64,
+            ..PlacerStatus::default()
+        };
+        for vm in self.fleet.vms.values() {
+            status.runs += vm.runs.len() as u64;
+            if vm.is_usable(cx.now, most_silent) {
+                status.usable_vms += 1;
+                status.room = status.room.plus(&vm.capacity);
+                status.free = status.free.plus(&vm.free());
+            }
+        }
+        for (_, job) in self.book.open_jobs() {
+            let ready = job.occurrences.values().flatten();
+            let ready = ready.filter(|step| step.ready_at.is_some());
+            let waiting: u64 = ready.map(|step| u64::from(step.waiting)).sum();
+            if waiting > 0 {
+                let key = (job.queue.name.clone(), job.team.clone());
+                *status.waiting.entry(key).or_insert(0) += waiting;
+            }
+        }
+        status
+    }
+
     /// Does what is due.
     pub fn poll(&mut self, cx: &mut Cx, pulse: &Pulse) -> Lost {
         if let Some(beat) = pulse.beat()
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -70,12 +70,7 @@
         let free_cpu_milli = vm.free().cpu_milli;
         vm.insert(task, Run::new(run, room, demand, serves, cx.now));
         self.usage.add(team.as_ref(), &demand);
-        let order = OrderFor {
-            vm: vm.id.clone(),
-            task: name.clone(),
-            run,
-            sent: cx.now,
-        };
+        let order = vm.order(name.clone(), run, cx.now);
         let start = StartOrder {
             order,
             address: vm.address.clone(),
--- a/src/core/workload/placer/pace.rs
+++ b/src/core/workload/placer/pace.rs
@@ -131,12 +131,8 @@
                 tail_ms,
                 target_ms,
             });
-            let order = OrderFor {
-                vm: vm.id.clone(),
-                task: name,
-                run: run.number,
-                sent: cx.now,
-            };
+            let number = run.number;
+            let order = vm.order(name, number, cx.now);
             cx.ask(Request::Pace {
                 order,
                 address: vm.address.clone(),
--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/stops.rs
@@ -74,12 +74,8 @@
             acked: None,
             retry_at: cx.now + cx.options.vms.order_timeout,
         };
-        let order = OrderFor {
-            vm: vm.id.clone(),
-            task: name,
-            run: run.number,
-            sent: cx.now,
-        };
+        let number = run.number;
+        let order = vm.order(name, number, cx.now);
         let address = vm.address.clone();
         self.send_stop(cx, order, address, reason);
     }
@@ -118,12 +114,7 @@
         let Some(vm) = self.fleet.vms.get(&vm_key) else {
             return;
         };
-        let order = OrderFor {
-            vm: vm.id.clone(),
-            task: stray.task,
-            run: stray.run,
-            sent: cx.now,
-        };
+        let order = vm.order(stray.task, stray.run, cx.now);
         let address = vm.address.clone();
         self.send_stop(cx, order, address, stray.reason);
     }
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -29,6 +29,7 @@
 use super::rows::AddressRow;
 use super::rows::DAEMONS_PART;
 use super::rows::encode;
+use super::status::Status;
 use super::table::Committed;
 use super::table::PULSE;
 use super::table::Page;
@@ -44,6 +45,8 @@
     /// Wall time less monotonic time.
     epoch: Duration,
     catalog: Option<Rc<Catalog>>,
+    /// When the configuration in force was taken.
+    configured_at: Now,
     feeds: Feeds,
     pulse: Pulse,
     intake: Intake,
@@ -74,6 +77,7 @@
             options,
             epoch: Duration::ZERO,
             catalog: None,
+            configured_at: Now::ZERO,
             feeds,
             pulse: Pulse::default(),
             intake: Intake::default(),
@@ -137,6 +141,28 @@
         self.role.placer().map(|placer| placer.epoch())
     }
 
+    /// What it tells of itself for metrics.
+    #[must_use]
+    pub fn status(&mut self, now: Now) -> Status {
+        let mut out = Effects::new();
+        let cx = context(
+            &self.options,
+            self.epoch,
+            self.catalog.as_ref(),
+            now,
+            &mut out,
+        );
+        let age = |at: Now| now.saturating_sub(at);
+        let beat = self.pulse.beat();
+        Status {
+            config_version: self.config_version(),
+            config_age: age(self.configured_at),
+            table_age: self.feeds.heard().map(age),
+            holder: beat.map(|beat| (beat.row.owner.epoch, age(beat.seen))),
+            placer: self.role.placer().map(|placer| placer.status(&cx)),
+        }
+    }
+
     fn apply(&mut self, now: Now, event: Event, out: &mut Effects) {
         match event {
             Event::Tick { unix } => self.epoch = unix.saturating_sub(now),
@@ -270,6 +296,7 @@
                         teams: catalog.teams.len(),
                     }));
                     self.catalog = Some(Rc::from(catalog));
+                    self.configured_at = now;
                     let mut cx =
                         context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
                     if let Some(placer) = self.role.placer() {
--- /dev/null
+++ b/src/shell/workload/meters.rs
@@ -0,0 +1,159 @@
+//! Metrics of decisions and of the daemon's state.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+
+use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::JobState;
+use crate::core::workload::status::PlacerStatus;
+use crate::core::workload::status::Status;
+use crate::core::workload::task::End;
+
+/// Upper bounds of the buckets of all histograms, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.000_1, 0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0,
+];
+
+/// Label of work without a team.
+const NO_TEAM: &str = "";
+
+/// Queue and team of a gauge.
+type Labels = (Box<str>, Box<str>);
+
+/// Metrics that have to be remembered.
+#[derive(Debug, Default)]
+pub struct Meters {
+    /// Queues and teams with tasks that waited at the last report.
+    waiting: BTreeSet<Labels>,
+}
+
+/// A recorder whose histograms have buckets.
+pub fn recorder() -> Result<PrometheusBuilder, BuildError> {
+    let seconds = Matcher::Suffix("_seconds".into());
+    PrometheusBuilder::new().set_buckets_for_metric(seconds, &BUCKETS)
+}
+
+/// Counts a decision.
+pub fn count(decision: &Decision) {
+    match decision {
+        Decision::Accepted { repeat: true, .. } => submission("repeated"),
+        Decision::Accepted { .. } => submission("accepted"),
+        Decision::Unsettled { .. } => submission("unknown"),
+        Decision::Refused { .. } => counter!("ragwortstall_refusals_total").increment(1),
+        Decision::JobState {
+            state,
+            took_ms,
+            objective_ms,
+            ..
+        } => job_state(*state, *took_ms, *objective_ms),
+        Decision::Placed { waited_ms, run, .. } => {
+            histogram!("ragwortstall_task_wait_seconds").record(seconds(*waited_ms));
+            counter!("ragwortstall_starts_ordered_total").increment(1);
+            if *run > 1 {
+                counter!("ragwortstall_starts_repeated_total").increment(1);
+            }
+        }
+        Decision::NotStarted { .. } => counter!("ragwortstall_starts_failed_total").increment(1),
+        Decision::Ended { end, .. } => run_ended(end_name(*end)),
+        Decision::RunLost { .. } => run_ended("lost"),
+        Decision::StopOrdered { .. } => counter!("ragwortstall_stops_ordered_total").increment(1),
+        Decision::RoleTaken { .. } => counter!("ragwortstall_takeovers_total").increment(1),
+        Decision::Settled { took_ms, .. } => {
+            histogram!("ragwortstall_settled_seconds").record(seconds(*took_ms));
+        }
+        _ => {}
+    }
+}
+
+impl Meters {
+    /// Reports the daemon's state.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn report(&mut self, status: &Status) {
+        gauge!("ragwortstall_config_version").set(status.config_version as f64);
+        gauge!("ragwortstall_config_age_seconds").set(status.config_age.as_secs_f64());
+        if let Some(age) = status.table_age {
+            gauge!("ragwortstall_table_age_seconds").set(age.as_secs_f64());
+        }
+        if let Some((epoch, age)) = status.holder {
+            gauge!("ragwortstall_holder_epoch").set(epoch as f64);
+            gauge!("ragwortstall_holder_age_seconds").set(age.as_secs_f64());
+        }
+        let placer = status.placer.clone().unwrap_or_default();
+        gauge!("ragwortstall_placer_epoch").set(placer.epoch as f64);
+        gauge!("ragwortstall_vms").set(placer.vms as f64);
+        gauge!("ragwortstall_vms_usable").set(placer.usable_vms as f64);
+        gauge!("ragwortstall_runs").set(placer.runs as f64);
+        gauge!("ragwortstall_room_milli_cores").set(f64::from(placer.room.cpu_milli));
+        gauge!("ragwortstall_free_milli_cores").set(f64::from(placer.free.cpu_milli));
+        gauge!("ragwortstall_free_mebibytes").set(f64::from(placer.free.mem_mib));
+        self.report_waiting(&placer);
+    }
+
+    /// Reports what waits; queues and teams are those of the configuration, so that their number
+    /// is bounded.
+    #[allow(clippy::cast_precision_loss)]
+    fn report_waiting(&mut self, placer: &PlacerStatus) {
+        for labels in std::mem::take(&mut self.waiting) {
+            waiting_gauge(&labels).set(0.0);
+        }
+        for ((queue, team), tasks) in &placer.waiting {
+            let team = team.clone().unwrap_or(NO_TEAM.into());
+            let labels = (queue.clone(), team);
+            waiting_gauge(&labels).set(*tasks as f64);
+            self.waiting.insert(labels);
+        }
+    }
+}
+
+fn waiting_gauge((queue, team): &Labels) -> metrics::Gauge {
+    gauge!("ragwortstall_waiting_tasks", "queue" => queue.to_string(), "team" => team.to_string())
+}
+
+fn submission(outcome: &'static str) {
+    counter!("ragwortstall_submissions_total", "outcome" => outcome).increment(1);
+}
+
+fn run_ended(end: &'static str) {
+    counter!("ragwortstall_runs_ended_total", "end" => end).increment(1);
+}
+
+fn job_state(state: JobState, took_ms: u64, objective_ms: u64) {
+    let name = match state {
+        JobState::Queued => return,
+        JobState::Running => {
+            return histogram!("ragwortstall_first_start_seconds").record(seconds(took_ms));
+        }
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    };
+    counter!("ragwortstall_jobs_ended_total", "state" => name).increment(1);
+    if state == JobState::Completed {
+        histogram!("ragwortstall_job_seconds").record(seconds(took_ms));
+        if took_ms > objective_ms {
+            counter!("ragwortstall_jobs_late_total").increment(1);
+        }
+    }
+}
+
+fn end_name(end: End) -> &'static str {
+    match end {
+        End::Done => "done",
+        End::Failed => "failed",
+        End::Stopped => "stopped",
+        End::Lapsed => "lapsed",
+        End::Broken => "broken",
+        End::Alone => "alone",
+    }
+}
+
+fn seconds(millis: u64) -> f64 {
+    Duration::from_millis(millis).as_secs_f64()
+}
--- a/src/shell/workload/mod.rs
+++ b/src/shell/workload/mod.rs
@@ -1,5 +1,7 @@
 //! Runs the workload reducer: feeds it calls, answers and the time, and carries its effects out.
 
+pub mod meters;
+
 mod advice;
 mod reach;
 mod runner;
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -11,11 +11,12 @@
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use metrics::counter;
-use metrics::gauge;
 use metrics::histogram;
 use rustc_hash::FxHashMap;
 
 use super::advice::ask_peer;
+use super::meters;
+use super::meters::Meters;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
 use crate::core::workload::Effect;
@@ -33,6 +34,9 @@
 /// Longest sleep of the timer.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Time between two reports of the state for metrics.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 /// Shortest sleep of the timer, so that events of one moment share a tick.
 const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
 
@@ -51,6 +55,8 @@
     callers: RefCell<FxHashMap<Ticket, oneshot::Sender<Reply>>>,
     tickets: Cell<Ticket>,
     log: Log,
+    meters: RefCell<Meters>,
+    report_at: Cell<Now>,
     armed: Cell<Option<Now>>,
     wake: mpsc::UnboundedSender<()>,
     exit: Stopper,
@@ -68,6 +74,8 @@
             callers: RefCell::default(),
             tickets: Cell::new(0),
             log,
+            meters: RefCell::default(),
+            report_at: Cell::new(Now::ZERO),
             armed: Cell::new(None),
             wake,
             exit,
@@ -122,7 +130,10 @@
                     let _ = tx.send(reply);
                 }
             }
-            Effect::Log(decision) => self.log.decision(&decision),
+            Effect::Log(decision) => {
+                meters::count(&decision);
+                self.log.decision(&decision);
+            }
             Effect::Exit => self.exit.fire(),
         }
     }
@@ -172,11 +183,14 @@
         }
     }
 
-    #[allow(clippy::cast_precision_loss)]
+    /// Reports the state, once every [`REPORT_EVERY`].
     fn report(&self) {
-        let mut state = self.state.borrow_mut();
-        let version = state.config_version();
-        gauge!("ragwortstall_config_version").set(version as f64);
-        gauge!("ragwortstall_placer_epoch").set(state.epoch().unwrap_or(0) as f64);
+        let now = self.clock.now();
+        if now < self.report_at.get() {
+            return;
+        }
+        self.report_at.set(now + REPORT_EVERY);
+        let status = self.state.borrow_mut().status(now);
+        self.meters.borrow_mut().report(&status);
     }
 }
--- /dev/null
+++ b/tests/meters.rs
@@ -0,0 +1,78 @@
+//! Metrics of decisions and of a daemon's state, as text.
+
+use std::time::Duration;
+
+use ragwortstall::core::model::Resources;
+use ragwortstall::core::workload::decision::Decision;
+use ragwortstall::core::workload::effect::JobState;
+use ragwortstall::core::workload::status::PlacerStatus;
+use ragwortstall::core::workload::status::Status;
+use ragwortstall::shell::workload::meters;
+use ragwortstall::shell::workload::meters::Meters;
+
+/// The page after some work.
+fn page(work: impl FnOnce()) -> String {
+    let recorder = meters::recorder().expect("buckets").build_recorder();
+    metrics::with_local_recorder(&recorder, work);
+    recorder.handle().render()
+}
+
+fn job_state(state: JobState, took_ms: u64) -> Decision {
+    Decision::JobState {
+        id: "00000000000000a1".into(),
+        state,
+        reason: "".into(),
+        took_ms,
+        objective_ms: 900,
+    }
+}
+
+#[test]
+fn jobs_are_counted_by_their_last_state_and_lateness() {
+    let page = page(|| {
+        meters::count(&job_state(JobState::Running, 80));
+        meters::count(&job_state(JobState::Completed, 800));
+        meters::count(&job_state(JobState::Completed, 1_000));
+        meters::count(&job_state(JobState::Failed, 1_000));
+    });
+    let has = |line: &str| assert!(page.lines().any(|have| have == line), "{line} in\n{page}");
+    has("ragwortstall_jobs_ended_total{state=\"completed\"} 2");
+    has("ragwortstall_jobs_ended_total{state=\"failed\"} 1");
+    has("ragwortstall_jobs_late_total 1");
+    has("ragwortstall_first_start_seconds_bucket{le=\"0.05\"} 0");
+    has("ragwortstall_first_start_seconds_bucket{le=\"0.1\"} 1");
+}
+
+#[test]
+fn what_no_longer_waits_is_reported_as_none() {
+    let mut placer = PlacerStatus {
+        epoch: 7,
+        free: Resources::new(1_500, 64, 0, 0),
+        ..PlacerStatus::default()
+    };
+    let labels = ("labels".into(), Some("dairy".into()));
+    placer.waiting.insert(labels, 12);
+    let busy = Status {
+        config_version: 3,
+        config_age: Duration::from_secs(2),
+        placer: Some(placer),
+        ..Status::default()
+    };
+    let idle = Status::default();
+    let report = |list: &[&Status]| {
+        page(|| {
+            let mut meters = Meters::default();
+            for status in list {
+                meters.report(status);
+            }
+        })
+    };
+    let waiting = "ragwortstall_waiting_tasks{queue=\"labels\",team=\"dairy\"}";
+    let first = report(&[&busy]);
+    assert!(first.contains(&format!("{waiting} 12")), "{first}");
+    assert!(first.contains("ragwortstall_free_milli_cores 1500"));
+    assert!(first.contains("ragwortstall_config_age_seconds 2"));
+    let second = report(&[&busy, &idle]);
+    assert!(second.contains(&format!("{waiting} 0")), "{second}");
+    assert!(second.contains("ragwortstall_placer_epoch 0"));
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -6,6 +6,7 @@
 mod listing;
 mod load;
 mod pace;
+mod status;
 mod table;
 mod takeover;
 mod vm;
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -256,7 +256,7 @@
 #[test]
 fn a_placer_that_gives_no_answer_is_replaced_once_its_heartbeat_is_overdue() {
     let took = time_to_replace(World::cut_power);
-    let patience = Duration::from_millis(1_000)..Duration::from_millis(1_800);
+    let patience = Duration::from_secs(1)..Duration::from_millis(1_800);
     assert!(patience.contains(&took), "{took:?}");
 }
 
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -21,6 +21,7 @@
 use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::FeedFor;
 use ragwortstall::core::workload::event::FeedRow;
+use ragwortstall::core::workload::status::Status;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::task::TaskName;
 
@@ -245,6 +246,11 @@
         self.daemons[placer].state.epoch()
     }
 
+    /// What a daemon tells for metrics.
+    pub(crate) fn status(&mut self, daemon: usize) -> Status {
+        self.daemons[daemon].state.status(self.now)
+    }
+
     /// Ends a daemon's process.
     pub(crate) fn kill(&mut self, daemon: usize) {
         self.daemons[daemon].up = false;
