--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/stops.rs
@@ -131,10 +131,11 @@
         Some((keys, StopsRow { vms }))
     }
 
-    /// The table is about to name other VMs: those left out count as not named from now on.
+    /// The table is about to name other VMs: those left out of `named`, which is
+    /// sorted, count as not named from now on.
     pub(super) fn leave_out(&mut self, named: &[VmKey]) {
         for (key, vm) in &mut self.fleet.vms {
-            if !named.contains(key) {
+            if named.binary_search(key).is_err() {
                 vm.stop_notice = StopNotice::No;
             }
         }
--- a/src/core/workload/reach.rs
+++ b/src/core/workload/reach.rs
@@ -3,9 +3,12 @@
 //! A process that has ended is known at once, as its host refuses connections; one that is cut off
 //! or stands still gives no answer, and only the time without a heartbeat tells.
 
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use rustc_hash::FxHasher;
 
 use super::cx::Cx;
 use super::effect::Request;
@@ -18,6 +21,10 @@
 /// A heartbeat is late after this many intervals.
 const LATE_BEATS: f64 = 1.5;
 
+/// Daemons that ask for a holder, on average, however many there are: it may be late because it has
+/// much to do.
+const ASKERS: usize = 4;
+
 /// Time for the answer.
 const REACH_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -37,6 +44,9 @@
             return;
         }
         self.asked = beat.version;
+        if !is_asker(cx, beat, daemons.len()) {
+            return;
+        }
         if let Some(address) = daemons.get(&beat.row.owner.daemon) {
             cx.ask(Request::Reach {
                 beat: beat.version,
@@ -66,6 +76,14 @@
     }
 }
 
+/// Whether this daemon is one of those that ask after a heartbeat.
+fn is_asker(cx: &Cx, beat: &Beat, daemons: usize) -> bool {
+    let mut hasher = FxHasher::default();
+    (cx.options.nonce, beat.version).hash(&mut hasher);
+    let others = u64::try_from(daemons).unwrap_or(u64::MAX).max(1);
+    hasher.finish() % others < ASKERS as u64
+}
+
 fn late_at(cx: &Cx, beat: &Beat) -> Now {
     beat.seen + cx.options.placer.beat_every.mul_f64(LATE_BEATS)
 }
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -260,6 +260,16 @@
     assert!(patience.contains(&took), "{took:?}");
 }
 
+#[test]
+fn few_of_many_daemons_look_for_a_placer_whose_heartbeat_is_late() {
+    let mut world = World::new(40, 2);
+    world.looks = 0;
+    let placer = world.placer().expect("a placer");
+    world.cut_power(placer);
+    world.run_for(900);
+    assert!((1..=12).contains(&world.looks), "{} looks", world.looks);
+}
+
 /// Time from the end of the placer to the next one.
 fn time_to_replace(end: fn(&mut World, usize)) -> Duration {
     let mut world = World::new(3, 2);
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -98,6 +98,8 @@
     pub silent_until: Now,
     /// Time up to which commits take effect without an answer.
     pub mute_until: Now,
+    /// Looks whether a daemon's process is there.
+    pub looks: u32,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
     /// Speeds ordered, in percent.
     pub paces: Vec<(TaskName, u32)>,
@@ -144,6 +146,7 @@
             busy_until: Now::ZERO,
             silent_until: Now::ZERO,
             mute_until: Now::ZERO,
+            looks: 0,
             starts: Vec::new(),
             paces: Vec::new(),
             stop_time,
--- a/tests/workload/world/outside.rs
+++ b/tests/workload/world/outside.rs
@@ -93,7 +93,10 @@
                     until,
                 });
             }
-            Request::Reach { beat, address, .. } => Answer::Reached(beat, self.reached(&address)),
+            Request::Reach { beat, address, .. } => {
+                self.looks += 1;
+                Answer::Reached(beat, self.reached(&address))
+            }
             order => self.order(order),
         };
         self.answer(daemon, life, answer);
