--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -9,6 +9,7 @@
 mod status;
 mod table;
 mod takeover;
+mod terms;
 mod vm;
 mod world;
 
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -31,6 +31,7 @@
     pub draining: bool,
     /// Whether it refuses starts for want of room.
     pub full: bool,
+    pub rack: &'static str,
     /// Its kind, a label.
     pub kind: &'static str,
     /// Time that a stop takes.
@@ -67,6 +68,7 @@
             connected: true,
             draining: false,
             full: false,
+            rack: "r1",
             kind: "a",
             stop_time: STOP_TIME,
             slow: 1,
@@ -89,8 +91,8 @@
             zone: "zone-a".into(),
             draining: self.draining,
             capacity: self.capacity,
-            labels: vec![self.kind.into(), "r1".into()],
-            rack: "r1".into(),
+            labels: vec![self.kind.into(), self.rack.into()],
+            rack: self.rack.into(),
             born: self.born,
             machine: self.id.clone(),
         }
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -37,7 +37,7 @@
 const COMMIT_FACTOR: u32 = 4;
 
 /// Wall time at the start.
-const EPOCH: Duration = Duration::from_secs(1_700_000_000);
+pub(crate) const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 
 /// A daemon and whether it runs.
 struct SimDaemon {
@@ -217,7 +217,8 @@
         self.call_as(KEY, daemon, id, action)
     }
 
-    fn call_as(&mut self, key: &str, daemon: usize, id: &str, action: Action) -> Reply {
+    /// The same with the key of a team.
+    pub(crate) fn call_as(&mut self, key: &str, daemon: usize, id: &str, action: Action) -> Reply {
         self.tickets += 1;
         let ticket = self.tickets;
         let call = Call {
