--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -68,7 +68,7 @@
         vm: VmId,
         reason: Box<str>,
     },
-    /// A run ended otherwise than done.
+    /// A run ended.
     Ended {
         id: JobId,
         task: Box<str>,
--- a/src/core/workload/placer/choose.rs
+++ b/src/core/workload/placer/choose.rs
@@ -8,7 +8,7 @@
 use crate::core::workload::cx::Cx;
 use crate::core::workload::submission::Step;
 
-/// Cost of a VM that takes `e` times as long, for one whose room is used fully instead of not at all.
+/// Weight of a VM's slowness against the part of its room that a task would leave unused.
 const SLOW_WEIGHT: f64 = 4.0;
 
 /// A VM that tasks of a step may go to, with the room that a plan has left on it.
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -156,7 +156,7 @@
     /// The start got no answer.
     Unconfirmed,
     /// It is to be stopped, for this reason, once the table names its VM.
-    Condemned(&'static str),
+    StopWanted(&'static str),
     /// A stop was ordered.
     Stopping {
         /// When the VM took the stop.
@@ -351,7 +351,7 @@
         self.clock = None;
         self.lease_end_ms = 0;
         self.fenced = false;
-        self.roster = self.roster.heard();
+        self.roster = self.roster.renewed();
         self.unclear_until = Now::ZERO;
         self.inherits_stops = false;
         self.strays.clear();
--- a/src/core/workload/placer/hold.rs
+++ b/src/core/workload/placer/hold.rs
@@ -337,7 +337,7 @@
         for (task, run) in missing {
             match run.phase {
                 // The start may still arrive: a stop of the same number makes it void.
-                Phase::Starting | Phase::Unconfirmed | Phase::Condemned(_) => {
+                Phase::Starting | Phase::Unconfirmed | Phase::StopWanted(_) => {
                     self.order_stop(cx, key, task, "its start got no answer");
                 }
                 Phase::Running { .. } | Phase::Stopping { .. } => self.free(cx, key, task),
@@ -388,7 +388,7 @@
 /// it if it had it.
 fn is_overdue(run: &Run, sent: Now, cx: &Cx) -> bool {
     match run.phase {
-        Phase::Starting | Phase::Condemned(_) => false,
+        Phase::Starting | Phase::StopWanted(_) => false,
         Phase::Unconfirmed => sent > run.sent + cx.options.vms.order_timeout,
         Phase::Running { since } => sent > since,
         // A run that is being stopped may be in neither list, and takes its room until it ends.
--- a/src/core/workload/placer/orders.rs
+++ b/src/core/workload/placer/orders.rs
@@ -1,4 +1,4 @@
-//! Starts and stops of runs, and their answers.
+//! Starts of runs and their answers, and runs that an earlier placer started.
 
 use super::Lost;
 use super::Placer;
--- a/src/core/workload/placer/roster.rs
+++ b/src/core/workload/placer/roster.rs
@@ -31,7 +31,7 @@
 pub(super) enum Roster {
     /// It is not; nothing may be started there yet.
     Absent,
-    /// This placer has entered it, or heard from it, in the row of this version.
+    /// This placer has entered it, or it began a new lifetime since; the version is its row's.
     Registered(Rev),
     /// An earlier placer has, and may have started tasks there.
     Inherited(Rev),
@@ -61,8 +61,8 @@
         matches!(self, Self::Inherited(_))
     }
 
-    /// What it is once the VM was heard from, or began a new lifetime.
-    pub fn heard(self) -> Self {
+    /// What it is once the VM has begun a new lifetime.
+    pub fn renewed(self) -> Self {
         match self {
             Self::Inherited(version) => Self::Registered(version),
             other => other,
--- a/src/core/workload/placer/shares.rs
+++ b/src/core/workload/placer/shares.rs
@@ -24,7 +24,7 @@
 }
 
 impl Shares {
-    /// Whether a team that uses `used` has its share.
+    /// Whether `used` is all of a team's share, or more.
     pub fn is_used_up(&self, team: &TeamId, used: &Resources) -> bool {
         let part = self.parts.get(team).copied().unwrap_or(1.0);
         dominant(used, &self.room) >= part
--- a/src/core/workload/placer/speed.rs
+++ b/src/core/workload/placer/speed.rs
@@ -1,7 +1,7 @@
 //! How fast VMs work, learned from the tasks of a step that ran on different VMs.
 //!
 //! Pattern: a step is as slow as its slowest task. Where some VMs work slower than others, by their
-//! kind or because something ails them, a wide step nearly always has a task on one of them, and
+//! kind or because they are degraded, a wide step nearly always has a task on one of them, and
 //! its job is late without having waited. Tasks that end therefore prefer VMs that are not slow,
 //! and tasks that last leave those to them.
 
--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/stops.rs
@@ -65,7 +65,7 @@
             return;
         }
         if vm.stop_notice != StopNotice::Written {
-            run.phase = Phase::Condemned(reason);
+            run.phase = Phase::StopWanted(reason);
             vm.stop_notice = StopNotice::Wanted;
             self.progress.want_stops();
             return;
@@ -149,13 +149,13 @@
             };
             vm.stop_notice = StopNotice::Written;
             let strays = std::mem::take(&mut vm.strays);
-            let condemned = vm.runs.iter().filter_map(|(&task, run)| match run.phase {
-                Phase::Condemned(reason) => Some((task, reason)),
+            let wanted = vm.runs.iter().filter_map(|(&task, run)| match run.phase {
+                Phase::StopWanted(reason) => Some((task, reason)),
                 _ => None,
             });
-            let mut condemned: Vec<(TaskKey, &'static str)> = condemned.collect();
-            condemned.sort_unstable();
-            for (task, reason) in condemned {
+            let mut wanted: Vec<(TaskKey, &'static str)> = wanted.collect();
+            wanted.sort_unstable();
+            for (task, reason) in wanted {
                 self.order_stop(cx, key, task, reason);
             }
             for stray in strays {
@@ -287,7 +287,7 @@
     fn may_stop(&self, now: Now) -> bool {
         let stopping = |run: &Run| {
             let phase = run.phase;
-            matches!(phase, Phase::Condemned(_) | Phase::Stopping { .. })
+            matches!(phase, Phase::StopWanted(_) | Phase::Stopping { .. })
         };
         let unlisted = self.inherits_stops || now < self.unclear_until;
         unlisted || !self.strays.is_empty() || self.runs.values().any(stopping)
