Log reads for the placer's role that fail

Cause: a failed read of the owner row, of the sequence row or of the rows that a new placer loads was repeated without a log line. Reads for callers were logged already, with their answer. Test: faults.rs, seen to fail before the change.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -178,6 +178,8 @@
     },
     /// A transaction failed.
     CommitFailed { purpose: Box<str>, reason: Box<str> },
+    /// A read for the placer's role failed; it is repeated, or the role is not taken yet.
+    ReadFailed { purpose: Box<str>, reason: Box<str> },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -130,6 +130,17 @@
     Sequence,
 }
 
+impl ReadFor {
+    /// Whether a caller waits for it, whose answer tells and logs a failure.
+    #[must_use]
+    pub fn is_for_caller(&self) -> bool {
+        matches!(
+            self,
+            Self::Status(..) | Self::Existence(..) | Self::Cancel(..)
+        )
+    }
+}
+
 /// What a new placer reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Load {
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -250,6 +250,12 @@
     ) -> Option<Box<str>> {
         let mut cx = context(&self.options, self.epoch, self.catalog.as_ref(), now, out);
         let cx = &mut cx;
+        if let (Err(reason), false) = (&page, purpose.is_for_caller()) {
+            cx.log(Decision::ReadFailed {
+                purpose: format!("{purpose:?}").into(),
+                reason: reason.clone(),
+            });
+        }
         match purpose {
             ReadFor::Status(ticket, id) => self.calls.status_read(cx, ticket, id, page),
             ReadFor::Existence(ticket, id) => self.calls.existence_read(cx, ticket, &id, page),
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -1,5 +1,6 @@
 //! VMs that fall silent, lose answers or start anew, and a table that is down.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ragwortstall::core::workload::effect::JobState;
@@ -195,3 +196,19 @@
     world.run_for(2_500);
     assert_eq!(world.state(0, ID), Some(JobState::Completed));
 }
+
+#[test]
+fn a_read_that_fails_while_the_role_is_taken_or_held_is_logged() {
+    let mut world = World::new(2, 1);
+    world.silent_until = world.now + Duration::from_secs(5);
+    world.run_for(6_000);
+    let lines = world.logged.iter().map(serde_json::to_value);
+    let lines = lines.map(|line| line.expect("a line"));
+    let failed: Vec<_> = lines.filter(|line| line["kind"] == "read_failed").collect();
+    let purposes: BTreeSet<_> = failed
+        .iter()
+        .filter_map(|line| line["purpose"].as_str())
+        .collect();
+    assert_eq!(purposes, BTreeSet::from(["Owner", "Sequence"]));
+    assert!(failed.iter().all(|line| line["reason"] == "no answer"));
+}
--- a/tests/workload/world/mod.rs
+++ b/tests/workload/world/mod.rs
@@ -13,6 +13,7 @@
 use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
+use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::effect::Request;
@@ -98,6 +99,8 @@
     pub silent_until: Now,
     /// Time up to which commits take effect without an answer.
     pub mute_until: Now,
+    /// Lines of the log.
+    pub logged: Vec<Decision>,
     /// Looks whether a daemon's process is there.
     pub looks: u32,
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
@@ -146,6 +149,7 @@
             busy_until: Now::ZERO,
             silent_until: Now::ZERO,
             mute_until: Now::ZERO,
+            logged: Vec::new(),
             looks: 0,
             starts: Vec::new(),
             paces: Vec::new(),
@@ -325,7 +329,8 @@
                 Effect::Reply(ticket, reply) => {
                     self.replies.insert(ticket, reply);
                 }
-                Effect::Log(_) | Effect::Exit => {}
+                Effect::Log(decision) => self.logged.push(decision),
+                Effect::Exit => {}
             }
         }
     }
