Log loads and reported counts, and serve the age of each followed table

New: role_loading each second of a load; rows and failed reads in role_ready; waiting_reported with the heartbeat's epoch and age; age and failed calls in feed_state; ragwortstall_feed_age_seconds by table (not a number where it is not followed) and ragwortstall_load_seconds.

Two ages were false: a read that failed was logged with a table_age_ms of 0, and a refused submission with its own age. Both are now the time since the table's last answer, null before the first.

--- a/src/core/workload/batcher.rs
+++ b/src/core/workload/batcher.rs
@@ -10,7 +10,6 @@
 use super::calls::UNAVAILABLE_RETRY_AFTER;
 use super::cx::Cx;
 use super::cx::earliest;
-use super::cx::millis;
 use super::decision::Decision;
 use super::effect::Reply;
 use super::event::CommitPurpose;
@@ -224,7 +223,7 @@
         id: pending.id.clone(),
         reason: reason.into(),
         config: pending.config_version,
-        table_age_ms: millis(cx.now.saturating_sub(pending.received_at)),
+        table_age_ms: cx.table_age_ms(),
     });
     reply(
         cx,
--- a/src/core/workload/calls.rs
+++ b/src/core/workload/calls.rs
@@ -82,13 +82,7 @@
     /// Authorizes a call and handles it.
     pub fn handle(&mut self, cx: &mut Cx, mut components: Components, ticket: Ticket, call: Call) {
         let Some(catalog) = cx.catalog.cloned() else {
-            return reply_unavailable(
-                cx,
-                components.feeds,
-                ticket,
-                &call,
-                "no configuration received yet",
-            );
+            return reply_unavailable(cx, ticket, &call, "no configuration received yet");
         };
         let Some(queue) = catalog.route(&call.host, &call.path).cloned() else {
             return cx.reply(ticket, Reply::NoQueue);
@@ -99,7 +93,7 @@
                 id: id_in_path(&queue, &call.path).into(),
                 reason: "unknown key".into(),
                 config: catalog.version,
-                table_age_ms: table_age(cx, components.feeds),
+                table_age_ms: cx.table_age_ms(),
             });
             return cx.reply(ticket, Reply::BadKey);
         }
@@ -278,7 +272,7 @@
                     id: id.clone(),
                     reason,
                     config: cx.catalog.map_or(0, |catalog| catalog.version),
-                    table_age_ms: 0,
+                    table_age_ms: cx.table_age_ms(),
                 });
                 self.reply(cx, ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
                 None
@@ -331,7 +325,7 @@
             id,
             reason: "the table does not answer".into(),
             config: config_version,
-            table_age_ms: table_age(cx, components.feeds),
+            table_age_ms: cx.table_age_ms(),
         });
         return cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
     }
@@ -348,21 +342,28 @@
 }
 
 fn reply_waiting_count(cx: &mut Cx, heartbeats: &HeartbeatMonitor, ticket: Ticket, queue: &Queue) {
-    let reply = match heartbeats.heartbeat() {
-        Some(heartbeat) if cx.now < heartbeat.received_at + MAX_WAITING_COUNT_AGE => {
-            Reply::Waiting(heartbeat.row.waiting.get(&queue.name).copied().unwrap_or(0))
-        }
-        _ => Reply::Unavailable(UNAVAILABLE_RETRY_AFTER),
-    };
-    cx.reply(ticket, reply);
+    let heartbeat = heartbeats.heartbeat();
+    let waiting = heartbeat
+        .filter(|heartbeat| cx.now < heartbeat.received_at + MAX_WAITING_COUNT_AGE)
+        .map(|heartbeat| heartbeat.row.waiting.get(&queue.name).copied().unwrap_or(0));
+    cx.log(Decision::WaitingReported {
+        queue: queue.name.clone(),
+        waiting,
+        epoch: heartbeat.map(|heartbeat| heartbeat.row.owner.epoch),
+        loading: heartbeat.is_some_and(|heartbeat| heartbeat.row.loading),
+        beat_age_ms: heartbeat
+            .map(|heartbeat| millis(cx.now.saturating_sub(heartbeat.received_at))),
+    });
+    let unknown = Reply::Unavailable(UNAVAILABLE_RETRY_AFTER);
+    cx.reply(ticket, waiting.map_or(unknown, Reply::Waiting));
 }
 
-fn reply_unavailable(cx: &mut Cx, feeds: &Feeds, ticket: Ticket, call: &Call, reason: &str) {
+fn reply_unavailable(cx: &mut Cx, ticket: Ticket, call: &Call, reason: &str) {
     cx.log(Decision::Refused {
         id: call.path.clone(),
         reason: reason.into(),
         config: 0,
-        table_age_ms: table_age(cx, feeds),
+        table_age_ms: cx.table_age_ms(),
     });
     cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
 }
@@ -372,13 +373,6 @@
     Reply::Unavailable(UNAVAILABLE_RETRY_AFTER)
 }
 
-fn table_age(cx: &Cx, feeds: &Feeds) -> u64 {
-    millis(
-        cx.now
-            .saturating_sub(feeds.last_answer_at().unwrap_or_default()),
-    )
-}
-
 fn team_for_key(catalog: &Catalog, key: Option<&str>) -> Option<TeamId> {
     catalog.keys.get(key?).cloned()
 }
--- a/src/core/workload/cx.rs
+++ b/src/core/workload/cx.rs
@@ -28,6 +28,8 @@
     pub options: &'a Options,
     /// Configuration in force.
     pub catalog: Option<&'a Rc<Catalog>>,
+    /// Time of the last answer of the table to a daemon's watch; `None` before the first.
+    pub table_answered_at: Option<Now>,
     /// Effects so far.
     pub effects: &'a mut Effects,
 }
@@ -53,6 +55,12 @@
         self.send(Request::Read { purpose, range });
     }
 
+    /// Returns the time since the last answer of the table, in milliseconds; `None` before the first.
+    pub fn table_age_ms(&self) -> Option<u64> {
+        let answered_at = self.table_answered_at?;
+        Some(millis(self.now.saturating_sub(answered_at)))
+    }
+
     /// Replies to a caller.
     pub fn reply(&mut self, ticket: Ticket, reply: Reply) {
         self.effects.push(Effect::Reply(ticket, reply));
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -37,7 +37,15 @@
         id: JobId,
         reason: Box<str>,
         config: u64,
-        table_age_ms: u64,
+        table_age_ms: Option<u64>,
+    },
+    /// A caller was told how many jobs of a queue wait, or that the number is not known.
+    WaitingReported {
+        queue: QueueId,
+        waiting: Option<u64>,
+        epoch: Option<Epoch>,
+        loading: bool,
+        beat_age_ms: Option<u64>,
     },
     /// The outcome of a call is unknown.
     Unsettled { id: JobId, reason: Box<str> },
@@ -154,11 +162,21 @@
         former: DaemonId,
         beat_age_ms: u64,
     },
+    /// The new placer is still loading its state.
+    RoleLoading {
+        epoch: Epoch,
+        ranges_left: usize,
+        rows: usize,
+        failed_reads: u32,
+        took_ms: u64,
+    },
     /// The new placer has loaded its state.
     RoleReady {
         epoch: Epoch,
         jobs: usize,
         vms: usize,
+        rows: usize,
+        failed_reads: u32,
         took_ms: u64,
     },
     /// This daemon lost or released the placer role.
@@ -172,11 +190,14 @@
     },
     /// All VMs of the former placer are fenced or their leases have expired.
     Settled { epoch: Epoch, took_ms: u64 },
-    /// A followed table became unavailable or available again.
+    /// A followed table became unavailable or available again. `age_ms` is the time since its last
+    /// answer, `failures` the number of calls that have failed since then.
     FeedState {
         feed: Feed,
         up: bool,
         version: Rev,
+        age_ms: Option<u64>,
+        failures: u32,
         reason: Box<str>,
     },
     /// A transaction failed.
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -167,6 +167,22 @@
     Heartbeats,
 }
 
+impl Feed {
+    /// All tables that a daemon may follow.
+    pub const ALL: [Self; 4] = [Self::Config, Self::Vms, Self::Jobs, Self::Heartbeats];
+
+    /// Returns the label used in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Vms => "vms",
+            Self::Jobs => "jobs",
+            Self::Heartbeats => "pulse",
+        }
+    }
+}
+
 /// Identifies a read or watch of a followed table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FeedCall {
--- a/src/core/workload/feeds.rs
+++ b/src/core/workload/feeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::cx::Cx;
+use super::cx::millis;
 use super::decision::Decision;
 use super::effect::Request;
 use super::event::Feed;
@@ -36,6 +37,10 @@
     next_at: Now,
     /// Whether the last call failed.
     is_down: bool,
+    /// Number of calls that have failed since the last answer.
+    failures: u32,
+    /// Time of the last answer.
+    answered_at: Option<Now>,
     /// Time of the first answer after the last failure.
     recovered_at: Option<Now>,
 }
@@ -60,6 +65,8 @@
             sent_at: None,
             next_at: Now::ZERO,
             is_down: false,
+            failures: 0,
+            answered_at: None,
             recovered_at: None,
         });
     }
@@ -74,6 +81,12 @@
         self.last_answer_at
     }
 
+    /// Returns the time since the last answer on each followed table; `None` before the first.
+    pub fn ages(&self, now: Now) -> Vec<(Feed, Option<Duration>)> {
+        let tables = self.tables.iter();
+        tables.map(|table| (table.feed, table.age(now))).collect()
+    }
+
     /// Returns whether a table was read and the last call to it did not fail.
     pub fn is_up(&self, feed: Feed) -> bool {
         let mut tables = self.tables.iter();
@@ -152,16 +165,16 @@
             }
             FeedAnswer::HistoryGone => {
                 table.version = None;
-                cx.log(
-                    table.state_decision(true, "change history expired; reading the full table"),
-                );
+                let reason = "change history expired; reading the full table";
+                cx.log(table.state_decision(cx.now, true, reason));
                 return None;
             }
             FeedAnswer::Failed(reason) => {
                 table.next_at = cx.now + cx.options.table.retry_delay;
+                table.failures += 1;
                 if !table.is_down {
                     table.is_down = true;
-                    cx.log(table.state_decision(false, &reason));
+                    cx.log(table.state_decision(cx.now, false, &reason));
                 }
                 return None;
             }
@@ -170,8 +183,10 @@
         if table.is_down {
             table.is_down = false;
             table.recovered_at = Some(cx.now);
-            cx.log(table.state_decision(true, ""));
+            cx.log(table.state_decision(cx.now, true, ""));
         }
+        table.failures = 0;
+        table.answered_at = Some(cx.now);
         Some(update)
     }
 
@@ -202,12 +217,19 @@
         }
     }
 
+    /// Returns the time since the last answer; `None` before the first.
+    fn age(&self, now: Now) -> Option<Duration> {
+        self.answered_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Returns a log line with the state of the table.
-    fn state_decision(&self, up: bool, reason: &str) -> Decision {
+    fn state_decision(&self, now: Now, up: bool, reason: &str) -> Decision {
         Decision::FeedState {
             feed: self.feed,
             up,
             version: self.version.unwrap_or(0),
+            age_ms: self.age(now).map(millis),
+            failures: self.failures,
             reason: reason.into(),
         }
     }
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -21,6 +21,7 @@
 mod cx;
 mod feeds;
 mod heartbeat;
+mod loading;
 mod placer;
 mod probe;
 mod role;
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -56,8 +56,15 @@
     pub roster: Vec<TableRow>,
 }
 
+impl LoadedRows {
+    /// Returns the number of rows.
+    pub fn row_count(&self) -> usize {
+        self.jobs.len() + self.progress.len() + self.roster.len()
+    }
+}
+
 /// A grant of the placer's role.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(in crate::core::workload) struct RoleGrant {
     /// Holder and its epoch.
     pub owner: OwnerRow,
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -12,24 +12,21 @@
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
 use super::heartbeat::HeartbeatMonitor;
-use super::placer::LoadedRows;
+use super::loading::Loading;
 use super::placer::Placer;
 use super::placer::RoleGrant;
 use super::rows::HEARTBEAT_KEY;
 use super::rows::HeartbeatRow;
-use super::rows::JOB_PARTS;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
 use super::rows::SEQUENCE_KEY;
 use super::rows::decode;
 use super::rows::encode;
-use super::rows::job_part_name;
 use super::table::CommitOutcome;
 use super::table::HEARTBEATS;
 use super::table::JOBS;
 use super::table::PROGRESS;
 use super::table::Page;
-use super::table::ROSTER;
 use super::table::Range;
 use super::table::RowId;
 use super::table::TableRow;
@@ -82,28 +79,6 @@
     heartbeat_age: Duration,
 }
 
-/// Granted role whose rows are not all read yet.
-#[derive(Debug)]
-pub(super) struct Loading {
-    owner: OwnerRow,
-    former_renews_until: Now,
-    /// Version of the owner row.
-    version: Rev,
-    started_at: Now,
-    reads: Vec<RangeRead>,
-    loaded: LoadedRows,
-}
-
-/// Paged read of a range.
-#[derive(Debug)]
-struct RangeRead {
-    source: LoadSource,
-    /// First key of the next page.
-    from: Box<str>,
-    /// Time at which a failed read is repeated.
-    retry_at: Option<Now>,
-}
-
 impl Role {
     /// Returns the role of a daemon that has just started.
     pub fn new() -> Self {
@@ -226,26 +201,12 @@
             return;
         };
         loading.add_page(cx, source, page);
-        if !loading.reads.is_empty() {
+        if !loading.is_complete() {
             return;
         }
         feeds.follow(Feed::Vms, None);
-        feeds.follow(Feed::Jobs, loading.loaded.version);
-        let load_time = cx.now.saturating_sub(loading.started_at);
-        let epoch = loading.owner.epoch;
-        let loaded = std::mem::take(&mut loading.loaded);
-        let grant = RoleGrant {
-            owner: loading.owner.clone(),
-            version: loading.version,
-            former_renews_until: loading.former_renews_until,
-        };
-        let placer = Placer::new(cx, grant, loaded);
-        cx.log(Decision::RoleReady {
-            epoch,
-            jobs: placer.job_count(),
-            vms: placer.vm_count(),
-            took_ms: millis(load_time),
-        });
+        feeds.follow(Feed::Jobs, loading.version());
+        let placer = loading.finish(cx);
         *self = Self::Placing(Box::new(placer));
     }
 
@@ -274,17 +235,12 @@
             former: takeover.former.clone(),
             beat_age_ms: millis(takeover.heartbeat_age),
         });
-        let loading = Loading {
-            former_renews_until: takeover.former_renews_until,
+        let grant = RoleGrant {
             owner,
             version,
-            started_at: cx.now,
-            reads: RangeRead::all(),
-            loaded: LoadedRows::default(),
+            former_renews_until: takeover.former_renews_until,
         };
-        for read in &loading.reads {
-            read.send(cx);
-        }
+        let loading = Loading::start(cx, grant);
         *self = Self::Loading(Box::new(loading));
     }
 
@@ -362,78 +318,6 @@
     }
 }
 
-impl Loading {
-    fn poll(&mut self, cx: &mut Cx) {
-        for read in &mut self.reads {
-            if read.retry_at.is_some_and(|at| cx.now >= at) {
-                read.retry_at = None;
-                read.send(cx);
-            }
-        }
-    }
-
-    fn wake_at(&self) -> Option<Now> {
-        self.reads.iter().filter_map(|read| read.retry_at).min()
-    }
-
-    /// Adds a page, then requests the next one, or removes the read from the list after the last.
-    fn add_page(&mut self, cx: &mut Cx, source: LoadSource, page: Result<Page, Box<str>>) {
-        let Some(ix) = self.reads.iter().position(|read| read.source == source) else {
-            return;
-        };
-        let read = &mut self.reads[ix];
-        let Ok(page) = page else {
-            read.retry_at = Some(cx.now + cx.options.table.retry_delay);
-            return;
-        };
-        let last = page.rows.last().map(|row| format!("{}\0", row.key));
-        match source {
-            LoadSource::Jobs(_) => {
-                let version = self.loaded.version.get_or_insert(page.version);
-                *version = page.version.min(*version);
-                self.loaded.jobs.extend(page.rows);
-            }
-            LoadSource::Progress => self.loaded.progress.extend(page.rows),
-            LoadSource::Roster => self.loaded.roster.extend(page.rows),
-        }
-        match last {
-            Some(last) if page.more => {
-                read.from = last.into();
-                read.send(cx);
-            }
-            _ => {
-                self.reads.swap_remove(ix);
-            }
-        }
-    }
-}
-
-impl RangeRead {
-    /// Returns a read of each range that a new placer needs.
-    fn all() -> Vec<Self> {
-        let jobs = (0..JOB_PARTS).map(LoadSource::Jobs);
-        let sources = jobs.chain([LoadSource::Progress, LoadSource::Roster]);
-        let read = |source| Self {
-            source,
-            from: "".into(),
-            retry_at: None,
-        };
-        sources.map(read).collect()
-    }
-
-    fn send(&self, cx: &mut Cx) {
-        let timeout = cx.options.table.read_timeout * 2;
-        let own = cx.options.part.clone();
-        let mut range = match self.source {
-            LoadSource::Jobs(part) => Range::part(JOBS, &job_part_name(part), timeout),
-            LoadSource::Progress => Range::part(PROGRESS, &own, timeout),
-            LoadSource::Roster => Range::part(ROSTER, &own, timeout),
-        };
-        range.from = self.from.clone();
-        cx.read(ReadPurpose::Load(self.source), range);
-    }
-}
-
 /// Returns the time until which the former holder may still renew leases: now if it is known to be
 /// inactive, otherwise the end of the time for which a placer continues without the table.
 fn former_renews_until(cx: &Cx, heartbeats: &HeartbeatMonitor) -> Now {
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -107,6 +107,7 @@
             &self.options,
             self.offset,
             self.catalog.as_ref(),
+            &self.feeds,
             now,
             &mut out,
         );
@@ -151,6 +152,7 @@
             &self.options,
             self.offset,
             self.catalog.as_ref(),
+            &self.feeds,
             now,
             &mut out,
         );
@@ -160,6 +162,7 @@
             config_version: self.config_version(),
             config_age: age(self.config_applied_at),
             table_age: self.feeds.last_answer_at().map(age),
+            feed_ages: self.feeds.ages(now),
             heartbeat: last.map(|last| (last.row.owner.epoch, age(last.received_at))),
             placer: self.role.placer().map(|placer| placer.status(&cx)),
         }
@@ -175,7 +178,14 @@
     }
 
     fn handle_call(&mut self, now: Now, out: &mut Effects, ticket: Ticket, call: Call) {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let components = Components {
             batcher: &mut self.batcher,
             feeds: &self.feeds,
@@ -188,7 +198,14 @@
         if let Answer::Feed(call, answer) = answer {
             return self.handle_feed_answer(now, out, call, answer);
         }
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let cx = &mut cx;
         let lost_reason = match answer {
             Answer::Committed(purpose, outcome) => self.handle_commit(now, out, purpose, outcome),
@@ -216,7 +233,14 @@
         purpose: CommitPurpose,
         outcome: CommitOutcome,
     ) -> Option<Box<str>> {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let cx = &mut cx;
         if let CommitOutcome::Refused(reason) | CommitOutcome::Unknown(reason) = &outcome {
             cx.log(Decision::CommitFailed {
@@ -254,7 +278,14 @@
         purpose: ReadPurpose,
         page: Result<Page, Box<str>>,
     ) -> Option<Box<str>> {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let cx = &mut cx;
         if let (Err(reason), false) = (&page, purpose.is_for_caller()) {
             cx.log(Decision::ReadFailed {
@@ -283,7 +314,14 @@
         call: FeedCall,
         answer: FeedAnswer,
     ) {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let Some(update) = self.feeds.handle_answer(&mut cx, call, answer) else {
             return;
         };
@@ -317,8 +355,14 @@
                     }));
                     self.catalog = Some(Rc::from(catalog));
                     self.config_applied_at = now;
-                    let mut cx =
-                        context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+                    let mut cx = context(
+                        &self.options,
+                        self.offset,
+                        self.catalog.as_ref(),
+                        &self.feeds,
+                        now,
+                        out,
+                    );
                     if let Some(placer) = self.role.placer() {
                         placer.apply_config(&mut cx);
                     }
@@ -333,7 +377,14 @@
 
     /// Steps down from the placer role.
     fn lose_role(&mut self, now: Now, out: &mut Effects, reason: &str) {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         self.role.step_down(&mut cx, &mut self.feeds, reason);
     }
 
@@ -345,14 +396,28 @@
     }
 
     fn poll(&mut self, now: Now, out: &mut Effects) {
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         self.feeds.poll(&mut cx);
         if !self.feeds.is_up(Feed::Heartbeats) {
             self.batcher.refuse_queued(&mut cx);
         }
         self.batcher.poll(&mut cx);
         self.publish_address(now, out);
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         if self.role.is_follower() && self.feeds.is_up(Feed::Heartbeats) {
             self.heartbeats.poll(&mut cx);
         }
@@ -385,7 +450,14 @@
             put: vec![(row, encode(&address))],
             ..Transaction::default()
         };
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         cx.commit(CommitPurpose::Address, txn);
     }
 
@@ -394,7 +466,14 @@
         let Some(started_at) = self.drain_started_at.filter(|_| !self.exited) else {
             return;
         };
-        let mut cx = context(&self.options, self.offset, self.catalog.as_ref(), now, out);
+        let mut cx = context(
+            &self.options,
+            self.offset,
+            self.catalog.as_ref(),
+            &self.feeds,
+            now,
+            out,
+        );
         let released = match self.role.placer() {
             Some(placer) => placer.release(&mut cx),
             None => true,
@@ -412,6 +491,7 @@
     options: &'a Options,
     offset: Duration,
     catalog: Option<&'a Rc<Catalog>>,
+    feeds: &Feeds,
     now: Now,
     out: &'a mut Effects,
 ) -> Cx<'a> {
@@ -420,6 +500,7 @@
         unix_time: offset + now,
         options,
         catalog,
+        table_answered_at: feeds.last_answer_at(),
         effects: out,
     }
 }
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::catalog::QueueId;
+use super::event::Feed;
 use crate::core::model::Epoch;
 use crate::core::model::Resources;
 use crate::core::model::TeamId;
@@ -17,6 +18,8 @@
     pub config_age: Duration,
     /// Time since the last answer of the table; `None` before the first.
     pub table_age: Option<Duration>,
+    /// Time since the last answer on each followed table; `None` before the first.
+    pub feed_ages: Vec<(Feed, Option<Duration>)>,
     /// Epoch and age of the last heartbeat of a placer; `None` before the first.
     pub heartbeat: Option<(Epoch, Duration)>,
     /// Status of the placer; `None` if this daemon is not the placer.
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -12,6 +12,7 @@
 
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
+use crate::core::workload::event::Feed;
 use crate::core::workload::status::PlacerStatus;
 use crate::core::workload::status::Status;
 use crate::core::workload::task::RunOutcome;
@@ -65,6 +66,9 @@
         Decision::RunLost { .. } => count_run_ended("lost"),
         Decision::StopOrdered { .. } => counter!("ragwortstall_stops_ordered_total").increment(1),
         Decision::RoleTaken { .. } => counter!("ragwortstall_takeovers_total").increment(1),
+        Decision::RoleReady { took_ms, .. } => {
+            histogram!("ragwortstall_load_seconds").record(seconds(*took_ms));
+        }
         Decision::Settled { took_ms, .. } => {
             histogram!("ragwortstall_settled_seconds").record(seconds(*took_ms));
         }
@@ -81,6 +85,7 @@
         if let Some(age) = status.table_age {
             gauge!("ragwortstall_table_age_seconds").set(age.as_secs_f64());
         }
+        report_feed_ages(status);
         if let Some((epoch, age)) = status.heartbeat {
             gauge!("ragwortstall_holder_epoch").set(epoch as f64);
             gauge!("ragwortstall_holder_age_seconds").set(age.as_secs_f64());
@@ -112,6 +117,17 @@
     }
 }
 
+/// Sets the gauges of the followed tables' ages. A table that is not followed, or has not answered
+/// yet, has no age: its gauge is not a number, as zero would mean a fresh answer.
+fn report_feed_ages(status: &Status) {
+    for feed in Feed::ALL {
+        let followed = status.feed_ages.iter().find(|(other, _)| *other == feed);
+        let age = followed.and_then(|(_, age)| *age);
+        let age = age.map_or(f64::NAN, |age| age.as_secs_f64());
+        gauge!("ragwortstall_feed_age_seconds", "feed" => feed.name()).set(age);
+    }
+}
+
 fn waiting_gauge((queue, team): &Labels) -> metrics::Gauge {
     gauge!("ragwortstall_waiting_tasks", "queue" => queue.to_string(), "team" => team.to_string())
 }
