--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -22,6 +22,8 @@
 use super::Message;
 use super::PendingRenewal;
 use super::PendingWatch;
+use super::link::timed_out;
+use super::link::transfer_limit;
 use crate::catalog::catalog;
 use crate::vm::SimVm;
 
@@ -35,6 +37,7 @@
         }
         let table_answers = self.table_up && self.daemons[daemon].table_reachable;
         let no_answer: Box<str> = "no answer".into();
+        let limit = transfer_limit(&req);
         let answer = match req {
             Request::Commit { purpose, .. }
                 if table_answers && self.now < self.commits_refused_until =>
@@ -65,7 +68,10 @@
                 FeedAnswer::Snapshot(self.rows(call.feed, 0), self.table.version),
             ),
             Request::Watch {
-                call, after, wait, ..
+                call,
+                after,
+                wait,
+                timeout,
             } if table_answers => {
                 return self.pending_watches.push(PendingWatch {
                     daemon,
@@ -73,6 +79,8 @@
                     call,
                     after,
                     until: self.now + wait,
+                    times_out_at: self.now + timeout,
+                    limit: timeout.saturating_sub(wait),
                 });
             }
             Request::ReadAll { call, .. } | Request::Watch { call, .. } => {
@@ -105,7 +113,10 @@
             }
             order => self.execute_order(order),
         };
-        self.answer(daemon, lifetime, answer);
+        match limit {
+            Some(limit) => self.transfer(daemon, lifetime, answer, limit),
+            None => self.answer(daemon, lifetime, answer),
+        }
     }
 
     fn execute_order(&mut self, req: Request) -> Answer {
@@ -201,11 +212,14 @@
                 continue;
             }
             let answer = FeedAnswer::Changes(rows, self.table.version);
-            self.answer(
-                watch.daemon,
-                watch.lifetime,
-                Answer::Feed(watch.call, answer),
-            );
+            let answer = Answer::Feed(watch.call, answer);
+            let (daemon, lifetime) = (watch.daemon, watch.lifetime);
+            if self.lost_watch_answers.contains(&(daemon, watch.call.feed)) {
+                let delay = watch.times_out_at.saturating_sub(now);
+                self.send_after(delay, Message::Answer(daemon, lifetime, timed_out(answer)));
+            } else {
+                self.transfer(daemon, lifetime, answer, watch.limit);
+            }
         }
         for pending in std::mem::take(&mut self.pending_renewals) {
             let Request::Renew {
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -1,6 +1,8 @@
 //! Test harness: daemons, a table and VMs that exchange messages in virtual time.
 
 mod backend;
+mod feed_calls;
+mod link;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,12 +22,15 @@
 use ragwortstall::core::workload::event::Action;
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::Call;
+use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedCall;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::status::Status;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::task::TaskName;
 
+use self::feed_calls::FeedCalls;
+use self::link::Link;
 use crate::catalog::KEY;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
@@ -55,6 +60,7 @@
     lifetime: u64,
     /// Time of the next tick.
     wake_at: Option<Now>,
+    link: Link,
 }
 
 /// Message in transit, with the index and the lifetime of its daemon.
@@ -72,6 +78,10 @@
     call: FeedCall,
     after: u64,
     until: Now,
+    /// Time at which the daemon gives up the call without an answer.
+    times_out_at: Now,
+    /// Time within which the answer has to be transferred.
+    limit: Duration,
 }
 
 /// Lease renewal that waits for a run to end.
@@ -106,6 +116,10 @@
     pub table_silent_until: Now,
     /// Time until which commits take effect without an answer.
     pub commit_answers_lost_until: Now,
+    /// Daemons and followed tables whose watches get no answer; all other calls work.
+    pub lost_watch_answers: BTreeSet<(usize, Feed)>,
+    /// Numbers of calls for the rows of followed tables.
+    pub feed_calls: FeedCalls,
     /// Decisions that the daemons have logged.
     pub decisions: Vec<Decision>,
     /// Number of probes of daemons' processes.
@@ -160,6 +174,8 @@
             commits_refused_until: Now::ZERO,
             table_silent_until: Now::ZERO,
             commit_answers_lost_until: Now::ZERO,
+            lost_watch_answers: BTreeSet::new(),
+            feed_calls: FeedCalls::default(),
             decisions: Vec::new(),
             probes: 0,
             starts: Vec::new(),
@@ -187,6 +203,7 @@
                 table_reachable: true,
                 lifetime: 1,
                 wake_at: Some(Now::ZERO),
+                link: Link::default(),
             });
         }
         harness.run_for(2_000);
@@ -274,6 +291,8 @@
     pub(crate) fn kill(&mut self, daemon: usize) {
         self.daemons[daemon].up = false;
         self.daemons[daemon].lifetime += 1;
+        self.daemons[daemon].link.clear();
+        self.feed_calls.forget(daemon);
     }
 
     /// Kills a daemon's process and shuts down its host.
@@ -296,8 +315,14 @@
         self.daemons[daemon].table_reachable = reachable;
     }
 
-    /// Simulates one point in time: VMs, ticks, messages and delayed answers.
+    /// Sets the rate of a daemon's link, in bytes per millisecond.
+    pub(crate) fn set_link_rate(&mut self, daemon: usize, rate: u64) {
+        self.daemons[daemon].link.rate = Some(rate);
+    }
+
+    /// Simulates one point in time: transfers, VMs, ticks, messages and delayed answers.
     fn step(&mut self) {
+        self.advance_links();
         for vm in self.vms.values_mut() {
             vm.advance(self.now);
         }
@@ -309,6 +334,7 @@
                 }
                 Message::Answer(daemon, lifetime, answer) => {
                     if self.is_alive(daemon, lifetime) {
+                        self.feed_calls.remove(daemon, &answer);
                         self.apply(daemon, Event::Answer(answer));
                     }
                 }
@@ -317,6 +343,17 @@
         self.answer_pending();
     }
 
+    /// Advances the transfers of all daemons and delivers the answers that are complete.
+    fn advance_links(&mut self) {
+        for ix in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[ix];
+            let lifetime = daemon.lifetime;
+            for answer in daemon.link.advance(self.now) {
+                self.answer(ix, lifetime, answer);
+            }
+        }
+    }
+
     fn next_message(&mut self) -> Option<Message> {
         let first = *self.messages.first_key_value()?.0;
         (first.0 <= self.now).then(|| self.messages.remove(&first))?
@@ -341,6 +378,7 @@
         for effect in effects {
             match effect {
                 Effect::Send(req) => {
+                    self.feed_calls.add(ix, &req);
                     self.send_after(MESSAGE_DELAY, Message::Request(ix, lifetime, req));
                 }
                 Effect::Reply(ticket, reply) => {
@@ -358,6 +396,17 @@
             .insert((self.now + delay, self.last_message), message);
     }
 
+    /// Transfers an answer of the table to a daemon within a time limit.
+    fn transfer(&mut self, daemon: usize, lifetime: u64, answer: Answer, limit: Duration) {
+        if !self.is_alive(daemon, lifetime) {
+            return;
+        }
+        let link = &mut self.daemons[daemon].link;
+        if let Some(answer) = link.start(self.now, answer, limit) {
+            self.answer(daemon, lifetime, answer);
+        }
+    }
+
     fn answer(&mut self, daemon: usize, lifetime: u64, answer: Answer) {
         let delay = match answer {
             Answer::Committed(..) => self.table_latency * COMMIT_LATENCY_FACTOR,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod jobs;
 mod pace;
+mod slow_link;
 mod status;
 mod table;
 mod takeover;
--- a/tests/workload/table.rs
+++ b/tests/workload/table.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SimTable {
     rows: BTreeMap<RowKey, StoredRow>,
+    /// Version of the last change of each table.
+    changed: BTreeMap<&'static str, u64>,
     /// Version of the last transaction.
     pub version: u64,
 }
@@ -40,6 +42,9 @@
             return CommitOutcome::Conflict(rows.collect());
         }
         self.version += 1;
+        for row in txn.put.iter().map(|(row, _)| row).chain(&txn.remove) {
+            self.changed.insert(row.table, self.version);
+        }
         for (row, value) in &txn.put {
             self.rows
                 .insert(key(row), (self.version, Some(value.clone())));
@@ -67,6 +72,13 @@
 
     /// Returns the rows of a table that have changed after a version.
     pub(crate) fn changes(&self, table: &str, after: u64) -> Vec<TableRow> {
+        if self
+            .changed
+            .get(table)
+            .is_none_or(|&changed| changed <= after)
+        {
+            return Vec::new();
+        }
         let rows = self.rows.iter();
         let rows = rows.filter(|(key, (version, _))| key.0 == table && *version > after);
         rows.map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
