Report waiting jobs only where the placer knows their number

The heartbeat row carries the numbers of waiting jobs that every daemon reports, and a number that was not known read as zero in two ways: a placer that is loading wrote an empty list, and a placer that does not hear of new jobs counted those it knows.

The list is now left out while it is not known, and comes with its age, counted from when the watch of the last new jobs was sent. A number of 2.5 s or older is not reported: the caller gets 503 with Retry-After. Rows of earlier versions stay readable; a loading row of an earlier version counts as unknown, and an earlier version reads a missing list as before.

--- a/src/core/workload/calls.rs
+++ b/src/core/workload/calls.rs
@@ -45,9 +45,6 @@
 /// Length of a job identifier, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
 
-/// Maximum age of a heartbeat whose count of waiting jobs is returned to callers.
-const MAX_WAITING_COUNT_AGE: Duration = Duration::from_millis(1_500);
-
 /// Handles calls and keeps track of those that wait for the table.
 #[derive(Debug, Default)]
 pub(super) struct CallHandler {
@@ -343,9 +340,7 @@
 
 fn reply_waiting_count(cx: &mut Cx, heartbeats: &HeartbeatMonitor, ticket: Ticket, queue: &Queue) {
     let heartbeat = heartbeats.heartbeat();
-    let waiting = heartbeat
-        .filter(|heartbeat| cx.now < heartbeat.received_at + MAX_WAITING_COUNT_AGE)
-        .map(|heartbeat| heartbeat.row.waiting.get(&queue.name).copied().unwrap_or(0));
+    let waiting = heartbeats.waiting_jobs(cx.now, &queue.name);
     cx.log(Decision::WaitingReported {
         queue: queue.name.clone(),
         waiting,
--- a/src/core/workload/feeds.rs
+++ b/src/core/workload/feeds.rs
@@ -51,6 +51,8 @@
     pub is_snapshot: bool,
     /// Whether the previous call to the table failed.
     pub recovered: bool,
+    /// Time up to which the rows include all changes.
+    pub as_of: Now,
     /// Rows.
     pub rows: Vec<FeedRow>,
 }
@@ -152,6 +154,7 @@
                 Update {
                     is_snapshot: true,
                     recovered: table.is_down,
+                    as_of: call.sent,
                     rows,
                 }
             }
@@ -160,6 +163,8 @@
                 Update {
                     is_snapshot: false,
                     recovered: table.is_down,
+                    // Rows may have been in transfer for some time.
+                    as_of: if rows.is_empty() { cx.now } else { call.sent },
                     rows,
                 }
             }
--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Monitor of the placer's heartbeat and the daemons' addresses, which every daemon follows.
 
+use std::time::Duration;
+
 use rustc_hash::FxHashMap;
 
 use super::cx::Cx;
@@ -19,6 +21,12 @@
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
+/// Maximum age of a number of waiting jobs that is returned to callers.
+///
+/// The number counts as known since the last watch of the jobs table was sent, which may be two
+/// waits of a watch ago where jobs are rare.
+const MAX_WAITING_COUNT_AGE: Duration = Duration::from_millis(2_500);
+
 /// Last heartbeat of the placer, state of its process, and addresses of the daemons.
 #[derive(Debug, Default)]
 pub(super) struct HeartbeatMonitor {
@@ -45,6 +53,15 @@
         self.last.as_ref()
     }
 
+    /// Returns the number of jobs of a queue without a started task; `None` if no recent number is
+    /// known.
+    pub fn waiting_jobs(&self, now: Now, queue: &str) -> Option<u64> {
+        let last = self.last.as_ref()?;
+        let (count, age) = last.row.waiting_jobs(queue)?;
+        let counted_at = last.received_at.saturating_sub(age);
+        (now < counted_at + MAX_WAITING_COUNT_AGE).then_some(count)
+    }
+
     /// Probes the holder's process if its heartbeat is late.
     pub fn poll(&mut self, cx: &mut Cx) {
         if let Some(last) = &self.last {
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -52,7 +52,10 @@
             grant,
             started_at: cx.now,
             reads: RangeRead::all(),
-            loaded: LoadedRows::default(),
+            loaded: LoadedRows {
+                read_since: cx.now,
+                ..LoadedRows::default()
+            },
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
         };
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -54,6 +54,8 @@
     pub progress: Vec<TableRow>,
     /// Rows of the VMs that may run tasks.
     pub roster: Vec<TableRow>,
+    /// Start of the reads; changes since then may be missing.
+    pub read_since: Now,
 }
 
 impl LoadedRows {
@@ -86,6 +88,7 @@
             owner,
             grant_version: version,
             granted_at: cx.now,
+            jobs_known_at: rows.read_since,
             former_renews_until,
             last_commit_sent_at: cx.now,
             registry: JobRegistry::default(),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -28,6 +28,7 @@
 
 use super::cx::Cx;
 use super::cx::earliest;
+use super::cx::millis;
 use super::decision::Decision;
 use super::event::Answer;
 use super::event::CommitPurpose;
@@ -65,6 +66,8 @@
     /// Version of the owner row that granted the role.
     grant_version: Rev,
     granted_at: Now,
+    /// Time up to which all changes of the jobs table are applied.
+    jobs_known_at: Now,
     /// Latest time at which a former placer may still renew leases.
     former_renews_until: Now,
     /// Send time of the last progress write that was committed; initially the time of the grant.
@@ -212,6 +215,9 @@
         if feed == Feed::Vms && update.is_snapshot {
             self.mark_all_vms_unlisted();
         }
+        if feed == Feed::Jobs {
+            self.jobs_known_at = self.jobs_known_at.max(update.as_of);
+        }
         for row in update.rows {
             match row {
                 FeedRow::Vm(row) => {
@@ -307,7 +313,7 @@
     }
 
     /// Returns the heartbeat row, with the number of unstarted jobs of each queue.
-    fn heartbeat_row(&self) -> HeartbeatRow {
+    fn heartbeat_row(&self, now: Now) -> HeartbeatRow {
         let mut waiting = rustc_hash::FxHashMap::default();
         for (_, job) in self
             .registry
@@ -320,7 +326,8 @@
             owner: self.owner.clone(),
             released: self.release != Release::NotRequested,
             loading: false,
-            waiting,
+            waiting: Some(waiting),
+            waiting_age_ms: millis(now.saturating_sub(self.jobs_known_at)),
         }
     }
 
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -296,7 +296,8 @@
             owner: claim.clone(),
             released: false,
             loading: true,
-            waiting: rustc_hash::FxHashMap::default(),
+            waiting: None,
+            waiting_age_ms: 0,
         };
         let txn = Transaction {
             expect: vec![(row.clone(), version)],
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -131,12 +131,15 @@
     /// Whether the placer has released the role.
     #[serde(default)]
     pub released: bool,
-    /// Whether the placer is still loading its rows; it sends the next heartbeat only after that.
+    /// Whether the placer is still loading its rows.
     #[serde(default)]
     pub loading: bool,
-    /// Number of jobs without a started task, by queue.
+    /// Number of jobs without a started task, by queue; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waiting: Option<FxHashMap<QueueId, u64>>,
+    /// Age of that number when the heartbeat was written, in milliseconds.
     #[serde(default)]
-    pub waiting: FxHashMap<QueueId, u64>,
+    pub waiting_age_ms: u64,
 }
 
 /// VMs on which the placer may be stopping runs.
@@ -160,6 +163,17 @@
     pub address: Box<str>,
 }
 
+impl HeartbeatRow {
+    /// Returns the number of jobs of a queue without a started task, and its age when the heartbeat
+    /// was written; `None` if it is not known. The row has no entry for a queue where none waits.
+    pub fn waiting_jobs(&self, queue: &str) -> Option<(u64, Duration)> {
+        // A loading placer of an earlier version writes an empty list.
+        let counts = self.waiting.as_ref().filter(|_| !self.loading)?;
+        let count = counts.get(queue).copied().unwrap_or(0);
+        Some((count, Duration::from_millis(self.waiting_age_ms)))
+    }
+}
+
 /// Encodes a value as JSON.
 pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("rows of this module serialize to JSON")
