Send heartbeats while a new placer loads, and read its rows in pages

The placer's role changed every 4.0 s, and no load ended. Cause: liveness was judged by a sign that the holder did not give. A loading placer sent no heartbeat, so the others waited a fixed 4 s and then replaced it, however far it was; each successor began the load anew. A replaced loader did not notice and went on reading. And the load sent all its 34 reads at once: on a link of 10 Mbit/s they shared it, timed out together and were repeated whole, so that it grew longer with each daemon that loaded. Evidence: role_loading on such hosts, with 102 failed reads and no row after 4 s; 12 changes of the role in 48 s, each with a heartbeat age of 4.0 s; seven replaced daemons that still read at 70 s. Ruled out: processor (4 to 12 % of a core), limits of the store (6 to 15 calls a second with 429, only from 17 to 24 s).

A loading placer now sends heartbeats like any other, expecting the sequence row of its grant, and is replaced like any other once these stop, after 1.1 s for 4 s. It gives the role up when another has claimed it, when it drains, or when no page has arrived for 4 s. At most six pages of 100 rows are in flight; after a failure one, with a delay that doubles.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -100,6 +100,8 @@
     Cancel(Ticket, JobId),
     /// Claims the placer role.
     Take,
+    /// Writes the heartbeat of a placer that is loading its rows.
+    LoadingHeartbeat,
     /// Writes the progress of jobs and the placer's heartbeat.
     Progress,
     /// Updates the roster of VMs that the placer may have started tasks on.
--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -15,9 +15,11 @@
 use super::rows::DAEMONS_PART;
 use super::rows::HEARTBEAT_KEY;
 use super::rows::HeartbeatRow;
+use super::rows::OwnerRow;
 use super::rows::decode;
 use super::table::TableRow;
 use crate::core::model::DaemonId;
+use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
@@ -53,6 +55,12 @@
         self.last.as_ref()
     }
 
+    /// Returns the holder of the role that the last heartbeat names, if its epoch is above `epoch`.
+    pub fn holder_after(&self, epoch: Epoch) -> Option<&OwnerRow> {
+        let owner = &self.last.as_ref()?.row.owner;
+        (owner.epoch > epoch).then_some(owner)
+    }
+
     /// Returns the number of jobs of a queue without a started task; `None` if no recent number is
     /// known.
     pub fn waiting_jobs(&self, now: Now, queue: &str) -> Option<u64> {
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -1,38 +1,77 @@
 //! Load of the rows that a daemon needs before it can act as the placer.
+//!
+//! The rows are read in pages, of which few are in flight at a time, so that a load takes its time
+//! on a slow link but neither fails there nor delays the heartbeats that it sends meanwhile.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::cx::Cx;
-use super::cx::earliest;
 use super::cx::millis;
 use super::decision::Decision;
+use super::event::CommitPurpose;
 use super::event::LoadSource;
 use super::event::ReadPurpose;
+use super::heartbeat::HeartbeatMonitor;
 use super::placer::LoadedRows;
 use super::placer::Placer;
 use super::placer::RoleGrant;
+use super::placer::RoleLoss;
+use super::rows::HEARTBEAT_KEY;
+use super::rows::HeartbeatRow;
 use super::rows::JOB_PARTS;
+use super::rows::SEQUENCE_KEY;
+use super::rows::encode;
 use super::rows::job_part_name;
+use super::table::CommitOutcome;
+use super::table::HEARTBEATS;
 use super::table::JOBS;
 use super::table::PROGRESS;
 use super::table::Page;
 use super::table::ROSTER;
 use super::table::Range;
+use super::table::RowId;
+use super::table::Transaction;
+use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
 /// Interval of the log lines about a load.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of reads in flight while none fails; after a failure it is one until a page is
+/// read.
+const MAX_READS_IN_FLIGHT: usize = 6;
+
+/// Maximum number of rows in a page.
+const PAGE_ROWS: usize = 100;
+
+/// Longest delay after a failed read. The delay starts at the retry delay of the table and doubles
+/// with each failure in a row.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+
 /// Granted role whose rows are not all read yet.
 #[derive(Debug)]
 pub(super) struct Loading {
     grant: RoleGrant,
     started_at: Now,
-    reads: Vec<RangeRead>,
+    /// Ranges of which no page is in flight.
+    queued: VecDeque<RangeRead>,
+    /// Ranges of which a page is in flight.
+    in_flight: Vec<RangeRead>,
     loaded: LoadedRows,
+    /// Time of the last page, or of the start.
+    last_page_at: Now,
+    /// Earliest time of the next read.
+    next_read_at: Now,
+    /// Delay after the next failed read.
+    retry_delay: Duration,
+    /// Whether the last answer to a read was a failure.
+    last_read_failed: bool,
     failed_reads: u32,
     next_report_at: Now,
+    next_heartbeat_at: Now,
+    heartbeat_in_flight: bool,
 }
 
 /// Paged read of a range.
@@ -41,67 +80,93 @@
     source: LoadSource,
     /// First key of the next page.
     from: Box<str>,
-    /// Time at which a failed read is repeated.
-    retry_at: Option<Now>,
 }
 
 impl Loading {
-    /// Starts the reads of a daemon that was granted the role.
+    /// Starts the reads of a daemon that was granted the role. The grant's transaction has written
+    /// the first heartbeat.
     pub fn start(cx: &mut Cx, grant: RoleGrant) -> Self {
-        let loading = Self {
+        let mut loading = Self {
             grant,
             started_at: cx.now,
-            reads: RangeRead::all(),
+            queued: RangeRead::all(),
+            in_flight: Vec::new(),
             loaded: LoadedRows {
                 read_since: cx.now,
                 ..LoadedRows::default()
             },
+            last_page_at: cx.now,
+            next_read_at: cx.now,
+            retry_delay: cx.options.table.retry_delay,
+            last_read_failed: false,
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
+            next_heartbeat_at: cx.now + cx.options.placer.heartbeat_interval,
+            heartbeat_in_flight: false,
         };
-        for read in &loading.reads {
-            read.send(cx);
-        }
+        loading.send_reads(cx);
         loading
     }
 
-    /// Repeats failed reads and logs how far the load is.
-    pub fn poll(&mut self, cx: &mut Cx) {
-        for read in &mut self.reads {
-            if read.retry_at.is_some_and(|at| cx.now >= at) {
-                read.retry_at = None;
-                read.send(cx);
-            }
+    /// Returns the epoch of the role.
+    pub fn epoch(&self) -> Epoch {
+        self.grant.owner.epoch
+    }
+
+    /// Sends the reads and the heartbeat that are due. Returns a reason if another daemon has
+    /// claimed the role, or if no page has arrived for the load timeout.
+    pub fn poll(&mut self, cx: &mut Cx, heartbeats: &HeartbeatMonitor) -> RoleLoss {
+        if let Some(holder) = heartbeats.holder_after(self.epoch()) {
+            return Some(format!("{} has epoch {}", holder.daemon, holder.epoch).into());
+        }
+        if cx.now >= self.stalled_at(cx) {
+            return Some("the load makes no progress".into());
         }
-        if cx.now >= self.next_report_at {
-            self.next_report_at = cx.now + REPORT_INTERVAL;
-            cx.log(Decision::RoleLoading {
-                epoch: self.grant.owner.epoch,
-                ranges_left: self.reads.len(),
-                rows: self.loaded.row_count(),
-                failed_reads: self.failed_reads,
-                took_ms: millis(cx.now.saturating_sub(self.started_at)),
-            });
+        self.send_reads(cx);
+        if cx.now >= self.next_heartbeat_at && !self.heartbeat_in_flight {
+            self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
+            self.heartbeat_in_flight = true;
+            self.write_heartbeat(cx, false);
         }
+        self.report(cx);
+        None
     }
 
     /// Returns the time at which [`Loading::poll`] is next due.
-    pub fn wake_at(&self) -> Option<Now> {
-        let retry_at = self.reads.iter().filter_map(|read| read.retry_at).min();
-        earliest(retry_at, Some(self.next_report_at))
+    pub fn wake_at(&self, cx: &Cx) -> Now {
+        let mut at = self.next_report_at.min(self.stalled_at(cx));
+        if !self.heartbeat_in_flight {
+            at = at.min(self.next_heartbeat_at);
+        }
+        if self.can_read() {
+            at = at.min(self.next_read_at);
+        }
+        at
     }
 
-    /// Adds a page, then requests the next one, or removes the read from the list after the last.
+    /// Handles the outcome of a heartbeat. Returns a reason if another daemon has claimed the role.
+    pub fn handle_heartbeat_outcome(&mut self, outcome: &CommitOutcome) -> RoleLoss {
+        self.heartbeat_in_flight = false;
+        match outcome {
+            CommitOutcome::Conflict(_) => Some("another daemon has claimed the role".into()),
+            // Failures are logged with their purpose; the next heartbeat follows.
+            CommitOutcome::Done(_) | CommitOutcome::Refused(_) | CommitOutcome::Unknown(_) => None,
+        }
+    }
+
+    /// Adds a page; the next one of its range is read in its turn.
     pub fn add_page(&mut self, cx: &mut Cx, source: LoadSource, page: Result<Page, Box<str>>) {
-        let Some(ix) = self.reads.iter().position(|read| read.source == source) else {
+        let mut in_flight = self.in_flight.iter();
+        let Some(ix) = in_flight.position(|read| read.source == source) else {
             return;
         };
-        let read = &mut self.reads[ix];
+        let mut read = self.in_flight.swap_remove(ix);
         let Ok(page) = page else {
-            self.failed_reads += 1;
-            read.retry_at = Some(cx.now + cx.options.table.retry_delay);
-            return;
+            return self.retry(cx, read);
         };
+        self.last_page_at = cx.now;
+        self.last_read_failed = false;
+        self.retry_delay = cx.options.table.retry_delay;
         let last = page.rows.last().map(|row| format!("{}\0", row.key));
         match source {
             LoadSource::Jobs(_) => {
@@ -112,20 +177,18 @@
             LoadSource::Progress => self.loaded.progress.extend(page.rows),
             LoadSource::Roster => self.loaded.roster.extend(page.rows),
         }
-        match last {
-            Some(last) if page.more => {
-                read.from = last.into();
-                read.send(cx);
-            }
-            _ => {
-                self.reads.swap_remove(ix);
-            }
+        if let Some(last) = last
+            && page.more
+        {
+            read.from = last.into();
+            self.queued.push_front(read);
         }
+        self.send_reads(cx);
     }
 
     /// Returns whether all rows are read.
     pub fn is_complete(&self) -> bool {
-        self.reads.is_empty()
+        self.queued.is_empty() && self.in_flight.is_empty()
     }
 
     /// Returns the version from which changes to the jobs table are followed.
@@ -148,17 +211,89 @@
         });
         placer
     }
+
+    /// Releases the role, so that another daemon can claim it at once. The outcome is not awaited:
+    /// without the write, the others claim the role once the heartbeat is overdue.
+    pub fn release(&self, cx: &mut Cx) {
+        self.write_heartbeat(cx, true);
+    }
+
+    fn retry(&mut self, cx: &Cx, read: RangeRead) {
+        self.failed_reads += 1;
+        self.last_read_failed = true;
+        self.next_read_at = cx.now + self.retry_delay;
+        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+        self.queued.push_back(read);
+    }
+
+    fn can_read(&self) -> bool {
+        let max = if self.last_read_failed {
+            1
+        } else {
+            MAX_READS_IN_FLIGHT
+        };
+        !self.queued.is_empty() && self.in_flight.len() < max
+    }
+
+    fn send_reads(&mut self, cx: &mut Cx) {
+        while cx.now >= self.next_read_at && self.can_read() {
+            let Some(read) = self.queued.pop_front() else {
+                return;
+            };
+            read.send(cx);
+            self.in_flight.push(read);
+        }
+    }
+
+    /// Writes the heartbeat. The transaction expects the sequence row as the grant wrote it, so that
+    /// it fails once another daemon has claimed the role or this one has written progress.
+    fn write_heartbeat(&self, cx: &mut Cx, released: bool) {
+        let part = &cx.options.part;
+        let heartbeat = HeartbeatRow {
+            owner: self.grant.owner.clone(),
+            released,
+            loading: true,
+            waiting: None,
+            waiting_age_ms: 0,
+        };
+        let txn = Transaction {
+            expect: vec![(RowId::new(PROGRESS, part, SEQUENCE_KEY), self.grant.version)],
+            put: vec![(
+                RowId::new(HEARTBEATS, part, HEARTBEAT_KEY),
+                encode(&heartbeat),
+            )],
+            remove: Vec::new(),
+        };
+        cx.commit(CommitPurpose::LoadingHeartbeat, txn);
+    }
+
+    fn report(&mut self, cx: &mut Cx) {
+        if cx.now < self.next_report_at {
+            return;
+        }
+        self.next_report_at = cx.now + REPORT_INTERVAL;
+        cx.log(Decision::RoleLoading {
+            epoch: self.epoch(),
+            ranges_left: self.queued.len() + self.in_flight.len(),
+            rows: self.loaded.row_count(),
+            failed_reads: self.failed_reads,
+            took_ms: millis(cx.now.saturating_sub(self.started_at)),
+        });
+    }
+
+    fn stalled_at(&self, cx: &Cx) -> Now {
+        self.last_page_at + cx.options.placer.load_timeout
+    }
 }
 
 impl RangeRead {
     /// Returns a read of each range that a new placer needs.
-    fn all() -> Vec<Self> {
+    fn all() -> VecDeque<Self> {
         let jobs = (0..JOB_PARTS).map(LoadSource::Jobs);
         let sources = jobs.chain([LoadSource::Progress, LoadSource::Roster]);
         let read = |source| Self {
             source,
             from: "".into(),
-            retry_at: None,
         };
         sources.map(read).collect()
     }
@@ -172,6 +307,7 @@
             LoadSource::Roster => Range::part(ROSTER, &own, timeout),
         };
         range.from = self.from.clone();
+        range.limit = Some(PAGE_ROWS);
         cx.read(ReadPurpose::Load(self.source), range);
     }
 }
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -57,7 +57,7 @@
     pub heartbeat_interval: Duration,
     /// Time without a heartbeat after which the placer is replaced.
     pub takeover_after: Duration,
-    /// Time without a heartbeat after which a placer that is still loading its state is replaced.
+    /// Time without a page of its rows after which a placer that is loading gives up the role.
     pub load_timeout: Duration,
     /// Time for which a placer without access to the table keeps renewing leases although many VMs
     /// do not answer either.
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -148,14 +148,8 @@
 
     /// Performs all work that is due. Returns a reason if another placer has a higher epoch.
     pub fn poll(&mut self, cx: &mut Cx, heartbeats: &HeartbeatMonitor) -> RoleLoss {
-        if let Some(heartbeat) = heartbeats.heartbeat()
-            && heartbeat.row.owner.epoch > self.owner.epoch
-        {
-            let reason = format!(
-                "{} has epoch {}",
-                heartbeat.row.owner.daemon, heartbeat.row.owner.epoch
-            );
-            return Some(reason.into());
+        if let Some(holder) = heartbeats.holder_after(self.owner.epoch) {
+            return Some(format!("{} has epoch {}", holder.daemon, holder.epoch).into());
         }
         if self.release != Release::NotRequested {
             self.write_progress(cx);
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -117,7 +117,16 @@
                 }
             }
             Self::Claiming(_) => {}
-            Self::Loading(loading) => loading.poll(cx),
+            Self::Loading(loading) if draining => {
+                loading.release(cx);
+                self.step_down(cx, feeds, "the daemon is stopping");
+            }
+            Self::Loading(loading) => {
+                if let Some(reason) = loading.poll(cx, heartbeats) {
+                    loading.release(cx);
+                    self.step_down(cx, feeds, &reason);
+                }
+            }
             Self::Placing(placer) => {
                 if let Some(reason) = placer.poll(cx, heartbeats) {
                     self.step_down(cx, feeds, &reason);
@@ -133,7 +142,7 @@
                 Some(due_at(cx, feeds, heartbeats).max(*not_before))
             }
             Self::Follower { .. } | Self::Claiming(_) => None,
-            Self::Loading(loading) => loading.wake_at(),
+            Self::Loading(loading) => Some(loading.wake_at(cx)),
             Self::Placing(placer) => placer.wake_at(cx),
         }
     }
@@ -189,6 +198,21 @@
         }
     }
 
+    /// Handles the outcome of a heartbeat that was sent while loading.
+    pub fn handle_loading_heartbeat(
+        &mut self,
+        cx: &mut Cx,
+        feeds: &mut Feeds,
+        outcome: &CommitOutcome,
+    ) {
+        let Self::Loading(loading) = self else {
+            return;
+        };
+        if let Some(reason) = loading.handle_heartbeat_outcome(outcome) {
+            self.step_down(cx, feeds, &reason);
+        }
+    }
+
     /// Handles a page of the rows that the new placer needs; starts the placer after the last one.
     pub fn handle_page(
         &mut self,
@@ -212,14 +236,17 @@
 
     /// Gives up the role for a reason, which is logged, and delays the next takeover.
     pub fn step_down(&mut self, cx: &mut Cx, feeds: &mut Feeds, reason: &str) {
-        if let Self::Placing(placer) = self {
-            cx.log(Decision::RoleLost {
-                epoch: placer.epoch(),
-                reason: reason.into(),
-            });
-            feeds.unfollow(Feed::Vms);
-            feeds.unfollow(Feed::Jobs);
-        }
+        let epoch = match self {
+            Self::Placing(placer) => placer.epoch(),
+            Self::Loading(loading) => loading.epoch(),
+            Self::Follower { .. } | Self::Claiming(_) => return self.back_off(cx),
+        };
+        cx.log(Decision::RoleLost {
+            epoch,
+            reason: reason.into(),
+        });
+        feeds.unfollow(Feed::Vms);
+        feeds.unfollow(Feed::Jobs);
         self.back_off(cx);
     }
 
@@ -357,13 +384,9 @@
     if heartbeats.holder_has_ended() {
         return last.received_at;
     }
-    let max_age = if last.row.loading {
-        cx.options.placer.load_timeout
-    } else {
-        cx.options.placer.takeover_after
-    };
     let recovered_at = feeds.recovered_at(Feed::Heartbeats).unwrap_or(Now::ZERO);
-    let due = (last.received_at + max_age).max(recovered_at + RECOVERY_GRACE);
+    let due =
+        (last.received_at + cx.options.placer.takeover_after).max(recovered_at + RECOVERY_GRACE);
     due + jitter(cx)
 }
 
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -256,6 +256,10 @@
                 self.calls.handle_cancel_outcome(cx, ticket, id, outcome);
             }
             CommitPurpose::Take => self.role.handle_claim_outcome(cx, &outcome),
+            CommitPurpose::LoadingHeartbeat => {
+                self.role
+                    .handle_loading_heartbeat(cx, &mut self.feeds, &outcome);
+            }
             CommitPurpose::Address => {
                 self.address_state = match outcome {
                     CommitOutcome::Done(_) => AddressState::Written,
--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -78,6 +78,8 @@
     pub from: Box<str>,
     /// End of the range, exclusive; empty for none.
     pub to: Box<str>,
+    /// Maximum number of rows in the answer; `None` for the maximum of the table service.
+    pub limit: Option<usize>,
     /// Timeout of the read.
     pub timeout: Duration,
 }
@@ -114,6 +116,7 @@
             part: part.into(),
             from: key.into(),
             to: format!("{key}\0").into(),
+            limit: None,
             timeout,
         }
     }
@@ -126,6 +129,7 @@
             part: part.into(),
             from: prefix.into(),
             to: format!("{prefix}\u{7f}").into(),
+            limit: None,
             timeout,
         }
     }
@@ -138,6 +142,7 @@
             part: part.into(),
             from: "".into(),
             to: "".into(),
+            limit: None,
             timeout,
         }
     }
--- a/tests/workload/table.rs
+++ b/tests/workload/table.rs
@@ -61,11 +61,11 @@
         let rows = self.rows.iter().filter(|((table, part, key), (_, value))| {
             *table == range.table && *part == range.part && inside(key) && value.is_some()
         });
+        let mut rows = rows.map(|(key, (version, value))| table_row(key, *version, value.as_ref()));
+        let limit = range.limit.unwrap_or(usize::MAX);
         Page {
-            rows: rows
-                .map(|(key, (version, value))| table_row(key, *version, value.as_ref()))
-                .collect(),
-            more: false,
+            rows: rows.by_ref().take(limit).collect(),
+            more: rows.next().is_some(),
             version: self.version,
         }
     }
