Probe a silent table with reads of one row, and watch it in one call

Cause: after a failed watch it sent one each 200 ms, whatever was outstanding, and each asked for all changes since the last answer. Once these were more than the link carries in a watch's 0.6 s, none of them ended, and what they fetched grew all the while. The overlapping calls were there to notice the return of a silent table soon.

That is now the task of a read of one row, each 200 ms; the followed tables are called again, once each, when it is answered. The test of calls at a time failed before (4 at a time for each table) and passes. The one of a placer that has fallen behind still fails: a watch that takes longer than its timeout is given up.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -129,16 +129,19 @@
     Load(LoadSource),
     /// Sequence row, after a progress write whose outcome is unknown.
     Sequence,
+    /// A single row, sent at this time to find out whether the table service answers.
+    Probe(Now),
 }
 
 impl ReadPurpose {
-    /// Returns whether a caller waits for the read. The handler of such a read logs a failure and
-    /// replies with it.
+    /// Returns whether a failure of the read is logged where it is received. It is not for a read
+    /// that a caller waits for, as its handler logs the failure and replies with it, nor for a
+    /// probe, as the failure that it follows is logged.
     #[must_use]
-    pub fn is_for_caller(&self) -> bool {
-        matches!(
+    pub fn logs_failure(&self) -> bool {
+        !matches!(
             self,
-            Self::Status(..) | Self::Existence(..) | Self::Cancel(..)
+            Self::Status(..) | Self::Existence(..) | Self::Cancel(..) | Self::Probe(_)
         )
     }
 }
--- a/src/core/workload/feeds.rs
+++ b/src/core/workload/feeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::cx::Cx;
+use super::cx::earliest;
 use super::cx::millis;
 use super::decision::Decision;
 use super::effect::Request;
@@ -11,11 +12,15 @@
 use super::event::FeedAnswer;
 use super::event::FeedCall;
 use super::event::FeedRow;
+use super::event::ReadPurpose;
+use super::rows::OWNER_KEY;
+use super::table::JOBS;
+use super::table::Range;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
-/// Interval of the watches on a table that does not answer. They overlap, because a lost one is
-/// detected only at its timeout.
+/// Interval of the probes of a table service that does not answer. They overlap, because a lost one
+/// is detected only at its timeout.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// All followed tables.
@@ -23,6 +28,8 @@
 pub(super) struct Feeds {
     tables: Vec<FollowedTable>,
     last_answer_at: Option<Now>,
+    /// Earliest time of the next probe.
+    next_probe_at: Now,
 }
 
 /// State of a followed table.
@@ -37,6 +44,8 @@
     next_at: Now,
     /// Whether the last call failed.
     is_down: bool,
+    /// Time of the last failure, if no probe that was sent later has been answered yet.
+    unprobed_since: Option<Now>,
     /// Number of calls that have failed since the last answer.
     failures: u32,
     /// Time of the last answer.
@@ -67,6 +76,7 @@
             sent_at: None,
             next_at: Now::ZERO,
             is_down: false,
+            unprobed_since: None,
             failures: 0,
             answered_at: None,
             recovered_at: None,
@@ -101,13 +111,18 @@
         tables.find(|table| table.feed == feed)?.recovered_at
     }
 
-    /// Sends the calls that are due. Watches on a table that does not answer return at once.
+    /// Sends the calls that are due.
+    ///
+    /// After a failure, a table is called again only once a probe, a read of one row, is answered:
+    /// the answer to a watch carries all changes since the last one, and to transfer them several
+    /// times at once would fill a slow link.
     pub fn poll(&mut self, cx: &mut Cx) {
+        self.probe(cx);
         let options = &cx.options.table;
         let (wait, margin) = (options.watch_wait, options.watch_margin);
         let read_timeout = options.read_timeout;
         for table in &mut self.tables {
-            if cx.now < table.due_at() {
+            if table.due_at().is_none_or(|at| cx.now < at) {
                 continue;
             }
             table.sent_at = Some(cx.now);
@@ -142,8 +157,7 @@
             .tables
             .iter_mut()
             .find(|table| table.feed == call.feed)?;
-        let is_last = table.sent_at == Some(call.sent);
-        if !is_last && !table.is_recovery(&answer) {
+        if table.sent_at != Some(call.sent) {
             return None;
         }
         table.sent_at = None;
@@ -175,7 +189,8 @@
                 return None;
             }
             FeedAnswer::Failed(reason) => {
-                table.next_at = cx.now + cx.options.table.retry_delay;
+                table.unprobed_since = Some(cx.now);
+                self.next_probe_at = cx.now + cx.options.table.retry_delay;
                 table.failures += 1;
                 if !table.is_down {
                     table.is_down = true;
@@ -195,31 +210,50 @@
         Some(update)
     }
 
-    /// Returns the time at which the next call is due, if any.
+    /// Handles the answer to a probe. If it was answered, the tables whose calls failed before it was
+    /// sent are called again.
+    pub fn handle_probe(&mut self, now: Now, sent: Now, is_answered: bool) {
+        if !is_answered {
+            return;
+        }
+        for table in &mut self.tables {
+            if table.unprobed_since.is_some_and(|since| since <= sent) {
+                table.unprobed_since = None;
+                table.next_at = now;
+            }
+        }
+    }
+
+    /// Returns the time at which the next call or probe is due, if any.
     pub fn wake_at(&self) -> Option<Now> {
-        let due = self.tables.iter().map(FollowedTable::due_at);
-        due.min().filter(|&at| at < Now::MAX)
+        let calls = self.tables.iter().filter_map(FollowedTable::due_at).min();
+        let probe = self.needs_probe().then_some(self.next_probe_at);
+        earliest(calls, probe)
     }
-}
 
-impl FollowedTable {
-    /// Returns the time at which the next call is due. While a call is outstanding this is
-    /// `Now::MAX`, unless the table does not answer; then further watches are sent.
-    fn due_at(&self) -> Now {
-        match self.sent_at {
-            None => self.next_at,
-            Some(sent) if self.is_down && self.version.is_some() => sent + PROBE_INTERVAL,
-            Some(_) => Now::MAX,
-        }
+    fn needs_probe(&self) -> bool {
+        let mut tables = self.tables.iter();
+        tables.any(|table| table.unprobed_since.is_some())
     }
 
-    /// Returns whether the answer to an earlier call than the last one shows that the table answers
-    /// again and is not older than the known version.
-    fn is_recovery(&self, answer: &FeedAnswer) -> bool {
-        match answer {
-            FeedAnswer::Changes(_, version) => self.is_down && Some(*version) >= self.version,
-            _ => false,
+    /// Sends a probe if one is due.
+    fn probe(&mut self, cx: &mut Cx) {
+        if !self.needs_probe() || cx.now < self.next_probe_at {
+            return;
         }
+        self.next_probe_at = cx.now + PROBE_INTERVAL;
+        let timeout = cx.options.table.read_timeout;
+        let range = Range::row(JOBS, &cx.options.part, OWNER_KEY, timeout);
+        cx.read(ReadPurpose::Probe(cx.now), range);
+    }
+}
+
+impl FollowedTable {
+    /// Returns the time at which the next call is due; `None` while a call is outstanding or a probe
+    /// is awaited.
+    fn due_at(&self) -> Option<Now> {
+        let is_free = self.sent_at.is_none() && self.unprobed_since.is_none();
+        is_free.then_some(self.next_at)
     }
 
     /// Returns the time since the last answer; `None` before the first.
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -291,7 +291,7 @@
             out,
         );
         let cx = &mut cx;
-        if let (Err(reason), false) = (&page, purpose.is_for_caller()) {
+        if let (Err(reason), true) = (&page, purpose.logs_failure()) {
             cx.log(Decision::ReadFailed {
                 purpose: format!("{purpose:?}").into(),
                 reason: reason.clone(),
@@ -306,6 +306,7 @@
             ReadPurpose::Owner => self.role.handle_owner_row(cx, false, page),
             ReadPurpose::Settle => self.role.handle_owner_row(cx, true, page),
             ReadPurpose::Load(source) => self.role.handle_page(cx, &mut self.feeds, source, page),
+            ReadPurpose::Probe(sent) => self.feeds.handle_probe(now, sent, page.is_ok()),
             ReadPurpose::Sequence => return self.role.placer()?.handle_sequence_row(cx, page),
         }
         None
