Count the bytes that calls receive, and answers that time out part-way

Two counters, both labelled with the request and the followed table: ragwortstall_received_bytes_total counts the bodies of answers as they arrive, so that answers that are cut off or time out are included; ragwortstall_answers_timed_out_total counts calls that time out after the head of the answer. The platform's calls carry their labels among the extensions of the HTTP request; other users of the client carry none and are not counted. Heads of answers are not counted. Timeouts, errors and the reuse of connections are as before.

No test covers the labels that platform/ chooses.

--- a/src/shell/net/client.rs
+++ b/src/shell/net/client.rs
@@ -23,6 +23,7 @@
 use hyper::client::conn::http1;
 use metrics::counter;
 
+use super::CallLabel;
 use super::Error;
 use super::Result;
 use super::pool::Conn;
@@ -55,12 +56,24 @@
     }
 }
 
-/// Client with pooled connections that reads complete responses.
+/// Client with pooled connections that reads complete responses. It counts the received bytes of
+/// requests that carry a [`CallLabel`] among their extensions.
 pub struct Client {
     options: ClientOptions,
     pool: RefCell<Pool>,
 }
 
+/// Step that an exchange has reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Opens a connection.
+    Connect,
+    /// The request may have been sent.
+    Sent,
+    /// The head of the response has been received.
+    Body,
+}
+
 impl Client {
     /// Returns a client with no open connections.
     #[must_use]
@@ -92,12 +105,12 @@
         max_idle: usize,
     ) -> Result<Response<Bytes>> {
         let started = Instant::now();
-        let sent = Cell::new(false);
-        let exchange = self.exchange(addr, req, max_idle, &sent);
+        let label = req.extensions().get::<CallLabel>().copied();
+        let step = Cell::new(Step::Connect);
+        let exchange = self.exchange(addr, req, max_idle, &step);
         let result = match time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) if sent.get() => Err(Error::ResponseTimeout(addr)),
-            Err(_) => Err(Error::ConnectTimeout(addr)),
+            Err(_) => Err(timeout_error(addr, step.get(), label)),
         };
         if let Err(err) = &result
             && err.may_have_been_received()
@@ -119,8 +132,9 @@
         addr: SocketAddr,
         mut req: Request<Full<Bytes>>,
         max_idle: usize,
-        sent: &Cell<bool>,
+        step: &Cell<Step>,
     ) -> Result<Response<Bytes>> {
+        let label = req.extensions().get::<CallLabel>().copied();
         loop {
             let pooled = self.pool.borrow_mut().take(addr);
             let fresh = pooled.is_none();
@@ -128,9 +142,12 @@
                 Some(conn) => conn,
                 None => self.open(addr).await?,
             };
-            sent.set(true);
+            step.set(Step::Sent);
             match conn.tx.try_send_request(req).await {
-                Ok(res) => return self.read_response(addr, conn, res, max_idle).await,
+                Ok(res) => {
+                    step.set(Step::Body);
+                    return self.read_response(addr, conn, res, max_idle, label).await;
+                }
                 Err(mut err) => match err.take_message() {
                     // The pooled connection was already closed and nothing was sent on it.
                     Some(unsent) if !fresh => req = unsent,
@@ -138,7 +155,7 @@
                     None => return Err(Error::IncompleteResponse(addr, err.into_error())),
                 },
             }
-            sent.set(false);
+            step.set(Step::Connect);
         }
     }
 
@@ -148,17 +165,29 @@
         mut conn: Conn,
         res: Response<Incoming>,
         max_idle: usize,
+        label: Option<CallLabel>,
     ) -> Result<Response<Bytes>> {
         let (head, body) = res.into_parts();
-        let body = self.read_body(addr, body).await?;
+        let body = self.read_body(addr, body, label).await?;
         if max_idle > 0 && conn.tx.ready().await.is_ok() {
             self.pool.borrow_mut().put_back(addr, conn, max_idle);
         }
         Ok(Response::from_parts(head, body))
     }
 
-    async fn read_body(&self, addr: SocketAddr, body: Incoming) -> Result<Bytes> {
+    async fn read_body(
+        &self,
+        addr: SocketAddr,
+        body: Incoming,
+        label: Option<CallLabel>,
+    ) -> Result<Bytes> {
         let limit = self.options.max_body;
+        let body = body.map_frame(|frame| {
+            if let (Some(label), Some(data)) = (label, frame.data_ref()) {
+                label.count_received(data.len());
+            }
+            frame
+        });
         match Limited::new(body, limit).collect().await {
             Ok(body) => Ok(body.to_bytes()),
             Err(err) => match err.downcast::<hyper::Error>() {
@@ -187,6 +216,17 @@
     }
 }
 
+/// Returns the error of a timeout in `step`, and counts one that cut a response off.
+fn timeout_error(addr: SocketAddr, step: Step, label: Option<CallLabel>) -> Error {
+    if let (Step::Body, Some(label)) = (step, label) {
+        label.count_timed_out();
+    }
+    match step {
+        Step::Connect => Error::ConnectTimeout(addr),
+        Step::Sent | Step::Body => Error::ResponseTimeout(addr),
+    }
+}
+
 /// Opens a TCP connection with `TCP_NODELAY`; fails after `timeout`.
 pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream> {
     let stream = match time::timeout(timeout, TcpStream::connect(addr)).await {
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod error;
 mod exec;
+mod label;
 mod limiter;
 mod pool;
 mod server;
@@ -15,6 +16,7 @@
 pub use error::Error;
 pub use error::Result;
 pub use exec::LocalExecutor;
+pub use label::CallLabel;
 pub use limiter::ExchangePermit;
 pub use limiter::PerServerLimiter;
 pub use server::Body;
