Let reads of the table service continue while their answer arrives

Cause: a call had one time limit for its whole answer. An answer that is larger than the link carries within the timeout failed however often it was tried, and each try used the link for nothing.

Fix: Client::fetch takes the timeout as the longest time without progress. It bounds opening the connection and waiting for the head together, and then each wait for a further part of the body. ClientOptions::max_transfer bounds the time from the head to the end, 10 s by default. An answer that keeps arriving is thus read to its end, and one that stops fails one timeout after its last byte. New errors tell which limit was passed: Stalled and TooSlow; both count as possibly received. The connection is closed, as before. Commits, advice, VM orders, endpoints and workers keep the deadline on the whole exchange.

--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -56,7 +56,7 @@
     ReadAll {
         /// Identifies the call.
         call: FeedCall,
-        /// Timeout of the request.
+        /// Longest time without progress.
         timeout: Duration,
     },
     /// Waits for changes of a followed table.
@@ -67,7 +67,7 @@
         after: Rev,
         /// Longest time that the table service waits for a change.
         wait: Duration,
-        /// Timeout of the request.
+        /// Longest time without progress.
         timeout: Duration,
     },
     /// Renews the lease of a VM and reads its running tasks and ended runs.
--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -78,7 +78,7 @@
     pub from: Box<str>,
     /// End of the range, exclusive; empty for none.
     pub to: Box<str>,
-    /// Timeout of the read.
+    /// Longest time of the read without progress.
     pub timeout: Duration,
 }
 
--- a/src/shell/net/client.rs
+++ b/src/shell/net/client.rs
@@ -4,7 +4,6 @@
 //! response has been read. An abandoned exchange closes its connection, so that a late response
 //! cannot be delivered to another request.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,6 +27,12 @@
 use super::Result;
 use super::pool::Conn;
 use super::pool::Pool;
+use super::progress::Limit;
+use super::progress::Progress;
+
+/// Default of [`ClientOptions::max_transfer`]: three times as long as 4 MB take on a free link of
+/// 10 Mbit/s, as answers share the link.
+const MAX_TRANSFER: Duration = Duration::from_secs(10);
 
 /// Limits on connections and responses.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +47,8 @@
     pub max_idle: usize,
     /// Maximum size of a response body, in bytes.
     pub max_body: usize,
+    /// Maximum time from the head of a response to its end, if it is read with [`Client::fetch`].
+    pub max_transfer: Duration,
 }
 
 impl Default for ClientOptions {
@@ -52,6 +59,7 @@
             max_age: Duration::from_secs(120),
             max_idle: 64,
             max_body: 64 << 20,
+            max_transfer: MAX_TRANSFER,
         }
     }
 }
@@ -63,17 +71,6 @@
     pool: RefCell<Pool>,
 }
 
-/// Step that an exchange has reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    /// Opens a connection.
-    Connect,
-    /// The request may have been sent.
-    Sent,
-    /// The head of the response has been received.
-    Body,
-}
-
 impl Client {
     /// Returns a client with no open connections.
     #[must_use]
@@ -104,21 +101,23 @@
         timeout: Duration,
         max_idle: usize,
     ) -> Result<Response<Bytes>> {
-        let started = Instant::now();
-        let label = req.extensions().get::<CallLabel>().copied();
-        let step = Cell::new(Step::Connect);
-        let exchange = self.exchange(addr, req, max_idle, &step);
-        let result = match time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(timeout_error(addr, step.get(), label)),
+        self.run(addr, req, Limit::Total(timeout), max_idle).await
+    }
+
+    /// Sends `req` to `addr` and reads the complete response, for as long as it arrives: fails if
+    /// its head takes longer than `timeout`, if no further part of its body arrives for `timeout`,
+    /// or if the body takes longer than [`ClientOptions::max_transfer`].
+    pub async fn fetch(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>> {
+        let limit = Limit::Progress {
+            timeout,
+            max_transfer: self.options.max_transfer,
         };
-        if let Err(err) = &result
-            && err.may_have_been_received()
-        {
-            counter!("ragwortstall_exchanges_broken_total").increment(1);
-            self.pool.borrow_mut().mark_suspect(addr, started);
-        }
-        result
+        self.run(addr, req, limit, self.options.max_idle).await
     }
 
     /// Returns the number of idle connections to a server.
@@ -127,14 +126,36 @@
         self.pool.borrow().idle_count(addr)
     }
 
+    async fn run(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        limit: Limit,
+        max_idle: usize,
+    ) -> Result<Response<Bytes>> {
+        let progress = Progress::new(req.extensions().get::<CallLabel>().copied());
+        let exchange = self.exchange(addr, req, max_idle, &progress);
+        let result = match progress.run(limit, exchange).await {
+            Some(result) => result,
+            None => Err(progress.timeout_error(addr, limit)),
+        };
+        if let Err(err) = &result
+            && err.may_have_been_received()
+        {
+            counter!("ragwortstall_exchanges_broken_total").increment(1);
+            let mut pool = self.pool.borrow_mut();
+            pool.mark_suspect(addr, progress.started_at());
+        }
+        result
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddr,
         mut req: Request<Full<Bytes>>,
         max_idle: usize,
-        step: &Cell<Step>,
+        progress: &Progress,
     ) -> Result<Response<Bytes>> {
-        let label = req.extensions().get::<CallLabel>().copied();
         loop {
             let pooled = self.pool.borrow_mut().take(addr);
             let fresh = pooled.is_none();
@@ -142,11 +163,13 @@
                 Some(conn) => conn,
                 None => self.open(addr).await?,
             };
-            step.set(Step::Sent);
+            progress.set_sent();
             match conn.tx.try_send_request(req).await {
                 Ok(res) => {
-                    step.set(Step::Body);
-                    return self.read_response(addr, conn, res, max_idle, label).await;
+                    progress.add_head();
+                    return self
+                        .read_response(addr, conn, res, max_idle, progress)
+                        .await;
                 }
                 Err(mut err) => match err.take_message() {
                     // The pooled connection was already closed and nothing was sent on it.
@@ -155,7 +178,7 @@
                     None => return Err(Error::IncompleteResponse(addr, err.into_error())),
                 },
             }
-            step.set(Step::Connect);
+            progress.set_connecting();
         }
     }
 
@@ -165,10 +188,10 @@
         mut conn: Conn,
         res: Response<Incoming>,
         max_idle: usize,
-        label: Option<CallLabel>,
+        progress: &Progress,
     ) -> Result<Response<Bytes>> {
         let (head, body) = res.into_parts();
-        let body = self.read_body(addr, body, label).await?;
+        let body = self.read_body(addr, body, progress).await?;
         if max_idle > 0 && conn.tx.ready().await.is_ok() {
             self.pool.borrow_mut().put_back(addr, conn, max_idle);
         }
@@ -179,12 +202,12 @@
         &self,
         addr: SocketAddr,
         body: Incoming,
-        label: Option<CallLabel>,
+        progress: &Progress,
     ) -> Result<Bytes> {
         let limit = self.options.max_body;
         let body = body.map_frame(|frame| {
-            if let (Some(label), Some(data)) = (label, frame.data_ref()) {
-                label.count_received(data.len());
+            if let Some(data) = frame.data_ref() {
+                progress.add_body(data.len());
             }
             frame
         });
@@ -216,17 +239,6 @@
     }
 }
 
-/// Returns the error of a timeout in `step`, and counts one that cut a response off.
-fn timeout_error(addr: SocketAddr, step: Step, label: Option<CallLabel>) -> Error {
-    if let (Step::Body, Some(label)) = (step, label) {
-        label.count_timed_out();
-    }
-    match step {
-        Step::Connect => Error::ConnectTimeout(addr),
-        Step::Sent | Step::Body => Error::ResponseTimeout(addr),
-    }
-}
-
 /// Opens a TCP connection with `TCP_NODELAY`; fails after `timeout`.
 pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream> {
     let stream = match time::timeout(timeout, TcpStream::connect(addr)).await {
--- a/src/shell/net/error.rs
+++ b/src/shell/net/error.rs
@@ -40,6 +40,14 @@
         ResponseTimeout(addr: SocketAddr) {
             display("wait for answer from {addr}: timed out")
         }
+        /// The head of the response was received, but then no part of its body within the timeout.
+        Stalled(addr: SocketAddr) {
+            display("read answer from {addr}: timed out without progress")
+        }
+        /// The response arrived too slowly to be complete within the limit on its whole body.
+        TooSlow(addr: SocketAddr) {
+            display("read answer from {addr}: not complete within the limit")
+        }
         /// The server's address is not an IP address with a port.
         Address(address: Box<str>) {
             display("address {address:?} is faulty")
@@ -62,7 +70,11 @@
     pub fn may_have_been_received(&self) -> bool {
         matches!(
             self,
-            Self::IncompleteResponse(..) | Self::ResponseTimeout(..) | Self::TooLarge(..)
+            Self::IncompleteResponse(..)
+                | Self::ResponseTimeout(..)
+                | Self::Stalled(..)
+                | Self::TooSlow(..)
+                | Self::TooLarge(..)
         )
     }
 }
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -7,6 +7,7 @@
 mod label;
 mod limiter;
 mod pool;
+mod progress;
 mod server;
 mod timer;
 
