--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -80,7 +80,7 @@
     pub to: Box<str>,
     /// Maximum number of rows in the answer; `None` for the maximum of the table service.
     pub limit: Option<usize>,
-    /// Timeout of the read.
+    /// Longest time of the read without progress.
     pub timeout: Duration,
 }
 
--- a/src/shell/net/client.rs
+++ b/src/shell/net/client.rs
@@ -4,7 +4,6 @@
 //! response has been read. An abandoned exchange closes its connection, so that a late response
 //! cannot be delivered to another request.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,10 +22,17 @@
 use hyper::client::conn::http1;
 use metrics::counter;
 
+use super::CallLabel;
 use super::Error;
 use super::Result;
 use super::pool::Conn;
 use super::pool::Pool;
+use super::progress::Limit;
+use super::progress::Progress;
+
+/// Default of [`ClientOptions::max_transfer`]: three times as long as 4 MB take on a free link of
+/// 10 Mbit/s, as answers share the link.
+const MAX_TRANSFER: Duration = Duration::from_secs(10);
 
 /// Limits on connections and responses.
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +47,8 @@
     pub max_idle: usize,
     /// Maximum size of a response body, in bytes.
     pub max_body: usize,
+    /// Maximum time from the head of a response to its end, if it is read with [`Client::fetch`].
+    pub max_transfer: Duration,
 }
 
 impl Default for ClientOptions {
@@ -51,11 +59,13 @@
             max_age: Duration::from_secs(120),
             max_idle: 64,
             max_body: 64 << 20,
+            max_transfer: MAX_TRANSFER,
         }
     }
 }
 
-/// Client with pooled connections that reads complete responses.
+/// Client with pooled connections that reads complete responses. It counts the received bytes of
+/// requests that carry a [`CallLabel`] among their extensions.
 pub struct Client {
     options: ClientOptions,
     pool: RefCell<Pool>,
@@ -91,21 +101,23 @@
         timeout: Duration,
         max_idle: usize,
     ) -> Result<Response<Bytes>> {
-        let started = Instant::now();
-        let sent = Cell::new(false);
-        let exchange = self.exchange(addr, req, max_idle, &sent);
-        let result = match time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) if sent.get() => Err(Error::ResponseTimeout(addr)),
-            Err(_) => Err(Error::ConnectTimeout(addr)),
+        self.run(addr, req, Limit::Total(timeout), max_idle).await
+    }
+
+    /// Sends `req` to `addr` and reads the complete response, for as long as it arrives: fails if
+    /// its head takes longer than `timeout`, if no further part of its body arrives for `timeout`,
+    /// or if the body takes longer than [`ClientOptions::max_transfer`].
+    pub async fn fetch(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>> {
+        let limit = Limit::Progress {
+            timeout,
+            max_transfer: self.options.max_transfer,
         };
-        if let Err(err) = &result
-            && err.may_have_been_received()
-        {
-            counter!("ragwortstall_exchanges_broken_total").increment(1);
-            self.pool.borrow_mut().mark_suspect(addr, started);
-        }
-        result
+        self.run(addr, req, limit, self.options.max_idle).await
     }
 
     /// Returns the number of idle connections to a server.
@@ -114,12 +126,35 @@
         self.pool.borrow().idle_count(addr)
     }
 
+    async fn run(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        limit: Limit,
+        max_idle: usize,
+    ) -> Result<Response<Bytes>> {
+        let progress = Progress::new(req.extensions().get::<CallLabel>().copied());
+        let exchange = self.exchange(addr, req, max_idle, &progress);
+        let result = match progress.run(limit, exchange).await {
+            Some(result) => result,
+            None => Err(progress.timeout_error(addr, limit)),
+        };
+        if let Err(err) = &result
+            && err.may_have_been_received()
+        {
+            counter!("ragwortstall_exchanges_broken_total").increment(1);
+            let mut pool = self.pool.borrow_mut();
+            pool.mark_suspect(addr, progress.started_at());
+        }
+        result
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddr,
         mut req: Request<Full<Bytes>>,
         max_idle: usize,
-        sent: &Cell<bool>,
+        progress: &Progress,
     ) -> Result<Response<Bytes>> {
         loop {
             let pooled = self.pool.borrow_mut().take(addr);
@@ -128,9 +163,14 @@
                 Some(conn) => conn,
                 None => self.open(addr).await?,
             };
-            sent.set(true);
+            progress.set_sent();
             match conn.tx.try_send_request(req).await {
-                Ok(res) => return self.read_response(addr, conn, res, max_idle).await,
+                Ok(res) => {
+                    progress.add_head();
+                    return self
+                        .read_response(addr, conn, res, max_idle, progress)
+                        .await;
+                }
                 Err(mut err) => match err.take_message() {
                     // The pooled connection was already closed and nothing was sent on it.
                     Some(unsent) if !fresh => req = unsent,
@@ -138,7 +178,7 @@
                     None => return Err(Error::IncompleteResponse(addr, err.into_error())),
                 },
             }
-            sent.set(false);
+            progress.set_connecting();
         }
     }
 
@@ -148,17 +188,29 @@
         mut conn: Conn,
         res: Response<Incoming>,
         max_idle: usize,
+        progress: &Progress,
     ) -> Result<Response<Bytes>> {
         let (head, body) = res.into_parts();
-        let body = self.read_body(addr, body).await?;
+        let body = self.read_body(addr, body, progress).await?;
         if max_idle > 0 && conn.tx.ready().await.is_ok() {
             self.pool.borrow_mut().put_back(addr, conn, max_idle);
         }
         Ok(Response::from_parts(head, body))
     }
 
-    async fn read_body(&self, addr: SocketAddr, body: Incoming) -> Result<Bytes> {
+    async fn read_body(
+        &self,
+        addr: SocketAddr,
+        body: Incoming,
+        progress: &Progress,
+    ) -> Result<Bytes> {
         let limit = self.options.max_body;
+        let body = body.map_frame(|frame| {
+            if let Some(data) = frame.data_ref() {
+                progress.add_body(data.len());
+            }
+            frame
+        });
         match Limited::new(body, limit).collect().await {
             Ok(body) => Ok(body.to_bytes()),
             Err(err) => match err.downcast::<hyper::Error>() {
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -4,8 +4,10 @@
 mod client;
 mod error;
 mod exec;
+mod label;
 mod limiter;
 mod pool;
+mod progress;
 mod server;
 mod timer;
 
@@ -15,6 +17,7 @@
 pub use error::Error;
 pub use error::Result;
 pub use exec::LocalExecutor;
+pub use label::CallLabel;
 pub use limiter::ExchangePermit;
 pub use limiter::PerServerLimiter;
 pub use server::Body;
