Daemons on hosts with more capacity take the placer role first

Cause: whoever claimed first, after a random delay, became the placer: 32 of the 40 daemons have links of 10 Mbit/s.

Change: the settings' `[limits]` give each daemon its host's capacity, which it publishes in its address row. A host's fitness is its smallest share of the largest known amounts, relative to the fittest host. A follower waits up to a third of `takeover_after` longer, the lower its fitness is; no delay for an earlier process of the same daemon. The probers of a late holder are selected among the fit and among the other daemons separately, so that a fit one learns of the end of the process too: on average up to 8 probes for a heartbeat in a cell of unequal hosts, 4 as before among equal ones. A placer with a fitness below one half, and with no active job, no run, no unwritten progress and no VM to be fenced, releases the role and becomes a follower: 2 s after the grant at the earliest; 30 s after if the fitter hosts were announced more than 3 s before the grant, as these did not claim then. While a release is in progress the placer wakes only for its writes; it does nothing else then.

Why this works: claims are ordered by delay and decided by compare-and-set as before, so a delay can only change who is first. The delay is bounded, so the role goes to a small host if no other claims. Hosts of equal or unknown capacity have a fitness of 1 and no delay.

The changed `wake_at` has no test of its own.

--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -1,4 +1,5 @@
-//! Monitor of the placer's heartbeat and the daemons' addresses, which every daemon follows.
+//! Monitor of the placer's heartbeat and the daemons' addresses and hosts, which every daemon
+//! follows.
 
 use rustc_hash::FxHashMap;
 
@@ -8,6 +9,7 @@
 use super::event::FeedRow;
 use super::event::ProbeResult;
 use super::feeds::Update;
+use super::hosts::Hosts;
 use super::probe::HolderProbe;
 use super::rows::AddressRow;
 use super::rows::DAEMONS_PART;
@@ -19,13 +21,15 @@
 use crate::core::model::Now;
 use crate::core::model::Rev;
 
-/// Last heartbeat of the placer, state of its process, and addresses of the daemons.
+/// Last heartbeat of the placer, state of its process, and addresses and hosts of the daemons.
 #[derive(Debug, Default)]
 pub(super) struct HeartbeatMonitor {
     last: Option<Heartbeat>,
     probe: HolderProbe,
     /// Addresses of the daemons for calls between them.
     pub addresses: FxHashMap<DaemonId, Box<str>>,
+    /// Hosts of the daemons.
+    pub hosts: Hosts,
 }
 
 /// Heartbeat of the placer.
@@ -48,7 +52,7 @@
     /// Probes the holder's process if its heartbeat is late.
     pub fn poll(&mut self, cx: &mut Cx) {
         if let Some(last) = &self.last {
-            self.probe.poll(cx, last, &self.addresses);
+            self.probe.poll(cx, last, &self.addresses, &self.hosts);
         }
     }
 
@@ -59,7 +63,7 @@
 
     /// Handles the result of a probe that was sent after the heartbeat of this version.
     pub fn handle_probe_result(&mut self, cx: &mut Cx, version: Rev, result: &ProbeResult) {
-        let ended = self.probe.record_result(version, result);
+        let ended = self.probe.record_result(cx.now, version, result);
         if ended && let Some(last) = self.last.as_ref().filter(|last| last.version == version) {
             cx.log(Decision::HolderEnded {
                 daemon: last.row.owner.daemon.clone(),
@@ -71,8 +75,12 @@
 
     /// Returns whether the process that sent the last heartbeat is known to have ended.
     pub fn holder_has_ended(&self) -> bool {
-        let last = self.last.as_ref();
-        last.is_some_and(|last| self.probe.has_ended(last))
+        self.holder_ended_at().is_some()
+    }
+
+    /// Returns the time at which the process that sent the last heartbeat was found to have ended.
+    pub fn holder_ended_at(&self) -> Option<Now> {
+        self.probe.ended_at(self.last.as_ref()?)
     }
 
     /// Applies rows of the followed table; logs those that cannot be decoded.
@@ -89,14 +97,14 @@
 
     fn apply_row(&mut self, cx: &Cx, row: &TableRow) -> super::rows::Result<()> {
         if &*row.part == DAEMONS_PART {
-            match &row.value {
-                Some(value) => {
-                    let address: AddressRow = decode(value)?;
-                    self.addresses.insert(row.key.clone(), address.peer);
-                }
-                None => {
-                    self.addresses.remove(&row.key);
-                }
+            if let Some(value) = &row.value {
+                let address: AddressRow = decode(value)?;
+                self.hosts
+                    .update(&row.key, row.version, address.capacity, cx.now);
+                self.addresses.insert(row.key.clone(), address.peer);
+            } else {
+                self.hosts.remove(&row.key);
+                self.addresses.remove(&row.key);
             }
         } else if row.part == cx.options.part && &*row.key == HEARTBEAT_KEY {
             self.last = match &row.value {
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -6,6 +6,7 @@
 //! which VMs reject orders of earlier placers. It renews the leases and starts and stops tasks on
 //! the VMs.
 
+pub mod capacity;
 pub mod catalog;
 pub mod decision;
 pub mod effect;
@@ -21,6 +22,7 @@
 mod cx;
 mod feeds;
 mod heartbeat;
+mod hosts;
 mod placer;
 mod probe;
 mod role;
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::capacity::HostCapacity;
 use crate::core::model::DaemonId;
 use crate::core::model::ZoneId;
 
@@ -14,6 +15,8 @@
     pub zone: ZoneId,
     /// Address of this daemon for calls from other daemons.
     pub peer_address: Box<str>,
+    /// Capacity of this daemon's host.
+    pub capacity: HostCapacity,
     /// Random number that distinguishes this process from earlier processes of the same daemon.
     pub nonce: u64,
     /// Name of the part of the cell whose VMs are managed by one placer, which is this daemon or
@@ -116,6 +119,7 @@
             daemon: daemon.into(),
             zone: zone.into(),
             peer_address: "".into(),
+            capacity: HostCapacity::default(),
             nonce,
             part: "p0".into(),
             drain_timeout: Duration::from_secs(4),
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -97,6 +97,7 @@
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
             release: Release::NotRequested,
+            hands_over: false,
         };
         for row in rows.roster {
             placer.load_vm(cx, &row);
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -5,6 +5,7 @@
 mod completion;
 mod dispatch;
 mod fleet;
+mod hand_over;
 mod job_registry;
 mod load;
 mod progress;
@@ -89,6 +90,8 @@
     next_round_at: Option<Now>,
     last_round_at: Now,
     release: Release,
+    /// Whether the role is released to a daemon on a fitter host, and not because of a drain.
+    hands_over: bool,
 }
 
 /// State of a voluntary release of the role.
@@ -154,6 +157,9 @@
             );
             return Some(reason.into());
         }
+        if let Some(reason) = self.poll_hand_over(cx, heartbeats) {
+            return Some(reason);
+        }
         if self.release != Release::NotRequested {
             self.write_progress(cx);
             return None;
@@ -171,6 +177,11 @@
 
     /// Returns the time at which [`Placer::poll`] is next due, if any.
     pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
+        if self.release != Release::NotRequested {
+            return self
+                .progress
+                .wake_at(&self.registry, self.next_heartbeat_at);
+        }
         let due = self
             .registry
             .next_due(cx.unix_time, cx.options.placer.early_start);
--- a/src/core/workload/probe.rs
+++ b/src/core/workload/probe.rs
@@ -14,6 +14,7 @@
 use super::effect::Request;
 use super::event::ProbeResult;
 use super::heartbeat::Heartbeat;
+use super::hosts::Hosts;
 use crate::core::model::DaemonId;
 use crate::core::model::Now;
 use crate::core::model::Rev;
@@ -21,8 +22,9 @@
 /// Number of heartbeat intervals after which the next heartbeat is late.
 const LATE_INTERVALS: f64 = 1.5;
 
-/// Average number of daemons that probe a holder, independent of their total number. It is limited
-/// so as not to overload the holder, whose load may be the reason for the late heartbeat.
+/// Average number of daemons that probe a holder, independent of their total number: this many with
+/// hosts fit for the placer, which take over at once, and this many others. It is limited so as not
+/// to overload the holder, whose load may be the reason for the late heartbeat.
 const MEAN_PROBERS: usize = 4;
 
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -35,6 +37,8 @@
     checked_version: Rev,
     /// Version of the last heartbeat of a holder whose process has ended.
     ended_version: Rev,
+    /// Time at which that was found.
+    ended_at: Now,
 }
 
 impl HolderProbe {
@@ -44,12 +48,13 @@
         cx: &mut Cx,
         heartbeat: &Heartbeat,
         addresses: &FxHashMap<DaemonId, Box<str>>,
+        hosts: &Hosts,
     ) {
         if self.checked_version == heartbeat.version || cx.now < late_at(cx, heartbeat) {
             return;
         }
         self.checked_version = heartbeat.version;
-        if !is_prober(cx, heartbeat, addresses.len()) {
+        if !is_prober(cx, heartbeat, hosts.peer_count(cx)) {
             return;
         }
         if let Some(address) = addresses.get(&heartbeat.row.owner.daemon) {
@@ -67,22 +72,24 @@
     }
 
     /// Records the result of a probe; returns whether it shows that the holder's process has ended.
-    pub fn record_result(&mut self, heartbeat: Rev, result: &ProbeResult) -> bool {
+    pub fn record_result(&mut self, now: Now, heartbeat: Rev, result: &ProbeResult) -> bool {
         let ended = matches!(result, ProbeResult::Refused);
-        if ended {
+        if ended && self.ended_version != heartbeat {
             self.ended_version = heartbeat;
+            self.ended_at = now;
         }
         ended
     }
 
-    /// Returns whether the process that sent this heartbeat, and no later one, has ended.
-    pub fn has_ended(&self, heartbeat: &Heartbeat) -> bool {
-        self.ended_version == heartbeat.version
+    /// Returns the time at which the process that sent this heartbeat, and no later one, was found
+    /// to have ended.
+    pub fn ended_at(&self, heartbeat: &Heartbeat) -> Option<Now> {
+        (self.ended_version == heartbeat.version).then_some(self.ended_at)
     }
 }
 
 /// Returns whether this daemon is a prober after this heartbeat. The probers are selected by a hash
-/// of the process and the heartbeat's version.
+/// of the process and the heartbeat's version; `daemons` is the number to select from.
 fn is_prober(cx: &Cx, heartbeat: &Heartbeat, daemons: usize) -> bool {
     let mut hasher = FxHasher::default();
     (cx.options.nonce, heartbeat.version).hash(&mut hasher);
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -454,23 +454,23 @@
     owner.daemon == cx.options.daemon && owner.nonce != cx.options.nonce
 }
 
-/// Returns the time at which a follower may start a takeover:
-/// - without any heartbeat, a random delay after the start of the daemon;
-/// - at once if the holder is an earlier process of this daemon or its process has ended;
-/// - after a short random delay if the holder has released the role;
-/// - otherwise a random delay after the heartbeat is overdue.
+/// Returns the time at which a follower may start a takeover: at once if the holder is an earlier
+/// process of this daemon; otherwise, and later by the delay for a lack of capacity:
+/// - a random delay after the start if there is no heartbeat, or after the heartbeat is overdue;
+/// - a short random delay after the holder has released the role, or at once if its process ended.
 fn due_at(cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Now {
+    let delay = heartbeats.hosts.takeover_delay(cx);
     let Some(last) = heartbeats.heartbeat() else {
-        return jitter(cx);
+        return jitter(cx) + delay;
     };
     if is_earlier_process(cx, &last.row.owner) {
         return last.received_at;
     }
     if last.row.released {
-        return last.received_at + jitter(cx) / 4;
+        return last.received_at + jitter(cx) / 4 + delay;
     }
-    if heartbeats.holder_has_ended() {
-        return last.received_at;
+    if let Some(ended_at) = heartbeats.holder_ended_at() {
+        return ended_at + delay;
     }
     let max_age = if last.row.loading {
         cx.options.placer.load_timeout
@@ -479,7 +479,7 @@
     };
     let recovered_at = feeds.recovered_at(Feed::Heartbeats).unwrap_or(Now::ZERO);
     let due = (last.received_at + max_age).max(recovered_at + RECOVERY_GRACE);
-    due + jitter(cx)
+    due + jitter(cx) + delay
 }
 
 /// Returns the random delay of this process before a takeover.
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::capacity::HostCapacity;
 use super::catalog::QueueId;
 use super::effect::JobState;
 use super::submission::OccurrenceIndex;
@@ -151,6 +152,9 @@
 pub(super) struct AddressRow {
     /// Address for calls between daemons.
     pub peer: Box<str>,
+    /// Capacity of the daemon's host.
+    #[serde(default)]
+    pub capacity: HostCapacity,
 }
 
 /// VM on which the placer may have started tasks.
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -380,6 +380,7 @@
         let row = RowId::new(HEARTBEATS, DAEMONS_PART, &self.options.daemon);
         let address = AddressRow {
             peer: self.options.peer_address.clone(),
+            capacity: self.options.capacity,
         };
         let txn = Transaction {
             put: vec![(row, encode(&address))],
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -13,6 +13,7 @@
 use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
+use ragwortstall::core::workload::capacity::HostCapacity;
 use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
@@ -44,6 +45,8 @@
 struct SimDaemon {
     state: Workload,
     name: Box<str>,
+    /// Capacity of the host.
+    capacity: HostCapacity,
     /// Whether the process runs.
     up: bool,
     /// Whether the host is down as well, so that it does not refuse connections.
@@ -140,6 +143,15 @@
 
     /// Creates the same cell with VMs that take `stop_time` to stop a run.
     pub(crate) fn with_stop_time(daemons: usize, vms: usize, stop_time: Duration) -> Self {
+        Self::start(&vec![HostCapacity::default(); daemons], vms, stop_time)
+    }
+
+    /// Creates the same cell with one daemon on a host of each of these capacities.
+    pub(crate) fn with_hosts(hosts: &[HostCapacity], vms: usize) -> Self {
+        Self::start(hosts, vms, STOP_TIME)
+    }
+
+    fn start(hosts: &[HostCapacity], vms: usize, stop_time: Duration) -> Self {
         let capacity = Resources::new(16_000, 64_000, 0, u32::MAX);
         let vms = (0..vms).map(|ix| {
             let id: Box<str> = format!("vm-{ix}").into();
@@ -177,11 +189,12 @@
             replies: BTreeMap::new(),
             last_ticket: 0,
         };
-        for ix in 0..daemons {
+        for (ix, &capacity) in hosts.iter().enumerate() {
             let name = format!("entry-{ix}");
             harness.daemons.push(SimDaemon {
-                state: Workload::new(options(&name, 1, stop_time)),
+                state: Workload::new(options(&name, capacity, 1, stop_time)),
                 name: name.into(),
+                capacity,
                 up: true,
                 host_down: false,
                 table_reachable: true,
@@ -259,6 +272,12 @@
         list.find_map(|(ix, daemon)| is_placer(daemon).then_some(ix))
     }
 
+    /// Returns the number of daemons that are placers.
+    pub(crate) fn placer_count(&mut self) -> usize {
+        let daemons = self.daemons.iter_mut().filter(|daemon| daemon.up);
+        daemons.filter_map(|daemon| daemon.state.epoch()).count()
+    }
+
     /// Returns the epoch of the placer, if there is one.
     pub(crate) fn epoch(&mut self) -> Option<u64> {
         let placer = self.placer()?;
@@ -282,12 +301,28 @@
         self.daemons[daemon].host_down = true;
     }
 
+    /// Drains a daemon, which exits afterwards.
+    pub(crate) fn drain(&mut self, daemon: usize) {
+        self.apply(daemon, Event::Drain);
+    }
+
+    /// Returns whether a daemon's process runs.
+    pub(crate) fn is_up(&self, daemon: usize) -> bool {
+        self.daemons[daemon].up
+    }
+
     /// Restarts a daemon's process.
     pub(crate) fn restart(&mut self, daemon: usize) {
         let daemon = &mut self.daemons[daemon];
         daemon.up = true;
         daemon.host_down = false;
-        daemon.state = Workload::new(options(&daemon.name, daemon.lifetime, self.stop_time));
+        let options = options(
+            &daemon.name,
+            daemon.capacity,
+            daemon.lifetime,
+            self.stop_time,
+        );
+        daemon.state = Workload::new(options);
         daemon.wake_at = Some(self.now);
     }
 
@@ -347,7 +382,7 @@
                     self.replies.insert(ticket, reply);
                 }
                 Effect::Log(decision) => self.decisions.push(decision),
-                Effect::Exit => {}
+                Effect::Exit => self.kill(ix),
             }
         }
     }
@@ -373,10 +408,11 @@
     }
 }
 
-fn options(name: &str, lifetime: u64, stop_time: Duration) -> Options {
+fn options(name: &str, capacity: HostCapacity, lifetime: u64, stop_time: Duration) -> Options {
     // Differs between daemons and between processes of a daemon.
     let nonce = name.bytes().map(u64::from).sum::<u64>() * 37 + lifetime;
     let mut options = Options::new(name, "zone-a", nonce);
+    options.capacity = capacity;
     options.vms.stop_timeout = stop_time;
     options.peer_address = name.into();
     options
