--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -1,7 +1,8 @@
 //! Load of the rows that a daemon needs before it can act as the placer.
 //!
-//! The rows are read in pages, of which few are in flight at a time, so that a load takes its time
-//! on a slow link but neither fails there nor delays the heartbeats that it sends meanwhile.
+//! The rows are read in pages. The number of pages in flight is limited by their size, so that a
+//! load takes its time on a slow link, but neither fails there nor delays the heartbeats that it
+//! sends meanwhile.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -39,9 +40,15 @@
 /// Interval of the log lines about a load.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of reads in flight while none fails; after a failure it is one until a page is
-/// read.
-const MAX_READS_IN_FLIGHT: usize = 6;
+/// Size of the pages in flight, in bytes, as expected from the pages read before. A link of
+/// 10 Mbit/s transfers it in a fifth of a second.
+const BYTES_IN_FLIGHT: usize = 256 << 10;
+
+/// Size that is expected of a page before the first one is read, in bytes.
+const FIRST_PAGE_BYTES: usize = 32 << 10;
+
+/// Weight of the pages before the last one in the mean size of a page, relative to the last one.
+const MEAN_WEIGHT: usize = 3;
 
 /// Maximum number of rows in a page.
 const PAGE_ROWS: usize = 100;
@@ -66,7 +73,9 @@
     next_read_at: Now,
     /// Delay after the next failed read.
     retry_delay: Duration,
-    /// Whether the last answer to a read was a failure.
+    /// Mean size of a page, in bytes.
+    mean_page_bytes: usize,
+    /// Whether the last answer to a read was a failure; reads are sent one at a time then.
     last_read_failed: bool,
     failed_reads: u32,
     next_report_at: Now,
@@ -98,6 +107,7 @@
             last_page_at: cx.now,
             next_read_at: cx.now,
             retry_delay: cx.options.table.retry_delay,
+            mean_page_bytes: FIRST_PAGE_BYTES,
             last_read_failed: false,
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
@@ -167,6 +177,8 @@
         self.last_page_at = cx.now;
         self.last_read_failed = false;
         self.retry_delay = cx.options.table.retry_delay;
+        self.mean_page_bytes =
+            (self.mean_page_bytes * MEAN_WEIGHT + page.value_bytes()) / (MEAN_WEIGHT + 1);
         let last = page.rows.last().map(|row| format!("{}\0", row.key));
         match source {
             LoadSource::Jobs(_) => {
@@ -230,9 +242,9 @@
         let max = if self.last_read_failed {
             1
         } else {
-            MAX_READS_IN_FLIGHT
+            BYTES_IN_FLIGHT / self.mean_page_bytes.max(1)
         };
-        !self.queued.is_empty() && self.in_flight.len() < max
+        !self.queued.is_empty() && self.in_flight.len() < max.max(1)
     }
 
     fn send_reads(&mut self, cx: &mut Cx) {
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -5,6 +5,7 @@
 mod completion;
 mod dispatch;
 mod fleet;
+mod hand_over;
 mod job_registry;
 mod load;
 mod progress;
@@ -92,6 +93,8 @@
     next_round_at: Option<Now>,
     last_round_at: Now,
     release: Release,
+    /// Whether the role is released to a daemon on a fitter host, and not because of a drain.
+    hands_over: bool,
 }
 
 /// State of a voluntary release of the role.
@@ -151,6 +154,9 @@
         if let Some(holder) = heartbeats.holder_after(self.owner.epoch) {
             return Some(format!("{} has epoch {}", holder.daemon, holder.epoch).into());
         }
+        if let Some(reason) = self.poll_hand_over(cx, heartbeats) {
+            return Some(reason);
+        }
         if self.release != Release::NotRequested {
             self.write_progress(cx);
             return None;
@@ -168,6 +174,11 @@
 
     /// Returns the time at which [`Placer::poll`] is next due, if any.
     pub fn wake_at(&self, cx: &Cx) -> Option<Now> {
+        if self.release != Release::NotRequested {
+            return self
+                .progress
+                .wake_at(&self.registry, self.next_heartbeat_at);
+        }
         let due = self
             .registry
             .next_due(cx.unix_time, cx.options.placer.early_start);
--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -95,6 +95,15 @@
     pub version: Rev,
 }
 
+impl Page {
+    /// Returns the total size of the rows' values, in bytes.
+    #[must_use]
+    pub fn value_bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
+        values.map(Vec::len).sum()
+    }
+}
+
 impl RowId {
     /// Creates the id of a row.
     #[must_use]
