--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -17,6 +17,7 @@
 pub mod table;
 pub mod task;
 
+mod address;
 mod batcher;
 mod calls;
 mod cx;
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::address::AddressState;
 use super::batcher::SubmissionBatcher;
 use super::calls::CallHandler;
 use super::calls::Components;
@@ -26,15 +27,9 @@
 use super::heartbeat::HeartbeatMonitor;
 use super::options::Options;
 use super::role::Role;
-use super::rows::AddressRow;
-use super::rows::DAEMONS_PART;
-use super::rows::encode;
 use super::status::Status;
 use super::table::CommitOutcome;
-use super::table::HEARTBEATS;
 use super::table::Page;
-use super::table::RowId;
-use super::table::Transaction;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
 
@@ -58,15 +53,6 @@
     exited: bool,
 }
 
-/// Whether this daemon's address is stored in the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AddressState {
-    /// To be written at this time.
-    Due(Now),
-    Writing,
-    Written,
-}
-
 impl Workload {
     /// Creates the state of a daemon that has just started.
     #[must_use]
@@ -117,9 +103,7 @@
         if self.role.is_follower() && self.feeds.is_up(Feed::Heartbeats) {
             at = earliest(at, self.heartbeats.wake_at(&cx));
         }
-        if let AddressState::Due(due) = self.address_state {
-            at = earliest(at, Some(due));
-        }
+        at = earliest(at, self.address_state.wake_at());
         at
     }
 
@@ -260,12 +244,7 @@
                 self.role
                     .handle_loading_heartbeat(cx, &mut self.feeds, &outcome);
             }
-            CommitPurpose::Address => {
-                self.address_state = match outcome {
-                    CommitOutcome::Done(_) => AddressState::Written,
-                    _ => AddressState::Due(now + self.options.table.retry_delay),
-                };
-            }
+            CommitPurpose::Address => self.address_state.handle_outcome(cx, &outcome),
             purpose => {
                 let placer = self.role.placer()?;
                 return placer.handle_commit_outcome(cx, &purpose, &outcome);
@@ -414,16 +393,9 @@
             self.batcher.refuse_queued(&mut cx);
         }
         self.batcher.poll(&mut cx);
-        self.publish_address(now, out);
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
-        if self.role.is_follower() && self.feeds.is_up(Feed::Heartbeats) {
+        let table_is_up = self.feeds.is_up(Feed::Heartbeats);
+        self.address_state.poll(&mut cx, table_is_up);
+        if self.role.is_follower() && table_is_up {
             self.heartbeats.poll(&mut cx);
         }
         let feeds = &mut self.feeds;
@@ -436,37 +408,6 @@
         self.finish_drain(now, out);
     }
 
-    /// Writes this daemon's address to the table, so that the placer can send advice queries by way
-    /// of it and other daemons can probe its process.
-    fn publish_address(&mut self, now: Now, out: &mut Effects) {
-        let due = matches!(self.address_state, AddressState::Due(at) if now >= at);
-        if !due || !self.feeds.is_up(Feed::Heartbeats) {
-            if due {
-                self.address_state = AddressState::Due(now + self.options.table.retry_delay);
-            }
-            return;
-        }
-        self.address_state = AddressState::Writing;
-        let row = RowId::new(HEARTBEATS, DAEMONS_PART, &self.options.daemon);
-        let address = AddressRow {
-            peer: self.options.peer_address.clone(),
-            capacity: self.options.capacity,
-        };
-        let txn = Transaction {
-            put: vec![(row, encode(&address))],
-            ..Transaction::default()
-        };
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
-        cx.commit(CommitPurpose::Address, txn);
-    }
-
     /// Exits once no caller waits and the placer role is released, or the drain timeout is over.
     fn finish_drain(&mut self, now: Now, out: &mut Effects) {
         let Some(started_at) = self.drain_started_at.filter(|_| !self.exited) else {
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -5,6 +5,7 @@
 use ragwortstall::core::model::Now;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::CommitPurpose;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
@@ -15,6 +16,7 @@
 use ragwortstall::core::workload::table::CommitOutcome;
 use ragwortstall::core::workload::table::HEARTBEATS;
 use ragwortstall::core::workload::table::JOBS;
+use ragwortstall::core::workload::table::Transaction;
 use ragwortstall::core::workload::task::RunOutcome;
 use ragwortstall::core::workload::task::TaskName;
 
@@ -40,25 +42,9 @@
         let no_answer: Box<str> = "no answer".into();
         let limit = transfer_limit(&req);
         let answer = match req {
-            Request::Commit { purpose, .. }
-                if table_answers && self.now < self.commits_refused_until =>
-            {
-                Answer::Committed(purpose, CommitOutcome::Refused("busy".into()))
-            }
-            Request::Commit { purpose, txn, .. } if table_answers => {
-                let outcome = self.table.commit(&txn);
-                if self.now < self.commit_answers_lost_until {
-                    Answer::Committed(purpose, CommitOutcome::Unknown(no_answer))
-                } else if self.lost_commit_answers > 0 && matches!(outcome, CommitOutcome::Done(_))
-                {
-                    self.lost_commit_answers -= 1;
-                    Answer::Committed(purpose, CommitOutcome::Unknown(no_answer))
-                } else {
-                    Answer::Committed(purpose, outcome)
-                }
-            }
-            Request::Commit { purpose, .. } => {
-                Answer::Committed(purpose, CommitOutcome::Refused(no_answer))
+            Request::Commit { purpose, txn, .. } => {
+                let outcome = self.commit(table_answers, &purpose, txn);
+                Answer::Committed(purpose, outcome)
             }
             Request::Read { purpose, range } if table_answers => {
                 Answer::Read(purpose, Ok(self.table.page(&range)))
@@ -120,6 +106,39 @@
         }
     }
 
+    /// Runs a transaction, unless a fault prevents it; the outcome is the one that the daemon sees.
+    fn commit(
+        &mut self,
+        table_answers: bool,
+        purpose: &CommitPurpose,
+        txn: Transaction,
+    ) -> CommitOutcome {
+        let no_answer: Box<str> = "no answer".into();
+        if self.hold_archives && matches!(purpose, CommitPurpose::Archive(..)) {
+            self.held_archives.push(txn);
+            return CommitOutcome::Unknown(no_answer);
+        }
+        let refuses_progress = self.now < self.progress_refused_until;
+        if refuses_progress && matches!(purpose, CommitPurpose::Progress) {
+            return CommitOutcome::Refused("busy".into());
+        }
+        if !table_answers {
+            return CommitOutcome::Refused(no_answer);
+        }
+        if self.now < self.commits_refused_until {
+            return CommitOutcome::Refused("busy".into());
+        }
+        let outcome = self.table.commit(&txn);
+        if self.now < self.commit_answers_lost_until {
+            return CommitOutcome::Unknown(no_answer);
+        }
+        if self.lost_commit_answers > 0 && matches!(outcome, CommitOutcome::Done(_)) {
+            self.lost_commit_answers -= 1;
+            return CommitOutcome::Unknown(no_answer);
+        }
+        outcome
+    }
+
     fn execute_order(&mut self, req: Request) -> Answer {
         let no_answer = || OrderError::NoAnswer("no answer".into());
         match req {
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -28,6 +28,7 @@
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::status::Status;
 use ragwortstall::core::workload::submission::Submission;
+use ragwortstall::core::workload::table::Transaction;
 use ragwortstall::core::workload::task::TaskName;
 
 use self::feed_calls::FeedCalls;
@@ -123,6 +124,12 @@
     pub lost_watch_answers: BTreeSet<(usize, Feed)>,
     /// Numbers of calls for the rows of followed tables.
     pub feed_calls: FeedCalls,
+    /// Time until which the table refuses the placer's writes of progress.
+    pub progress_refused_until: Now,
+    /// Whether replacements of ended jobs' rows are held back without an answer.
+    pub hold_archives: bool,
+    /// Replacements that were held back.
+    pub held_archives: Vec<Transaction>,
     /// Decisions that the daemons have logged.
     pub decisions: Vec<Decision>,
     /// Number of probes of daemons' processes.
@@ -188,6 +195,9 @@
             commit_answers_lost_until: Now::ZERO,
             lost_watch_answers: BTreeSet::new(),
             feed_calls: FeedCalls::default(),
+            progress_refused_until: Now::ZERO,
+            hold_archives: false,
+            held_archives: Vec::new(),
             decisions: Vec::new(),
             probes: 0,
             starts: Vec::new(),
