Search the fleet only for steps that may be placed in a round

Each event started a placement round, and each round searched all 337 VMs for each of hundreds of waiting steps, nearly all of which waited for advice. A replaced placer leaves the same queue to the next one.

A step without a valid ticket is now left out while its query is in flight, or once no daemon is free for a query in this round; and a step for which no VM has room spares the search for those that need as much or more, as room only decreases in a round. The searches are counted in ragwortstall_vm_scans.

--- a/src/core/workload/placer/advice.rs
+++ b/src/core/workload/placer/advice.rs
@@ -60,6 +60,16 @@
         self.tickets.get(&vm).filter(|ticket| now < ticket.until)
     }
 
+    /// Returns whether a ticket for any VM is valid.
+    pub fn has_ticket(&self, now: Now) -> bool {
+        self.tickets.values().any(|ticket| now < ticket.until)
+    }
+
+    /// Returns whether a query may be sent.
+    pub fn can_query(&self, now: Now) -> bool {
+        !self.in_flight && now >= self.retry_at
+    }
+
     /// Records the answer for a VM: its ticket, or `None` if it may not run the step.
     ///
     /// The ticket's validity counts from `decided_at`.
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -13,6 +13,7 @@
 use super::job_registry::StepProgress;
 use super::job_registry::TaskKey;
 use super::rank::Rank;
+use super::round::Round;
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::TaskIndex;
@@ -61,16 +62,17 @@
             return;
         }
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
+        let mut round = Round::new(heartbeats);
         let mut over_share = Vec::new();
         for (_, key) in steps {
             if self.is_over_share(&shares, key) {
                 over_share.push(key);
             } else {
-                self.place_step(cx, heartbeats, key);
+                self.place_step(cx, &mut round, key);
             }
         }
         for key in over_share {
-            self.place_step(cx, heartbeats, key);
+            self.place_step(cx, &mut round, key);
         }
         self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
     }
@@ -184,15 +186,25 @@
         list
     }
 
-    fn place_step(&mut self, cx: &mut Cx, heartbeats: &HeartbeatMonitor, key: StepKey) {
+    fn place_step(&mut self, cx: &mut Cx, round: &mut Round, key: StepKey) {
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return;
         };
         let (submission, timing) = (job.submission.clone(), job.queue.advice);
         let spec = &submission.steps[usize::from(key.step)];
+        let service = job.queue.service.clone();
+        if round.is_unmet(&service, spec)
+            || (timing.is_some() && self.must_wait_for_advice(cx, round, key))
+        {
+            return;
+        }
+        self.vm_scans += 1;
         let mut candidates = self.candidates(cx, key);
+        if candidates.is_empty() && spec.max_per_vm == 0 {
+            round.record_unmet(&service, spec);
+        }
         if timing.is_some() {
-            self.query_advice(cx, heartbeats, key, spec, &candidates);
+            self.query_advice(cx, round, key, spec, &candidates);
             let step = self.registry.step(key);
             candidates.retain(|candidate| {
                 step.is_some_and(|step| step.advice.ticket(candidate.vm, cx.now).is_some())
@@ -317,11 +329,22 @@
         }
     }
 
+    /// Returns whether a step has no valid ticket and cannot get one in this round, so that its
+    /// candidates, which take long to find in a large fleet, are not needed.
+    fn must_wait_for_advice(&self, cx: &Cx, round: &Round, key: StepKey) -> bool {
+        let Some(step) = self.registry.step(key) else {
+            return true;
+        };
+        let advice = &step.advice;
+        let can_query = round.advisor_available && advice.can_query(cx.now);
+        !can_query && !advice.has_ticket(cx.now)
+    }
+
     /// Sends an advice query if the VMs with valid tickets have no room for all waiting tasks.
     fn query_advice(
         &mut self,
         cx: &mut Cx,
-        heartbeats: &HeartbeatMonitor,
+        round: &mut Round,
         key: StepKey,
         spec: &Step,
         candidates: &[Candidate],
@@ -332,7 +355,7 @@
         let (Some(timing), Some(step)) = (job.queue.advice, self.registry.step(key)) else {
             return;
         };
-        if step.advice.in_flight || cx.now < step.advice.retry_at {
+        if !round.advisor_available || !step.advice.can_query(cx.now) {
             return;
         }
         let id = job.id.clone();
@@ -343,19 +366,20 @@
             .into_iter()
             .filter_map(|vm| Some(self.fleet.vms.get(&vm)?.id.clone()))
             .collect();
-        self.send_advice_query(cx, heartbeats, key, &id, vms, &timing);
+        self.send_advice_query(cx, round, key, &id, vms, &timing);
     }
 
     fn send_advice_query(
         &mut self,
         cx: &mut Cx,
-        heartbeats: &HeartbeatMonitor,
+        round: &mut Round,
         key: StepKey,
         id: &str,
         vms: Rc<[VmId]>,
         timing: &AdviceTiming,
     ) {
-        let Some(forwarder) = self.forwarders.least_busy(cx, heartbeats) else {
+        let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats) else {
+            round.advisor_available = false;
             return;
         };
         if let Some(step) = self.registry.step_mut(key) {
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -109,6 +109,7 @@
             settling_logged: false,
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
+            vm_scans: 0,
             release: Release::NotRequested,
             hands_over: false,
         };
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -14,6 +14,7 @@
 mod renewal;
 mod retire;
 mod roster;
+mod round;
 mod shares;
 mod slowness;
 mod starts;
@@ -94,6 +95,8 @@
     /// Time of the next placement round, if one is scheduled.
     next_round_at: Option<Now>,
     last_round_at: Now,
+    /// Number of searches of the fleet for VMs on which a step fits.
+    vm_scans: u64,
     release: Release,
     /// Whether the role is released to a daemon on a fitter host, and not because of a drain.
     hands_over: bool,
@@ -129,6 +132,7 @@
         let mut status = PlacerStatus {
             epoch: self.owner.epoch,
             vms: self.fleet.vms.len() as u64,
+            vm_scans: self.vm_scans,
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
--- a/tests/workload/catalog.rs
+++ b/tests/workload/catalog.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Resources;
+use ragwortstall::core::workload::catalog::AdviceTiming;
 use ragwortstall::core::workload::catalog::Catalog;
 use ragwortstall::core::workload::catalog::Queue;
 use ragwortstall::core::workload::catalog::Team;
@@ -14,8 +15,8 @@
 /// API key of another team with the same weight.
 pub(crate) const OTHER_KEY: &str = "key-of-bakery";
 
-/// Returns the configuration; `cap` applies to each team.
-pub(crate) fn catalog(cap: Resources) -> Catalog {
+/// Returns the configuration; `cap` applies to each team, `advice` to the queue.
+pub(crate) fn catalog(cap: Resources, advice: Option<AdviceTiming>) -> Catalog {
     let queue = Queue {
         name: "labels".into(),
         host: "labels.example".into(),
@@ -25,7 +26,7 @@
         max_attempts: 2,
         stretch: 2.0,
         target: Duration::from_millis(250),
-        advice: None,
+        advice,
         public: false,
     };
     let mut catalog = Catalog {
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -4,6 +4,8 @@
 
 use ragwortstall::core::model::Now;
 use ragwortstall::core::workload::effect::Request;
+use ragwortstall::core::workload::event::AdviceQuery;
+use ragwortstall::core::workload::event::AdvisedVm;
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::CommitPurpose;
 use ragwortstall::core::workload::event::Feed;
@@ -98,6 +100,9 @@
                 self.probes += 1;
                 Answer::Probed(heartbeat, self.probe_result(&address))
             }
+            Request::Advise { query, .. } => {
+                return self.answer_advice(daemon, lifetime, query);
+            }
             order => self.execute_order(order),
         };
         match limit {
@@ -106,6 +111,20 @@
         }
     }
 
+    /// Answers an advice query after the time that the service takes; all VMs are approved.
+    fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
+        let timing = self.advice.expect("a queue with advice");
+        let count = u32::try_from(query.vms.len()).expect("few VMs");
+        let approved = query.vms.iter().map(|vm| AdvisedVm {
+            vm: vm.clone(),
+            ticket: "ticket".into(),
+        });
+        let approved = Ok(approved.collect());
+        let delay = timing.base_latency + timing.latency_per_vm * count;
+        let answer = Answer::Advised(query, approved);
+        self.send_after(delay, Message::Answer(daemon, lifetime, answer));
+    }
+
     /// Runs a transaction, unless a fault prevents it; the outcome is the one that the daemon sees.
     fn commit(
         &mut self,
@@ -284,7 +303,7 @@
     fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
             Feed::Config if after == 0 => {
-                return vec![FeedRow::Config(Box::new(catalog(self.cap)))];
+                return vec![FeedRow::Config(Box::new(catalog(self.cap, self.advice)))];
             }
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -16,6 +16,7 @@
 use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
 use ragwortstall::core::workload::capacity::HostCapacity;
+use ragwortstall::core::workload::catalog::AdviceTiming;
 use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
@@ -112,6 +113,8 @@
     pub lost_commit_answers: u32,
     /// Cap of each team, for daemons that start from now on.
     pub cap: Resources,
+    /// Advice on the queue, for daemons that start from now on.
+    pub advice: Option<AdviceTiming>,
     /// Additional latency of each read of the table.
     pub table_latency: Duration,
     /// Time until which the table refuses all commits.
@@ -189,6 +192,7 @@
             table_up: true,
             lost_commit_answers: 0,
             cap: Resources::ZERO,
+            advice: None,
             table_latency: Duration::ZERO,
             commits_refused_until: Now::ZERO,
             table_silent_until: Now::ZERO,
--- /dev/null
+++ b/tests/workload/long_queue.rs
@@ -0,0 +1,81 @@
+//! Placement rounds with a long queue of waiting steps.
+
+use std::time::Duration;
+
+use ragwortstall::core::workload::catalog::AdviceTiming;
+use ragwortstall::core::workload::effect::Reply;
+
+use crate::harness::Harness;
+use crate::jobs::job;
+use crate::jobs::step;
+
+/// Number of jobs that wait.
+const JOBS: u64 = 600;
+
+/// Time for which searches of the fleet are counted, in milliseconds.
+const COUNTED_MS: u64 = 1_000;
+
+/// Largest number of searches in that time: placement rounds are at least 20 ms apart, and each may
+/// search once for each of the two daemons that can ask for advice, and once for each step whose
+/// tickets are valid.
+const MAX_SCANS: u64 = 400;
+
+/// Advice that takes so long that only a few steps get it while searches are counted.
+const SLOW_ADVICE: AdviceTiming = AdviceTiming {
+    base_latency: Duration::from_millis(400),
+    latency_per_vm: Duration::from_millis(5),
+    ticket_validity: Duration::from_millis(2_500),
+};
+
+/// Returns a cell of two daemons whose queue has this advice.
+fn cell(vms: usize, advice: Option<AdviceTiming>) -> Harness {
+    let mut harness = Harness::new(2, vms);
+    harness.advice = advice;
+    for daemon in 0..2 {
+        harness.kill(daemon);
+        harness.restart(daemon);
+    }
+    harness.run_for(3_000);
+    harness
+}
+
+fn submit(harness: &mut Harness, count: u64) {
+    for number in 0..count {
+        let id = format!("{number:016x}");
+        let submission = job(vec![step(1, 600_000, &[])]);
+        assert_eq!(harness.submit(0, &id, submission), Reply::Accepted);
+    }
+}
+
+/// Returns the number of searches of the fleet while the queue waits.
+fn scans(harness: &mut Harness) -> u64 {
+    let before = total_scans(harness);
+    harness.run_for(COUNTED_MS);
+    total_scans(harness) - before
+}
+
+fn total_scans(harness: &mut Harness) -> u64 {
+    let placer = harness.placer().expect("a placer");
+    let status = harness.status(placer).placer.expect("a placer's status");
+    status.vm_scans
+}
+
+/// Guards against a placer whose processor is busy with steps that cannot be placed, so that its
+/// heartbeats come late and it is replaced by one with the same queue.
+#[test]
+fn steps_that_wait_for_advice_cost_no_searches_of_the_fleet() {
+    let mut harness = cell(100, Some(SLOW_ADVICE));
+    submit(&mut harness, JOBS);
+    let scans = scans(&mut harness);
+    assert!(scans <= MAX_SCANS, "{scans} searches in {COUNTED_MS} ms");
+}
+
+/// Guards against the same where the VMs are full.
+#[test]
+fn steps_that_no_vm_has_room_for_cost_no_searches_of_the_fleet() {
+    let mut harness = cell(2, None);
+    submit(&mut harness, JOBS);
+    assert_eq!(harness.starts.len(), 32);
+    let scans = scans(&mut harness);
+    assert!(scans <= MAX_SCANS, "{scans} searches in {COUNTED_MS} ms");
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod harness;
 mod jobs;
+mod long_queue;
 mod pace;
 mod slow_link;
 mod status;
