Ignore answers to an earlier term of the placer role

A daemon that loses the role and takes it again took answers that were still under way for answers to its new calls: a page of the earlier load, older than the grant, ended a range of the present one; a VM's report to a renewal of the earlier epoch counted the VM as fenced and the placer as settled, so that tasks could be started while they ran; the outcome of an earlier progress write counted the present one as stored, so that ends were acknowledged that no row holds.

Purposes of the placer's writes and reads now carry its epoch (CommitPurpose::Placer, Load, Sequence), and answers to orders, renewals and advice queries that were sent before the grant are dropped. The log's field purpose shows the epoch; the test of read_failed expects Sequence(1) for Sequence. That of the progress write has no test of its own.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -101,17 +101,24 @@
     Cancel(Ticket, JobId),
     /// Claims the placer role.
     Take,
-    /// Writes the heartbeat of a placer that is loading its rows.
+    /// Writes rows as the placer of an epoch.
+    Placer(Epoch, PlacerWrite),
+    /// Publishes this daemon's address.
+    Address,
+}
+
+/// Rows that a placer writes. Logged in its `Debug` form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacerWrite {
+    /// The heartbeat of a placer that is loading its rows.
     LoadingHeartbeat,
-    /// Writes the progress of jobs and the placer's heartbeat.
+    /// The progress of jobs and the placer's heartbeat.
     Progress,
-    /// Updates the roster of VMs that the placer may have started tasks on.
+    /// The roster of VMs that the placer may have started tasks on.
     Roster,
-    /// Publishes this daemon's address.
-    Address,
-    /// Replaces the rows of ended jobs in a part by small ones, for the placer of an epoch.
-    Archive(Epoch, u8),
-    /// Removes ended jobs whose retention period is over.
+    /// Small rows that replace those of ended jobs in a part.
+    Archive(u8),
+    /// The removal of ended jobs whose retention period is over.
     Retire,
 }
 
@@ -128,14 +135,30 @@
     Owner,
     /// Owner row, after a claim whose outcome is unknown.
     Settle,
-    /// Rows that a new placer needs.
-    Load(LoadSource),
-    /// Sequence row, after a progress write whose outcome is unknown.
-    Sequence,
+    /// Rows that the new placer of an epoch needs.
+    Load(Epoch, LoadSource),
+    /// Sequence row, after a progress write of an epoch's placer whose outcome is unknown.
+    Sequence(Epoch),
     /// A single row, sent at this time to find out whether the table service answers.
     Probe(Now),
 }
 
+impl Answer {
+    /// Returns the time at which the order, renewal or advice query was sent that this answers;
+    /// `None` for other answers.
+    #[must_use]
+    pub fn order_sent_at(&self) -> Option<Now> {
+        match self {
+            Self::Renewed(renewal, _) => Some(renewal.sent),
+            Self::Started(OrderId { sent, .. }, _)
+            | Self::Stopped(OrderId { sent, .. }, _)
+            | Self::SpeedSet(OrderId { sent, .. }, _) => Some(*sent),
+            Self::Advised(query, _) => Some(query.sent),
+            Self::Committed(..) | Self::Read(..) | Self::Feed(..) | Self::Probed(..) => None,
+        }
+    }
+}
+
 impl ReadPurpose {
     /// Returns whether a failure of the read is logged where it is received. It is not for a read
     /// that a caller waits for, as its handler logs the failure and replies with it, nor for a
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -12,6 +12,7 @@
 use super::decision::Decision;
 use super::event::CommitPurpose;
 use super::event::LoadSource;
+use super::event::PlacerWrite;
 use super::event::ReadPurpose;
 use super::heartbeat::HeartbeatMonitor;
 use super::placer::LoadedRows;
@@ -252,7 +253,7 @@
             let Some(read) = self.queued.pop_front() else {
                 return;
             };
-            read.send(cx);
+            read.send(cx, self.epoch());
             self.in_flight.push(read);
         }
     }
@@ -276,7 +277,8 @@
             )],
             remove: Vec::new(),
         };
-        cx.commit(CommitPurpose::LoadingHeartbeat, txn);
+        let purpose = CommitPurpose::Placer(self.epoch(), PlacerWrite::LoadingHeartbeat);
+        cx.commit(purpose, txn);
     }
 
     fn report(&mut self, cx: &mut Cx) {
@@ -310,7 +312,7 @@
         sources.map(read).collect()
     }
 
-    fn send(&self, cx: &mut Cx) {
+    fn send(&self, cx: &mut Cx, epoch: Epoch) {
         let timeout = cx.options.table.read_timeout * 2;
         let own = cx.options.part.clone();
         let mut range = match self.source {
@@ -320,6 +322,6 @@
         };
         range.from = self.from.clone();
         range.limit = Some(PAGE_ROWS);
-        cx.read(ReadPurpose::Load(self.source), range);
+        cx.read(ReadPurpose::Load(epoch, self.source), range);
     }
 }
--- a/src/core/workload/placer/archive.rs
+++ b/src/core/workload/placer/archive.rs
@@ -14,13 +14,12 @@
 use super::Placer;
 use super::job_registry::Job;
 use super::job_registry::JobKey;
-use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
-use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::event::PlacerWrite;
 use crate::core::workload::rows::JOB_PARTS;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::encode;
@@ -122,17 +121,7 @@
     ///
     /// After a conflict, the jobs whose rows have changed are left to the next load or to the end of
     /// their retention period.
-    pub(super) fn handle_archive_outcome(
-        &mut self,
-        cx: &Cx,
-        epoch: Epoch,
-        part: u8,
-        outcome: &CommitOutcome,
-    ) {
-        // Another epoch is that of an earlier placer of this process.
-        if epoch != self.owner.epoch {
-            return;
-        }
+    pub(super) fn handle_archive_outcome(&mut self, cx: &Cx, part: u8, outcome: &CommitOutcome) {
         let Some(jobs) = self.archive.in_flight.remove(&part) else {
             return;
         };
@@ -216,7 +205,7 @@
             txn.put.push((row, encode(&job.small_row())));
         }
         self.archive.in_flight.insert(part, jobs);
-        cx.commit(CommitPurpose::Archive(self.owner.epoch, part), txn);
+        cx.commit(self.purpose(PlacerWrite::Archive(part)), txn);
     }
 
     /// Logs the ended jobs whose final state was not found.
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -37,6 +37,7 @@
 use super::event::CommitPurpose;
 use super::event::Feed;
 use super::event::FeedRow;
+use super::event::PlacerWrite;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::rows::HeartbeatRow;
@@ -252,30 +253,35 @@
         None
     }
 
-    /// Handles the outcome of a transaction.
-    pub fn handle_commit_outcome(
+    /// Handles the outcome of a transaction that this placer has sent.
+    pub fn handle_write_outcome(
         &mut self,
         cx: &mut Cx,
-        purpose: &CommitPurpose,
+        write: PlacerWrite,
         outcome: &CommitOutcome,
     ) -> RoleLoss {
-        match purpose {
-            CommitPurpose::Roster => self.handle_roster_outcome(cx, outcome),
-            CommitPurpose::Progress => self.handle_progress_outcome(cx, outcome),
-            CommitPurpose::Archive(epoch, part) => {
-                self.handle_archive_outcome(cx, *epoch, *part, outcome);
-                None
-            }
-            CommitPurpose::Retire => {
-                self.handle_retire_outcome(cx, outcome);
-                None
-            }
-            _ => None,
+        match write {
+            PlacerWrite::Roster => return self.handle_roster_outcome(cx, outcome),
+            PlacerWrite::Progress => return self.handle_progress_outcome(cx, outcome),
+            PlacerWrite::Archive(part) => self.handle_archive_outcome(cx, part, outcome),
+            PlacerWrite::Retire => self.handle_retire_outcome(cx, outcome),
+            // A heartbeat that was sent before the load was complete.
+            PlacerWrite::LoadingHeartbeat => {}
         }
+        None
     }
 
     /// Handles the answer to a VM order or to an advice query.
+    ///
+    /// Ignores answers to an earlier placer of this process: its runs are found again in the VMs'
+    /// reports to this one.
     pub fn handle_answer(&mut self, cx: &mut Cx, answer: Answer) -> RoleLoss {
+        if answer
+            .order_sent_at()
+            .is_some_and(|sent| sent < self.granted_at)
+        {
+            return None;
+        }
         match answer {
             Answer::Renewed(renewal, result) => self.handle_renewal_answer(cx, &renewal, result),
             Answer::Started(order, result) => self.handle_start_answer(cx, &order, result),
@@ -328,6 +334,11 @@
         self.last_round_at + cx.options.placer.dispatch_interval
     }
 
+    /// Returns the purpose of a transaction of this placer.
+    fn purpose(&self, write: PlacerWrite) -> CommitPurpose {
+        CommitPurpose::Placer(self.owner.epoch, write)
+    }
+
     /// Returns the heartbeat row, with the number of unstarted jobs of each queue.
     fn heartbeat_row(&self, now: Now) -> HeartbeatRow {
         let mut waiting = rustc_hash::FxHashMap::default();
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -16,7 +16,7 @@
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
-use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::event::PlacerWrite;
 use crate::core::workload::event::ReadPurpose;
 use crate::core::workload::rows::HEARTBEAT_KEY;
 use crate::core::workload::rows::OccurrenceRow;
@@ -187,7 +187,7 @@
             stopping_vms,
         });
         self.progress.next_at = cx.now + cx.options.placer.progress_interval;
-        cx.commit(CommitPurpose::Progress, txn);
+        cx.commit(self.purpose(PlacerWrite::Progress), txn);
     }
 
     /// Handles the outcome of a write. A write that was not committed is repeated.
@@ -269,7 +269,7 @@
         self.progress.in_flight = Some(Batch::default());
         let timeout = cx.options.table.read_timeout;
         let range = Range::row(PROGRESS, &cx.options.part, SEQUENCE_KEY, timeout);
-        cx.read(ReadPurpose::Sequence, range);
+        cx.read(ReadPurpose::Sequence(self.owner.epoch), range);
     }
 
     /// Returns the VMs with ended runs that are processed but not yet recorded in the table, in the
--- a/src/core/workload/placer/retire.rs
+++ b/src/core/workload/placer/retire.rs
@@ -10,7 +10,7 @@
 use super::job_registry::JobKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
-use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::event::PlacerWrite;
 use crate::core::workload::rows::cancel_key;
 use crate::core::workload::rows::job_part;
 use crate::core::workload::rows::job_row;
@@ -75,7 +75,7 @@
             ..Transaction::default()
         };
         self.retire.stage = Stage::Jobs(jobs);
-        cx.commit(CommitPurpose::Retire, txn);
+        cx.commit(self.purpose(PlacerWrite::Retire), txn);
     }
 
     /// Handles the outcome of a removal. A failed removal is started again at a later check.
@@ -95,7 +95,7 @@
                     ..Transaction::default()
                 };
                 self.retire.stage = Stage::Progress(jobs);
-                cx.commit(CommitPurpose::Retire, txn);
+                cx.commit(self.purpose(PlacerWrite::Retire), txn);
             }
             Stage::Progress(jobs) => {
                 for key in jobs {
--- a/src/core/workload/placer/roster.rs
+++ b/src/core/workload/placer/roster.rs
@@ -11,7 +11,7 @@
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
-use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::event::PlacerWrite;
 use crate::core::workload::rows::OWNER_KEY;
 use crate::core::workload::rows::RosterRow;
 use crate::core::workload::rows::encode;
@@ -126,7 +126,7 @@
             added,
             removed: before,
         });
-        cx.commit(CommitPurpose::Roster, txn);
+        cx.commit(self.purpose(PlacerWrite::Roster), txn);
     }
 
     /// Handles the outcome of a roster transaction.
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -9,12 +9,14 @@
 use super::event::CommitPurpose;
 use super::event::Feed;
 use super::event::LoadSource;
+use super::event::PlacerWrite;
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
 use super::heartbeat::HeartbeatMonitor;
 use super::loading::Loading;
 use super::placer::Placer;
 use super::placer::RoleGrant;
+use super::placer::RoleLoss;
 use super::rows::HEARTBEAT_KEY;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
@@ -198,32 +200,53 @@
         }
     }
 
-    /// Handles the outcome of a heartbeat that was sent while loading.
-    pub fn handle_loading_heartbeat(
+    /// Handles the outcome of a transaction of the placer of an epoch. Ignores one of an earlier
+    /// term of this daemon. Returns a reason if the role is lost by it.
+    pub fn handle_write_outcome(
         &mut self,
         cx: &mut Cx,
-        feeds: &mut Feeds,
+        epoch: Epoch,
+        write: PlacerWrite,
         outcome: &CommitOutcome,
-    ) {
-        let Self::Loading(loading) = self else {
-            return;
-        };
-        if let Some(reason) = loading.handle_heartbeat_outcome(outcome) {
-            self.step_down(cx, feeds, &reason);
+    ) -> RoleLoss {
+        match self {
+            Self::Loading(loading) if loading.epoch() == epoch => {
+                loading.handle_heartbeat_outcome(outcome)
+            }
+            Self::Placing(placer) if placer.epoch() == epoch => {
+                placer.handle_write_outcome(cx, write, outcome)
+            }
+            _ => None,
         }
     }
 
+    /// Handles the sequence row, read by the placer of an epoch. Returns a reason if the role is
+    /// lost by it.
+    pub fn handle_sequence_row(
+        &mut self,
+        cx: &mut Cx,
+        epoch: Epoch,
+        page: Result<Page, Box<str>>,
+    ) -> RoleLoss {
+        let placer = self.placer().filter(|placer| placer.epoch() == epoch)?;
+        placer.handle_sequence_row(cx, page)
+    }
+
     /// Handles a page of the rows that the new placer needs; starts the placer after the last one.
     pub fn handle_page(
         &mut self,
         cx: &mut Cx,
         feeds: &mut Feeds,
+        epoch: Epoch,
         source: LoadSource,
         page: Result<Page, Box<str>>,
     ) {
         let Self::Loading(loading) = self else {
             return;
         };
+        if loading.epoch() != epoch {
+            return;
+        }
         loading.add_page(cx, source, page);
         if !loading.is_complete() {
             return;
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -240,14 +240,9 @@
                 self.calls.handle_cancel_outcome(cx, ticket, id, outcome);
             }
             CommitPurpose::Take => self.role.handle_claim_outcome(cx, &outcome),
-            CommitPurpose::LoadingHeartbeat => {
-                self.role
-                    .handle_loading_heartbeat(cx, &mut self.feeds, &outcome);
-            }
             CommitPurpose::Address => self.address_state.handle_outcome(cx, &outcome),
-            purpose => {
-                let placer = self.role.placer()?;
-                return placer.handle_commit_outcome(cx, &purpose, &outcome);
+            CommitPurpose::Placer(epoch, write) => {
+                return self.role.handle_write_outcome(cx, epoch, write, &outcome);
             }
         }
         None
@@ -284,9 +279,14 @@
             ReadPurpose::Cancel(ticket, id) => self.calls.handle_cancel_rows(cx, ticket, id, page),
             ReadPurpose::Owner => self.role.handle_owner_row(cx, false, page),
             ReadPurpose::Settle => self.role.handle_owner_row(cx, true, page),
-            ReadPurpose::Load(source) => self.role.handle_page(cx, &mut self.feeds, source, page),
+            ReadPurpose::Load(epoch, source) => {
+                self.role
+                    .handle_page(cx, &mut self.feeds, epoch, source, page);
+            }
             ReadPurpose::Probe(sent) => self.feeds.handle_probe(now, sent, page.is_ok()),
-            ReadPurpose::Sequence => return self.role.placer()?.handle_sequence_row(cx, page),
+            ReadPurpose::Sequence(epoch) => {
+                return self.role.handle_sequence_row(cx, epoch, page);
+            }
         }
         None
     }
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -214,6 +214,6 @@
         .iter()
         .filter_map(|line| line["purpose"].as_str())
         .collect();
-    assert_eq!(purposes, BTreeSet::from(["Owner", "Sequence"]));
+    assert_eq!(purposes, BTreeSet::from(["Owner", "Sequence(1)"]));
     assert!(failed.iter().all(|line| line["reason"] == "no answer"));
 }
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -12,6 +12,7 @@
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
+use ragwortstall::core::workload::event::PlacerWrite;
 use ragwortstall::core::workload::event::ProbeResult;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
@@ -133,12 +134,14 @@
         txn: Transaction,
     ) -> CommitOutcome {
         let no_answer: Box<str> = "no answer".into();
-        if self.hold_archives && matches!(purpose, CommitPurpose::Archive(..)) {
+        if self.hold_archives
+            && matches!(purpose, CommitPurpose::Placer(_, PlacerWrite::Archive(_)))
+        {
             self.held_archives.push(txn);
             return CommitOutcome::Unknown(no_answer);
         }
         let refuses_progress = self.now < self.progress_refused_until;
-        if refuses_progress && matches!(purpose, CommitPurpose::Progress) {
+        if refuses_progress && matches!(purpose, CommitPurpose::Placer(_, PlacerWrite::Progress)) {
             return CommitOutcome::Refused("busy".into());
         }
         if !table_answers {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -14,6 +14,7 @@
 mod status;
 mod table;
 mod takeover;
+mod terms;
 mod vm;
 mod vm_rows;
 
--- /dev/null
+++ b/tests/workload/terms.rs
@@ -0,0 +1,252 @@
+//! Answers that arrive when the daemon holds the placer role for another term than that in which it
+//! sent the request.
+
+use std::time::Duration;
+
+use ragwortstall::core::model::Now;
+use ragwortstall::core::model::Resources;
+use ragwortstall::core::workload::Effect;
+use ragwortstall::core::workload::Event;
+use ragwortstall::core::workload::Options;
+use ragwortstall::core::workload::Workload;
+use ragwortstall::core::workload::decision::Decision;
+use ragwortstall::core::workload::effect::Request;
+use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::Feed;
+use ragwortstall::core::workload::event::FeedAnswer;
+use ragwortstall::core::workload::event::FeedRow;
+use ragwortstall::core::workload::event::RenewalId;
+use ragwortstall::core::workload::event::RenewalReport;
+use ragwortstall::core::workload::table::CommitOutcome;
+use ragwortstall::core::workload::table::JOBS;
+use ragwortstall::core::workload::table::Page;
+use ragwortstall::core::workload::table::ROSTER;
+use ragwortstall::core::workload::table::Range;
+use ragwortstall::core::workload::table::TableRow;
+
+use crate::catalog::catalog;
+use crate::harness::START_TIME;
+use crate::vm::SimVm;
+
+/// Part of the table with the rows of the role.
+const PART: &str = "p0";
+
+/// Time after which the daemon takes the role over from another one that sends no heartbeat.
+const TAKEOVER: Duration = Duration::from_millis(1_500);
+
+/// A daemon whose requests are answered one by one.
+struct Daemon {
+    state: Workload,
+    now: Now,
+    /// Version of the table's last change.
+    version: u64,
+    /// Requests without an answer, in the order in which they were sent.
+    requests: Vec<Request>,
+    decisions: Vec<Decision>,
+}
+
+impl Daemon {
+    /// Returns a daemon that knows the configuration and has read an empty table.
+    fn new() -> Self {
+        let mut daemon = Self {
+            state: Workload::new(Options::new("entry-0", "zone-a", 0)),
+            now: Duration::ZERO,
+            version: 1,
+            requests: Vec::new(),
+            decisions: Vec::new(),
+        };
+        daemon.tick(Duration::ZERO);
+        let config = FeedRow::Config(Box::new(catalog(Resources::ZERO, None)));
+        daemon.answer_feed(Feed::Config, vec![config]);
+        daemon.answer_feed(Feed::Heartbeats, Vec::new());
+        daemon
+    }
+
+    fn tick(&mut self, passed: Duration) {
+        self.now += passed;
+        let unix_time = START_TIME + self.now;
+        self.apply(Event::Tick { unix_time });
+    }
+
+    fn apply(&mut self, event: Event) {
+        for effect in self.state.step(self.now, event) {
+            match effect {
+                Effect::Send(req) => self.requests.push(req),
+                Effect::Log(decision) => self.decisions.push(decision),
+                Effect::Reply(..) | Effect::Exit => {}
+            }
+        }
+    }
+
+    /// Takes the first request that matches.
+    fn take(&mut self, matches: impl Fn(&Request) -> bool) -> Request {
+        let ix = self.requests.iter().position(matches);
+        self.requests.remove(ix.expect("a request"))
+    }
+
+    /// Answers the outstanding call of a followed table with rows that have changed.
+    fn answer_feed(&mut self, feed: Feed, rows: Vec<FeedRow>) {
+        self.version += 1;
+        let req = self.take(|req| {
+            matches!(req, Request::ReadAll { call, .. } | Request::Watch { call, .. } if call.feed == feed)
+        });
+        let answer = match req {
+            Request::ReadAll { call, .. } => {
+                Answer::Feed(call, FeedAnswer::Snapshot(rows, self.version))
+            }
+            Request::Watch { call, .. } => {
+                Answer::Feed(call, FeedAnswer::Changes(rows, self.version))
+            }
+            other => panic!("unexpected request {other:?}"),
+        };
+        self.apply(Event::Answer(answer));
+    }
+
+    /// Answers a read with these rows.
+    fn answer_read(&mut self, req: Request, rows: Vec<TableRow>) {
+        let Request::Read { purpose, .. } = req else {
+            panic!("unexpected request {req:?}");
+        };
+        let page = Page {
+            rows,
+            more: false,
+            version: self.version,
+        };
+        self.apply(Event::Answer(Answer::Read(purpose, Ok(page))));
+    }
+
+    /// Commits the first outstanding transaction.
+    fn answer_commit(&mut self) {
+        self.version += 1;
+        let req = self.take(|req| matches!(req, Request::Commit { .. }));
+        let Request::Commit { purpose, .. } = req else {
+            return;
+        };
+        let outcome = CommitOutcome::Done(self.version);
+        self.apply(Event::Answer(Answer::Committed(purpose, outcome)));
+    }
+
+    /// Claims the role; `owner` is the owner row that the daemon reads before.
+    fn claim(&mut self, owner: Option<TableRow>) {
+        self.requests
+            .retain(|req| !matches!(req, Request::Commit { .. }));
+        let req = self.take(is_read_of(JOBS, PART));
+        self.answer_read(req, owner.into_iter().collect());
+        self.answer_commit();
+    }
+
+    /// Answers all reads of a load, with `roster` for the VMs.
+    fn load(&mut self, roster: &[TableRow]) {
+        while self
+            .requests
+            .iter()
+            .any(|req| matches!(req, Request::Read { .. }))
+        {
+            let req = self.take(|req| matches!(req, Request::Read { .. }));
+            let is_roster = matches!(&req, Request::Read { range, .. } if range.table == ROSTER);
+            let rows = if is_roster {
+                roster.to_vec()
+            } else {
+                Vec::new()
+            };
+            self.answer_read(req, rows);
+        }
+    }
+
+    /// Tells the daemon that another one holds the role; returns that one's owner row.
+    fn lose_role(&mut self) -> TableRow {
+        let owner = r#"{"epoch":2,"daemon":"entry-1","nonce":7}"#;
+        let beat = format!(r#"{{"owner":{owner},"released":false,"loading":false}}"#);
+        let row = self.row("beat", &beat);
+        self.answer_feed(Feed::Heartbeats, vec![FeedRow::Internal(row)]);
+        self.row("owner", owner)
+    }
+
+    fn row(&self, key: &str, value: &str) -> TableRow {
+        TableRow {
+            part: PART.into(),
+            key: key.into(),
+            version: self.version + 1,
+            value: Some(value.as_bytes().to_vec()),
+        }
+    }
+}
+
+/// Returns whether a request reads the rows of a part.
+fn is_read_of(table: &'static str, part: &'static str) -> impl Fn(&Request) -> bool {
+    move |req| {
+        let of_part = |range: &Range| range.table == table && &*range.part == part;
+        matches!(req, Request::Read { range, .. } if of_part(range))
+    }
+}
+
+/// Guards against a load that takes rows of an earlier one, which may be older than its grant.
+#[test]
+fn pages_of_an_earlier_load_are_not_taken_for_those_of_the_present_one() {
+    let mut daemon = Daemon::new();
+    daemon.claim(None);
+    let stale = daemon.take(is_read_of(JOBS, "jobs-0"));
+    daemon
+        .requests
+        .retain(|req| !matches!(req, Request::Read { .. }));
+    let owner = daemon.lose_role();
+    daemon.tick(TAKEOVER);
+    daemon.claim(Some(owner));
+    let present = daemon.take(is_read_of(JOBS, "jobs-0"));
+    daemon.answer_read(stale, Vec::new());
+    daemon.load(&[]);
+    assert_eq!(
+        daemon.state.epoch(),
+        None,
+        "the load has ended without a page"
+    );
+    daemon.answer_read(present, Vec::new());
+    assert_eq!(daemon.state.epoch(), Some(3));
+}
+
+/// Guards against a VM that counts as fenced, and its runs as known, by an answer to a renewal of an
+/// earlier term.
+#[test]
+fn reports_to_an_earlier_term_do_not_settle_the_present_one() {
+    let mut daemon = Daemon::new();
+    daemon.claim(None);
+    daemon.load(&[]);
+    let vm = SimVm::new("vm-0", Resources::new(16_000, 64_000, 0, u32::MAX));
+    daemon.answer_feed(Feed::Vms, vec![FeedRow::Vm(vm.row())]);
+    let stale = daemon.take(|req| matches!(req, Request::Renew { .. }));
+    let owner = daemon.lose_role();
+    daemon.tick(TAKEOVER);
+    daemon.claim(Some(owner));
+    let roster = daemon.row("vm-0", r#"{"address":"vm-0"}"#);
+    daemon.load(&[roster]);
+    assert_eq!(daemon.state.epoch(), Some(3));
+    let present = daemon.take(|req| matches!(req, Request::Renew { .. }));
+    daemon.answer_renewal(&stale);
+    assert!(!daemon.is_settled(3), "settled by a report to epoch 1");
+    daemon.answer_renewal(&present);
+    daemon.tick(Duration::from_millis(100));
+    assert!(daemon.is_settled(3));
+}
+
+impl Daemon {
+    fn answer_renewal(&mut self, req: &Request) {
+        let Request::Renew { renewal, .. } = req else {
+            panic!("unexpected request {req:?}");
+        };
+        let report = RenewalReport {
+            started_ms: 0,
+            clock_ms: 1_000,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        let renewal: RenewalId = renewal.clone();
+        self.tick(Duration::from_millis(50));
+        self.apply(Event::Answer(Answer::Renewed(renewal, Ok(report))));
+        self.tick(Duration::from_millis(50));
+    }
+
+    fn is_settled(&self, term: u64) -> bool {
+        let mut decisions = self.decisions.iter();
+        decisions.any(|line| matches!(line, Decision::Settled { epoch, .. } if *epoch == term))
+    }
+}
