Give a live placer time for a heartbeat when the table takes writes again

A daemon of 10 Mbit/s took the role 30 ms after the store served again, from a placer that was there and had no chance to send its heartbeat; it could not carry the load, and 64 lasting tasks did not run. The grace of 0.6 s for the holder hung on the followed table alone, which had not failed.

A follower whose takeover fails by the table now writes a row of its own to the same part until that is taken, and then waits the grace, its random delay and that for a lack of capacity, as after an outage that its followed tables show.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -101,6 +101,8 @@
     Cancel(Ticket, JobId),
     /// Claims the placer role.
     Take,
+    /// Finds out whether the table takes writes.
+    TableProbe,
     /// Writes rows as the placer of an epoch.
     Placer(Epoch, PlacerWrite),
     /// Publishes this daemon's address.
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -21,6 +21,7 @@
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
+use super::rows::PROBE_KEY_PREFIX;
 use super::rows::SEQUENCE_KEY;
 use super::rows::decode;
 use super::rows::encode;
@@ -54,7 +55,12 @@
     Follower {
         /// Earliest time at which this daemon may start a takeover.
         not_before: Now,
+        /// Whether the table failed to answer in this daemon's last takeover, so that the holder
+        /// may have been unable to send its heartbeat.
+        table_failed: bool,
     },
+    /// This daemon finds out whether the table takes writes again.
+    ProbingTable,
     /// This daemon reads the owner row and claims the role.
     Claiming(Takeover),
     /// This daemon holds the role and reads the rows that the placer needs.
@@ -86,6 +92,7 @@
     pub fn new() -> Self {
         Self::Follower {
             not_before: Now::ZERO,
+            table_failed: false,
         }
     }
 
@@ -111,14 +118,21 @@
         draining: bool,
     ) {
         match self {
-            Self::Follower { not_before } => {
+            Self::Follower {
+                not_before,
+                table_failed,
+            } => {
                 let due = due_at(cx, feeds, heartbeats).max(*not_before);
                 let can_claim = feeds.is_up(Feed::Heartbeats) && cx.catalog.is_some() && !draining;
                 if can_claim && cx.now >= due {
-                    *self = Self::Claiming(Takeover::start(cx, heartbeats));
+                    *self = if *table_failed {
+                        Self::probe_table(cx)
+                    } else {
+                        Self::Claiming(Takeover::start(cx, heartbeats))
+                    };
                 }
             }
-            Self::Claiming(_) => {}
+            Self::Claiming(_) | Self::ProbingTable => {}
             Self::Loading(loading) if draining => {
                 loading.release(cx);
                 self.step_down(cx, feeds, "the daemon is stopping");
@@ -140,10 +154,10 @@
     /// Returns the time at which [`Role::poll`] is next due, if any.
     pub fn wake_at(&self, cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Option<Now> {
         match self {
-            Self::Follower { not_before } if feeds.is_up(Feed::Heartbeats) => {
+            Self::Follower { not_before, .. } if feeds.is_up(Feed::Heartbeats) => {
                 Some(due_at(cx, feeds, heartbeats).max(*not_before))
             }
-            Self::Follower { .. } | Self::Claiming(_) => None,
+            Self::Follower { .. } | Self::Claiming(_) | Self::ProbingTable => None,
             Self::Loading(loading) => Some(loading.wake_at(cx)),
             Self::Placing(placer) => placer.wake_at(cx),
         }
@@ -161,7 +175,7 @@
             return;
         };
         let Ok(row) = page.map(|page| page.rows.into_iter().next()) else {
-            return self.back_off(cx);
+            return self.back_off_from_table(cx);
         };
         let current = row.as_ref().and_then(|row| Some((row, owner(row)?)));
         if let (true, Some((row, owner)), Some(claim)) =
@@ -172,7 +186,7 @@
             return self.start_loading(cx, version);
         }
         if after_unknown_claim {
-            return self.back_off(cx);
+            return self.back_off_from_table(cx);
         }
         let version = row.as_ref().map_or(0, |row| row.version);
         if current
@@ -182,7 +196,10 @@
             return self.back_off(cx);
         }
         if let Some(not_before) = takeover.slow_table_deadline(cx) {
-            *self = Self::Follower { not_before };
+            *self = Self::Follower {
+                not_before,
+                table_failed: false,
+            };
             return;
         }
         takeover.claim(cx, current.map(|(_, owner)| owner), version);
@@ -195,11 +212,33 @@
         }
         match outcome {
             CommitOutcome::Done(version) => self.start_loading(cx, *version),
-            CommitOutcome::Conflict(_) | CommitOutcome::Refused(_) => self.back_off(cx),
+            CommitOutcome::Conflict(_) => self.back_off(cx),
+            CommitOutcome::Refused(_) => self.back_off_from_table(cx),
             CommitOutcome::Unknown(_) => read_owner(cx, ReadPurpose::Settle),
         }
     }
 
+    /// Handles the outcome of a write that shows whether the table takes writes again. If it does,
+    /// the holder gets time for a heartbeat before this daemon claims the role.
+    pub fn handle_probe_outcome(
+        &mut self,
+        cx: &Cx,
+        heartbeats: &HeartbeatMonitor,
+        outcome: &CommitOutcome,
+    ) {
+        if !matches!(self, Self::ProbingTable) {
+            return;
+        }
+        if !matches!(outcome, CommitOutcome::Done(_)) {
+            return self.back_off_from_table(cx);
+        }
+        let delay = RECOVERY_GRACE + jitter(cx) + heartbeats.hosts.takeover_delay(cx);
+        *self = Self::Follower {
+            not_before: cx.now + delay,
+            table_failed: false,
+        };
+    }
+
     /// Handles the outcome of a transaction of the placer of an epoch. Ignores one of an earlier
     /// term of this daemon. Returns a reason if the role is lost by it.
     pub fn handle_write_outcome(
@@ -262,7 +301,9 @@
         let epoch = match self {
             Self::Placing(placer) => placer.epoch(),
             Self::Loading(loading) => loading.epoch(),
-            Self::Follower { .. } | Self::Claiming(_) => return self.back_off(cx),
+            Self::Follower { .. } | Self::Claiming(_) | Self::ProbingTable => {
+                return self.back_off(cx);
+            }
         };
         cx.log(Decision::RoleLost {
             epoch,
@@ -294,12 +335,37 @@
         *self = Self::Loading(Box::new(loading));
     }
 
+    /// Writes a row to the part of the table that holds the role.
+    fn probe_table(cx: &mut Cx) -> Self {
+        let key = format!("{PROBE_KEY_PREFIX}{}", cx.options.daemon);
+        let row = RowId::new(HEARTBEATS, &cx.options.part, &key);
+        let txn = Transaction {
+            put: vec![(row, encode(&cx.options.nonce))],
+            ..Transaction::default()
+        };
+        cx.commit(CommitPurpose::TableProbe, txn);
+        Self::ProbingTable
+    }
+
     fn back_off(&mut self, cx: &Cx) {
-        let delay = cx.options.table.retry_delay * 2 + jitter(cx);
         *self = Self::Follower {
-            not_before: cx.now + delay,
+            not_before: backed_off_until(cx),
+            table_failed: false,
         };
     }
+
+    /// Backs off from a table that has failed.
+    fn back_off_from_table(&mut self, cx: &Cx) {
+        *self = Self::Follower {
+            not_before: backed_off_until(cx),
+            table_failed: true,
+        };
+    }
+}
+
+/// Returns the earliest time of the next takeover after one that has failed.
+fn backed_off_until(cx: &Cx) -> Now {
+    cx.now + cx.options.table.retry_delay * 2 + jitter(cx)
 }
 
 impl Takeover {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -51,6 +51,9 @@
 /// Key of the placer's heartbeat.
 pub(super) const HEARTBEAT_KEY: &str = "beat";
 
+/// Prefix of the key of a row that a daemon writes to find out whether the table takes writes.
+pub(super) const PROBE_KEY_PREFIX: &str = "probe-";
+
 /// Suffix of the key of a row that cancels a job.
 const CANCEL_SUFFIX: &str = "/cancel";
 
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -239,6 +239,10 @@
             CommitPurpose::Cancel(ticket, id) => {
                 self.calls.handle_cancel_outcome(cx, ticket, id, outcome);
             }
+            CommitPurpose::TableProbe => {
+                self.role
+                    .handle_probe_outcome(cx, &self.heartbeats, &outcome);
+            }
             CommitPurpose::Take => self.role.handle_claim_outcome(cx, &outcome),
             CommitPurpose::Address => self.address_state.handle_outcome(cx, &outcome),
             CommitPurpose::Placer(epoch, write) => {
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -288,3 +288,20 @@
     }
     harness.now.saturating_sub(ended)
 }
+
+/// Guards against a claim in the first moment in which a table that has refused writes takes them
+/// again, before the placer could send its heartbeat.
+#[test]
+fn a_placer_keeps_its_role_when_the_table_takes_writes_again() {
+    for offset in 0..12 {
+        let mut harness = Harness::new(10, 2);
+        let epoch = harness.epoch();
+        harness.commits_refused_until = harness.now + Duration::from_millis(4_000 + offset * 13);
+        harness.run_for(6_000);
+        assert_eq!(
+            harness.epoch(),
+            epoch,
+            "refused for {offset} * 13 ms beyond 4 s"
+        );
+    }
+}
