Add a failing test: a late page of a former load is taken for one of the present load

A load that gives up leaves its reads under way for up to 10 s, and ReadPurpose::Load carries neither epoch nor first key. If the same daemon takes the role again in that time, the late last page of a range ends the read of that range in the new load, and the rows before it are never read: accepted jobs are lost for this placer, or run again where it is their progress that is missing. No code changes.

--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -47,6 +47,7 @@
                 Answer::Committed(purpose, outcome)
             }
             Request::Read { purpose, range } if table_answers => {
+                self.reads.push((range.part.clone(), range.from.clone()));
                 Answer::Read(purpose, Ok(self.table.page(&range)))
             }
             Request::Read { purpose, .. } => Answer::Read(purpose, Err(no_answer)),
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -124,6 +124,8 @@
     pub lost_watch_answers: BTreeSet<(usize, Feed)>,
     /// Numbers of calls for the rows of followed tables.
     pub feed_calls: FeedCalls,
+    /// Ranges that daemons have read, as part and first key.
+    pub reads: Vec<(Box<str>, Box<str>)>,
     /// Time until which the table refuses the placer's writes of progress.
     pub progress_refused_until: Now,
     /// Whether replacements of ended jobs' rows are held back without an answer.
@@ -195,6 +197,7 @@
             commit_answers_lost_until: Now::ZERO,
             lost_watch_answers: BTreeSet::new(),
             feed_calls: FeedCalls::default(),
+            reads: Vec::new(),
             progress_refused_until: Now::ZERO,
             hold_archives: false,
             held_archives: Vec::new(),
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod harness;
 mod jobs;
+mod late_answers;
 mod pace;
 mod slow_link;
 mod status;
