Add a failing test: a daemon that hears no heartbeats replaces a live placer

A follower whose watch of the heartbeats gets no answer counts that table as up until the watch's timeout (1.6 s), and longer while an answer is being transferred, but a heartbeat as overdue after 1.1 s. Its claim expects the version of the owner row only, so that it succeeds although newer heartbeats are in the table. No code changes.

assertion `left == right` failed: the placer 0 was replaced; daemon 1 did not hear it left: [(2, 1201)] right: []

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod jobs;
 mod late_answers;
+mod live_holder;
 mod pace;
 mod slow_link;
 mod status;
