Add a failing test: a load whose large pages arrive is taken for one without progress

A load is given up 4 s after its last complete page. No code changes.

epoch of the placer: None; the role was lost 3 times: Some(RoleLost { epoch: 4, reason: "the load makes no progress" })

Answers to reads of former loads were counted as failed reads of the present one ("failed_reads: 6" before any read of its own had failed).

--- a/tests/workload/slow_link.rs
+++ b/tests/workload/slow_link.rs
@@ -245,3 +245,50 @@
         "greatest numbers of calls at a time: {greatest:?}"
     );
 }
+
+/// Returns a job of `steps` steps, each after all earlier ones.
+fn long_chain(steps: u16) -> Submission {
+    let steps = (0..steps).map(|ix| {
+        let after: Vec<u16> = (0..ix).collect();
+        step(1, LONG_MS, &after)
+    });
+    Submission {
+        payload: "x".repeat(PAYLOAD_BYTES).into(),
+        ..job(steps.collect())
+    }
+}
+
+/// Returns whether a job is in one of the eight parts that a load reads first.
+fn is_read_first(id: &str) -> bool {
+    let add = |hash: u8, byte: u8| hash.wrapping_mul(31).wrapping_add(byte);
+    id.bytes().fold(0, add) % 32 < 8
+}
+
+/// Guards against a load that is given up although its pages arrive all the while, as none of them is
+/// complete in the time that a load may take without a page. Each daemon then gives it up in turn.
+#[test]
+fn a_placer_whose_large_pages_arrive_is_not_taken_for_one_without_progress() {
+    let mut harness = Harness::new(3, 2);
+    let submission = long_chain(90);
+    let ids = (0_u64..).map(|number| format!("{number:016x}"));
+    for id in ids.filter(|id| is_read_first(id)).take(200) {
+        assert_eq!(harness.submit(0, &id, submission.clone()), Reply::Accepted);
+    }
+    for daemon in 0..3 {
+        harness.set_link_rate(daemon, SLOW_LINK);
+    }
+    let placer = harness.placer().expect("a placer");
+    harness.decisions.clear();
+    harness.kill_host(placer);
+    harness.run_for(TAKEOVER_MS);
+    let epoch = harness.epoch();
+    let lost = harness.decisions.iter();
+    let lost = lost.filter(|line| matches!(line, Decision::RoleLost { .. }));
+    let lost: Vec<_> = lost.collect();
+    assert!(
+        epoch.is_some() && lost.is_empty(),
+        "epoch of the placer: {epoch:?}; the role was lost {} times: {:?}",
+        lost.len(),
+        lost.last()
+    );
+}
