--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,6 +8,8 @@
 mod faults;
 mod harness;
 mod jobs;
+mod late_answers;
+mod live_holder;
 mod long_queue;
 mod pace;
 mod slow_link;
