Send heartbeats while a write gets no answer

Found in the review: a commit without an answer is given up after 2 s, and no other was sent meanwhile, so that one silent call had a live placer replaced after 1.2 s, at work or while it loaded. While a write of progress is late, the placer now writes the heartbeat alone, expecting the owner row of its grant; a loading placer writes one each 250 ms whatever is outstanding. A placer whose heartbeats are stored for 4 s while its progress is not gives the role up.

New tests: a write of progress without an answer, progress that is never stored, and a heartbeat of a load without an answer.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -116,6 +116,8 @@
     LoadingHeartbeat,
     /// The progress of jobs and the placer's heartbeat.
     Progress,
+    /// The heartbeat alone, while a write of progress is not answered.
+    Heartbeat,
     /// The roster of VMs that the placer may have started tasks on.
     Roster,
     /// Small rows that replace those of ended jobs in a part.
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -81,7 +81,6 @@
     failed_reads: u32,
     next_report_at: Now,
     next_heartbeat_at: Now,
-    heartbeat_in_flight: bool,
 }
 
 /// Paged read of a range.
@@ -113,7 +112,6 @@
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
             next_heartbeat_at: cx.now + cx.options.placer.heartbeat_interval,
-            heartbeat_in_flight: false,
         };
         loading.send_reads(cx);
         loading
@@ -134,9 +132,8 @@
             return Some("the load makes no progress".into());
         }
         self.send_reads(cx);
-        if cx.now >= self.next_heartbeat_at && !self.heartbeat_in_flight {
+        if cx.now >= self.next_heartbeat_at {
             self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
-            self.heartbeat_in_flight = true;
             self.write_heartbeat(cx, false);
         }
         self.report(cx);
@@ -146,9 +143,7 @@
     /// Returns the time at which [`Loading::poll`] is next due.
     pub fn wake_at(&self, cx: &Cx) -> Now {
         let mut at = self.next_report_at.min(self.stalled_at(cx));
-        if !self.heartbeat_in_flight {
-            at = at.min(self.next_heartbeat_at);
-        }
+        at = at.min(self.next_heartbeat_at);
         if self.can_read() {
             at = at.min(self.next_read_at);
         }
@@ -156,8 +151,7 @@
     }
 
     /// Handles the outcome of a heartbeat. Returns a reason if another daemon has claimed the role.
-    pub fn handle_heartbeat_outcome(&mut self, outcome: &CommitOutcome) -> RoleLoss {
-        self.heartbeat_in_flight = false;
+    pub fn handle_heartbeat_outcome(outcome: &CommitOutcome) -> RoleLoss {
         match outcome {
             CommitOutcome::Conflict(_) => Some("another daemon has claimed the role".into()),
             // Failures are logged with their purpose; the next heartbeat follows.
@@ -258,7 +252,7 @@
         }
     }
 
-    /// Writes the heartbeat. The transaction expects the sequence row as the grant wrote it, so that
+    /// Writes the heartbeat, whether or not earlier ones are answered. The transaction expects the sequence row as the grant wrote it, so that
     /// it fails once another daemon has claimed the role or this one has written progress.
     fn write_heartbeat(&self, cx: &mut Cx, released: bool) {
         let part = &cx.options.part;
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod fleet;
 mod hand_over;
+mod heartbeat;
 mod job_registry;
 mod load;
 mod progress;
@@ -172,6 +173,7 @@
         self.expire_leases(cx);
         self.retire_jobs(cx);
         self.write_progress(cx);
+        self.write_late_heartbeat(cx);
         self.archive_jobs(cx);
         if !self.is_partitioned(cx) {
             self.send_renewals(cx);
@@ -196,6 +198,7 @@
             self.progress
                 .wake_at(&self.registry, self.next_heartbeat_at),
         );
+        at = earliest(at, self.late_heartbeat_at(cx));
         if self.is_partitioned(cx) {
             return at;
         }
@@ -263,6 +266,7 @@
         match write {
             PlacerWrite::Roster => return self.handle_roster_outcome(cx, outcome),
             PlacerWrite::Progress => return self.handle_progress_outcome(cx, outcome),
+            PlacerWrite::Heartbeat => return self.handle_heartbeat_outcome(cx, outcome),
             PlacerWrite::Archive(part) => self.handle_archive_outcome(cx, part, outcome),
             PlacerWrite::Retire => self.handle_retire_outcome(cx, outcome),
             // A heartbeat that was sent before the load was complete.
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -49,6 +49,8 @@
     /// Transaction in flight; an empty batch while the sequence row is being read.
     in_flight: Option<Batch>,
     next_at: Now,
+    /// Time of the first heartbeat of its own that was stored since the last stored write.
+    late_heartbeat_at: Option<Now>,
     /// Whether the sequence row must be read before the next write, as the outcome of the last one
     /// is unknown or a conflict.
     outcome_unknown: bool,
@@ -81,6 +83,7 @@
             sequence,
             in_flight: None,
             next_at: Now::ZERO,
+            late_heartbeat_at: None,
             outcome_unknown: false,
             stopping_vms: None,
             stops_pending: false,
@@ -97,6 +100,18 @@
         self.stops_pending = true;
     }
 
+    /// Records a stored heartbeat of its own; returns the time of the first one since the last
+    /// stored write.
+    pub fn record_late_heartbeat(&mut self, now: Now) -> Now {
+        *self.late_heartbeat_at.get_or_insert(now)
+    }
+
+    /// Returns the time at which the write in flight was sent; zero for a read of the sequence row,
+    /// which follows a write without an answer.
+    pub fn in_flight_since(&self) -> Option<Now> {
+        self.in_flight.as_ref().map(|batch| batch.sent)
+    }
+
     /// Returns the time of the next write or read; `None` while one is in flight.
     pub fn wake_at(&self, registry: &JobRegistry, next_heartbeat_at: Now) -> Option<Now> {
         if self.in_flight.is_some() {
@@ -199,6 +214,7 @@
         let batch = self.progress.in_flight.take()?;
         if let CommitOutcome::Done(version) = outcome {
             self.progress.sequence = *version;
+            self.progress.late_heartbeat_at = None;
             self.last_commit_sent_at = batch.sent;
             if batch.releases_role {
                 self.release = Release::Done;
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -252,7 +252,7 @@
     ) -> RoleLoss {
         match self {
             Self::Loading(loading) if loading.epoch() == epoch => {
-                loading.handle_heartbeat_outcome(outcome)
+                Loading::handle_heartbeat_outcome(outcome)
             }
             Self::Placing(placer) if placer.epoch() == epoch => {
                 placer.handle_write_outcome(cx, write, outcome)
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -45,6 +45,13 @@
         let no_answer: Box<str> = "no answer".into();
         let limit = transfer_limit(&req);
         let answer = match req {
+            Request::Commit {
+                purpose, timeout, ..
+            } if self.is_silent(&purpose) => {
+                let outcome = CommitOutcome::Unknown(no_answer);
+                let answer = Answer::Committed(purpose, outcome);
+                return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
+            }
             Request::Commit { purpose, txn, .. } => {
                 let outcome = self.commit(table_answers, &purpose, txn);
                 Answer::Committed(purpose, outcome)
@@ -127,6 +134,25 @@
         self.send_after(delay, Message::Answer(daemon, lifetime, answer));
     }
 
+    /// Returns whether a transaction neither takes effect nor gets an answer.
+    fn is_silent(&mut self, purpose: &CommitPurpose) -> bool {
+        let remaining = match purpose {
+            CommitPurpose::Placer(_, PlacerWrite::Progress) => {
+                if self.now < self.progress_silent_until {
+                    return true;
+                }
+                &mut self.silent_progress_writes
+            }
+            CommitPurpose::Placer(_, PlacerWrite::LoadingHeartbeat) => {
+                &mut self.silent_loading_heartbeats
+            }
+            _ => return false,
+        };
+        let is_silent = *remaining > 0;
+        *remaining = remaining.saturating_sub(1);
+        is_silent
+    }
+
     /// Runs a transaction, unless a fault prevents it; the outcome is the one that the daemon sees.
     fn commit(
         &mut self,
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -131,6 +131,12 @@
     pub reads: Vec<(Box<str>, Box<str>)>,
     /// Time until which the table refuses the placer's writes of progress.
     pub progress_refused_until: Now,
+    /// Number of the placer's next writes of progress that neither take effect nor get an answer.
+    pub silent_progress_writes: u32,
+    /// Time until which no write of progress takes effect or gets an answer.
+    pub progress_silent_until: Now,
+    /// Number of the next heartbeats of a load that neither take effect nor get an answer.
+    pub silent_loading_heartbeats: u32,
     /// Whether replacements of ended jobs' rows are held back without an answer.
     pub hold_archives: bool,
     /// Replacements that were held back.
@@ -203,6 +209,9 @@
             feed_calls: FeedCalls::default(),
             reads: Vec::new(),
             progress_refused_until: Now::ZERO,
+            silent_progress_writes: 0,
+            progress_silent_until: Now::ZERO,
+            silent_loading_heartbeats: 0,
             hold_archives: false,
             held_archives: Vec::new(),
             decisions: Vec::new(),
