Limit the pages of a load by the size of its rows

Found in the review: the first eight pages were sent before any size was known, so that up to 8 MB could be in flight, more than a link of 10 Mbit/s carries in the 4 s after which a load without a page is given up; each daemon then gave it up in turn. The first pages now have four rows; the size of the rows read gives the number of rows of the next ones, some 64 KiB a page, and 512 KiB are in flight.

--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -1,8 +1,7 @@
 //! Load of the rows that a daemon needs before it can act as the placer.
 //!
-//! The rows are read in pages. The number of pages in flight is limited by their size, so that a
-//! load takes its time on a slow link, but neither fails there nor delays the heartbeats that it
-//! sends meanwhile.
+//! The rows are read in pages, whose size and number in flight are limited, so that a load takes its
+//! time on a slow link, but neither fails there nor delays the heartbeats that it sends meanwhile.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -42,8 +41,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Size of the pages in flight, in bytes, as expected from the pages read before. A link of
-/// 10 Mbit/s transfers it in a fifth of a second.
-const BYTES_IN_FLIGHT: usize = 256 << 10;
+/// 10 Mbit/s transfers it in half a second.
+const BYTES_IN_FLIGHT: usize = 512 << 10;
+
+/// Size that a page with many rows should have, in bytes.
+const PAGE_BYTES: usize = 64 << 10;
 
 /// Size that is expected of a page before the first one is read, in bytes.
 const FIRST_PAGE_BYTES: usize = 32 << 10;
@@ -51,8 +53,11 @@
 /// Weight of the pages before the last one in the mean size of a page, relative to the last one.
 const MEAN_WEIGHT: usize = 3;
 
+/// Maximum number of rows in a page while the size of the rows is not known.
+const FIRST_PAGE_ROWS: usize = 4;
+
 /// Maximum number of rows in a page.
-const PAGE_ROWS: usize = 100;
+const MAX_PAGE_ROWS: usize = 500;
 
 /// Longest delay after a failed read. The delay starts at the retry delay of the table and doubles
 /// with each failure in a row.
@@ -76,6 +81,8 @@
     retry_delay: Duration,
     /// Mean size of a page, in bytes.
     mean_page_bytes: usize,
+    /// Size of a row, in bytes, as in the largest rows read so far; `None` before the first.
+    row_bytes: Option<usize>,
     /// Whether the last answer to a read was a failure; reads are sent one at a time then.
     last_read_failed: bool,
     failed_reads: u32,
@@ -108,6 +115,7 @@
             next_read_at: cx.now,
             retry_delay: cx.options.table.retry_delay,
             mean_page_bytes: FIRST_PAGE_BYTES,
+            row_bytes: None,
             last_read_failed: false,
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
@@ -174,6 +182,10 @@
         self.retry_delay = cx.options.table.retry_delay;
         self.mean_page_bytes =
             (self.mean_page_bytes * MEAN_WEIGHT + page.value_bytes()) / (MEAN_WEIGHT + 1);
+        if !page.rows.is_empty() {
+            let row_bytes = page.value_bytes() / page.rows.len();
+            self.row_bytes = self.row_bytes.max(Some(row_bytes));
+        }
         let last = page.rows.last().map(|row| format!("{}\0", row.key));
         match source {
             LoadSource::Jobs(_) => {
@@ -242,12 +254,18 @@
         !self.queued.is_empty() && self.in_flight.len() < max.max(1)
     }
 
+    /// Returns the maximum number of rows of the next page.
+    fn page_rows(&self) -> usize {
+        let rows = self.row_bytes.map(|bytes| PAGE_BYTES / bytes.max(1));
+        rows.map_or(FIRST_PAGE_ROWS, |rows| rows.clamp(1, MAX_PAGE_ROWS))
+    }
+
     fn send_reads(&mut self, cx: &mut Cx) {
         while cx.now >= self.next_read_at && self.can_read() {
             let Some(read) = self.queued.pop_front() else {
                 return;
             };
-            read.send(cx, self.epoch());
+            read.send(cx, self.epoch(), self.page_rows());
             self.in_flight.push(read);
         }
     }
@@ -306,7 +324,7 @@
         sources.map(read).collect()
     }
 
-    fn send(&self, cx: &mut Cx, epoch: Epoch) {
+    fn send(&self, cx: &mut Cx, epoch: Epoch, rows: usize) {
         let timeout = cx.options.table.read_timeout * 2;
         let own = cx.options.part.clone();
         let mut range = match self.source {
@@ -315,7 +333,7 @@
             LoadSource::Roster => Range::part(ROSTER, &own, timeout),
         };
         range.from = self.from.clone();
-        range.limit = Some(PAGE_ROWS);
+        range.limit = Some(rows);
         cx.read(ReadPurpose::Load(epoch, self.source), range);
     }
 }
