--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -1,8 +1,7 @@
 //! Load of the rows that a daemon needs before it can act as the placer.
 //!
-//! The rows are read in pages. The number of pages in flight is limited by their size, so that a
-//! load takes its time on a slow link, but neither fails there nor delays the heartbeats that it
-//! sends meanwhile.
+//! The rows are read in pages, whose size and number in flight are limited, so that a load takes its
+//! time on a slow link, but neither fails there nor delays the heartbeats that it sends meanwhile.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use super::decision::Decision;
 use super::event::CommitPurpose;
 use super::event::LoadSource;
+use super::event::PlacerWrite;
 use super::event::ReadPurpose;
 use super::heartbeat::HeartbeatMonitor;
 use super::placer::LoadedRows;
@@ -41,8 +41,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Size of the pages in flight, in bytes, as expected from the pages read before. A link of
-/// 10 Mbit/s transfers it in a fifth of a second.
-const BYTES_IN_FLIGHT: usize = 256 << 10;
+/// 10 Mbit/s transfers it in half a second.
+const BYTES_IN_FLIGHT: usize = 512 << 10;
+
+/// Size that a page with many rows should have, in bytes.
+const PAGE_BYTES: usize = 64 << 10;
 
 /// Size that is expected of a page before the first one is read, in bytes.
 const FIRST_PAGE_BYTES: usize = 32 << 10;
@@ -50,8 +53,11 @@
 /// Weight of the pages before the last one in the mean size of a page, relative to the last one.
 const MEAN_WEIGHT: usize = 3;
 
+/// Maximum number of rows in a page while the size of the rows is not known.
+const FIRST_PAGE_ROWS: usize = 4;
+
 /// Maximum number of rows in a page.
-const PAGE_ROWS: usize = 100;
+const MAX_PAGE_ROWS: usize = 500;
 
 /// Longest delay after a failed read. The delay starts at the retry delay of the table and doubles
 /// with each failure in a row.
@@ -75,12 +81,13 @@
     retry_delay: Duration,
     /// Mean size of a page, in bytes.
     mean_page_bytes: usize,
+    /// Size of a row, in bytes, as in the largest rows read so far; `None` before the first.
+    row_bytes: Option<usize>,
     /// Whether the last answer to a read was a failure; reads are sent one at a time then.
     last_read_failed: bool,
     failed_reads: u32,
     next_report_at: Now,
     next_heartbeat_at: Now,
-    heartbeat_in_flight: bool,
 }
 
 /// Paged read of a range.
@@ -108,11 +115,11 @@
             next_read_at: cx.now,
             retry_delay: cx.options.table.retry_delay,
             mean_page_bytes: FIRST_PAGE_BYTES,
+            row_bytes: None,
             last_read_failed: false,
             failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
             next_heartbeat_at: cx.now + cx.options.placer.heartbeat_interval,
-            heartbeat_in_flight: false,
         };
         loading.send_reads(cx);
         loading
@@ -133,9 +140,8 @@
             return Some("the load makes no progress".into());
         }
         self.send_reads(cx);
-        if cx.now >= self.next_heartbeat_at && !self.heartbeat_in_flight {
+        if cx.now >= self.next_heartbeat_at {
             self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
-            self.heartbeat_in_flight = true;
             self.write_heartbeat(cx, false);
         }
         self.report(cx);
@@ -145,9 +151,7 @@
     /// Returns the time at which [`Loading::poll`] is next due.
     pub fn wake_at(&self, cx: &Cx) -> Now {
         let mut at = self.next_report_at.min(self.stalled_at(cx));
-        if !self.heartbeat_in_flight {
-            at = at.min(self.next_heartbeat_at);
-        }
+        at = at.min(self.next_heartbeat_at);
         if self.can_read() {
             at = at.min(self.next_read_at);
         }
@@ -155,8 +159,7 @@
     }
 
     /// Handles the outcome of a heartbeat. Returns a reason if another daemon has claimed the role.
-    pub fn handle_heartbeat_outcome(&mut self, outcome: &CommitOutcome) -> RoleLoss {
-        self.heartbeat_in_flight = false;
+    pub fn handle_heartbeat_outcome(outcome: &CommitOutcome) -> RoleLoss {
         match outcome {
             CommitOutcome::Conflict(_) => Some("another daemon has claimed the role".into()),
             // Failures are logged with their purpose; the next heartbeat follows.
@@ -179,6 +182,10 @@
         self.retry_delay = cx.options.table.retry_delay;
         self.mean_page_bytes =
             (self.mean_page_bytes * MEAN_WEIGHT + page.value_bytes()) / (MEAN_WEIGHT + 1);
+        if !page.rows.is_empty() {
+            let row_bytes = page.value_bytes() / page.rows.len();
+            self.row_bytes = self.row_bytes.max(Some(row_bytes));
+        }
         let last = page.rows.last().map(|row| format!("{}\0", row.key));
         match source {
             LoadSource::Jobs(_) => {
@@ -247,17 +254,23 @@
         !self.queued.is_empty() && self.in_flight.len() < max.max(1)
     }
 
+    /// Returns the maximum number of rows of the next page.
+    fn page_rows(&self) -> usize {
+        let rows = self.row_bytes.map(|bytes| PAGE_BYTES / bytes.max(1));
+        rows.map_or(FIRST_PAGE_ROWS, |rows| rows.clamp(1, MAX_PAGE_ROWS))
+    }
+
     fn send_reads(&mut self, cx: &mut Cx) {
         while cx.now >= self.next_read_at && self.can_read() {
             let Some(read) = self.queued.pop_front() else {
                 return;
             };
-            read.send(cx);
+            read.send(cx, self.epoch(), self.page_rows());
             self.in_flight.push(read);
         }
     }
 
-    /// Writes the heartbeat. The transaction expects the sequence row as the grant wrote it, so that
+    /// Writes the heartbeat, whether or not earlier ones are answered. The transaction expects the sequence row as the grant wrote it, so that
     /// it fails once another daemon has claimed the role or this one has written progress.
     fn write_heartbeat(&self, cx: &mut Cx, released: bool) {
         let part = &cx.options.part;
@@ -276,7 +289,8 @@
             )],
             remove: Vec::new(),
         };
-        cx.commit(CommitPurpose::LoadingHeartbeat, txn);
+        let purpose = CommitPurpose::Placer(self.epoch(), PlacerWrite::LoadingHeartbeat);
+        cx.commit(purpose, txn);
     }
 
     fn report(&mut self, cx: &mut Cx) {
@@ -310,7 +324,7 @@
         sources.map(read).collect()
     }
 
-    fn send(&self, cx: &mut Cx) {
+    fn send(&self, cx: &mut Cx, epoch: Epoch, rows: usize) {
         let timeout = cx.options.table.read_timeout * 2;
         let own = cx.options.part.clone();
         let mut range = match self.source {
@@ -319,7 +333,7 @@
             LoadSource::Roster => Range::part(ROSTER, &own, timeout),
         };
         range.from = self.from.clone();
-        range.limit = Some(PAGE_ROWS);
-        cx.read(ReadPurpose::Load(self.source), range);
+        range.limit = Some(rows);
+        cx.read(ReadPurpose::Load(epoch, self.source), range);
     }
 }
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -9,16 +9,19 @@
 use super::event::CommitPurpose;
 use super::event::Feed;
 use super::event::LoadSource;
+use super::event::PlacerWrite;
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
 use super::heartbeat::HeartbeatMonitor;
 use super::loading::Loading;
 use super::placer::Placer;
 use super::placer::RoleGrant;
+use super::placer::RoleLoss;
 use super::rows::HEARTBEAT_KEY;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
+use super::rows::PROBE_KEY_PREFIX;
 use super::rows::SEQUENCE_KEY;
 use super::rows::decode;
 use super::rows::encode;
@@ -52,7 +55,12 @@
     Follower {
         /// Earliest time at which this daemon may start a takeover.
         not_before: Now,
+        /// Whether the table failed to answer in this daemon's last takeover, so that the holder
+        /// may have been unable to send its heartbeat.
+        table_failed: bool,
     },
+    /// This daemon finds out whether the table takes writes again.
+    ProbingTable,
     /// This daemon reads the owner row and claims the role.
     Claiming(Takeover),
     /// This daemon holds the role and reads the rows that the placer needs.
@@ -69,6 +77,8 @@
     started_at: Now,
     /// Time of the last heartbeat, if its sender may still be active.
     heartbeat_at: Option<Now>,
+    /// Version of the last heartbeat; zero if none was received.
+    heartbeat_version: Rev,
     /// Epoch of the holder to be replaced; zero if no heartbeat was received.
     replaced_epoch: Epoch,
     /// Time until which the former holder may still renew leases.
@@ -84,6 +94,7 @@
     pub fn new() -> Self {
         Self::Follower {
             not_before: Now::ZERO,
+            table_failed: false,
         }
     }
 
@@ -109,14 +120,21 @@
         draining: bool,
     ) {
         match self {
-            Self::Follower { not_before } => {
+            Self::Follower {
+                not_before,
+                table_failed,
+            } => {
                 let due = due_at(cx, feeds, heartbeats).max(*not_before);
                 let can_claim = feeds.is_up(Feed::Heartbeats) && cx.catalog.is_some() && !draining;
                 if can_claim && cx.now >= due {
-                    *self = Self::Claiming(Takeover::start(cx, heartbeats));
+                    *self = if *table_failed {
+                        Self::probe_table(cx)
+                    } else {
+                        Self::Claiming(Takeover::start(cx, heartbeats))
+                    };
                 }
             }
-            Self::Claiming(_) => {}
+            Self::Claiming(_) | Self::ProbingTable => {}
             Self::Loading(loading) if draining => {
                 loading.release(cx);
                 self.step_down(cx, feeds, "the daemon is stopping");
@@ -138,10 +156,10 @@
     /// Returns the time at which [`Role::poll`] is next due, if any.
     pub fn wake_at(&self, cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Option<Now> {
         match self {
-            Self::Follower { not_before } if feeds.is_up(Feed::Heartbeats) => {
+            Self::Follower { not_before, .. } if feeds.is_up(Feed::Heartbeats) => {
                 Some(due_at(cx, feeds, heartbeats).max(*not_before))
             }
-            Self::Follower { .. } | Self::Claiming(_) => None,
+            Self::Follower { .. } | Self::Claiming(_) | Self::ProbingTable => None,
             Self::Loading(loading) => Some(loading.wake_at(cx)),
             Self::Placing(placer) => placer.wake_at(cx),
         }
@@ -159,7 +177,7 @@
             return;
         };
         let Ok(row) = page.map(|page| page.rows.into_iter().next()) else {
-            return self.back_off(cx);
+            return self.back_off_from_table(cx);
         };
         let current = row.as_ref().and_then(|row| Some((row, owner(row)?)));
         if let (true, Some((row, owner)), Some(claim)) =
@@ -170,7 +188,7 @@
             return self.start_loading(cx, version);
         }
         if after_unknown_claim {
-            return self.back_off(cx);
+            return self.back_off_from_table(cx);
         }
         let version = row.as_ref().map_or(0, |row| row.version);
         if current
@@ -180,7 +198,10 @@
             return self.back_off(cx);
         }
         if let Some(not_before) = takeover.slow_table_deadline(cx) {
-            *self = Self::Follower { not_before };
+            *self = Self::Follower {
+                not_before,
+                table_failed: false,
+            };
             return;
         }
         takeover.claim(cx, current.map(|(_, owner)| owner), version);
@@ -193,37 +214,80 @@
         }
         match outcome {
             CommitOutcome::Done(version) => self.start_loading(cx, *version),
-            CommitOutcome::Conflict(_) | CommitOutcome::Refused(_) => self.back_off(cx),
+            CommitOutcome::Conflict(_) => self.back_off(cx),
+            CommitOutcome::Refused(_) => self.back_off_from_table(cx),
             CommitOutcome::Unknown(_) => read_owner(cx, ReadPurpose::Settle),
         }
     }
 
-    /// Handles the outcome of a heartbeat that was sent while loading.
-    pub fn handle_loading_heartbeat(
+    /// Handles the outcome of a write that shows whether the table takes writes again. If it does,
+    /// the holder gets time for a heartbeat before this daemon claims the role.
+    pub fn handle_probe_outcome(
         &mut self,
-        cx: &mut Cx,
-        feeds: &mut Feeds,
+        cx: &Cx,
+        heartbeats: &HeartbeatMonitor,
         outcome: &CommitOutcome,
     ) {
-        let Self::Loading(loading) = self else {
+        if !matches!(self, Self::ProbingTable) {
             return;
+        }
+        if !matches!(outcome, CommitOutcome::Done(_)) {
+            return self.back_off_from_table(cx);
+        }
+        let delay = RECOVERY_GRACE + jitter(cx) + heartbeats.hosts.takeover_delay(cx);
+        *self = Self::Follower {
+            not_before: cx.now + delay,
+            table_failed: false,
         };
-        if let Some(reason) = loading.handle_heartbeat_outcome(outcome) {
-            self.step_down(cx, feeds, &reason);
+    }
+
+    /// Handles the outcome of a transaction of the placer of an epoch. Ignores one of an earlier
+    /// term of this daemon. Returns a reason if the role is lost by it.
+    pub fn handle_write_outcome(
+        &mut self,
+        cx: &mut Cx,
+        epoch: Epoch,
+        write: PlacerWrite,
+        outcome: &CommitOutcome,
+    ) -> RoleLoss {
+        match self {
+            Self::Loading(loading) if loading.epoch() == epoch => {
+                Loading::handle_heartbeat_outcome(outcome)
+            }
+            Self::Placing(placer) if placer.epoch() == epoch => {
+                placer.handle_write_outcome(cx, write, outcome)
+            }
+            _ => None,
         }
     }
 
+    /// Handles the sequence row, read by the placer of an epoch. Returns a reason if the role is
+    /// lost by it.
+    pub fn handle_sequence_row(
+        &mut self,
+        cx: &mut Cx,
+        epoch: Epoch,
+        page: Result<Page, Box<str>>,
+    ) -> RoleLoss {
+        let placer = self.placer().filter(|placer| placer.epoch() == epoch)?;
+        placer.handle_sequence_row(cx, page)
+    }
+
     /// Handles a page of the rows that the new placer needs; starts the placer after the last one.
     pub fn handle_page(
         &mut self,
         cx: &mut Cx,
         feeds: &mut Feeds,
+        epoch: Epoch,
         source: LoadSource,
         page: Result<Page, Box<str>>,
     ) {
         let Self::Loading(loading) = self else {
             return;
         };
+        if loading.epoch() != epoch {
+            return;
+        }
         loading.add_page(cx, source, page);
         if !loading.is_complete() {
             return;
@@ -239,7 +303,9 @@
         let epoch = match self {
             Self::Placing(placer) => placer.epoch(),
             Self::Loading(loading) => loading.epoch(),
-            Self::Follower { .. } | Self::Claiming(_) => return self.back_off(cx),
+            Self::Follower { .. } | Self::Claiming(_) | Self::ProbingTable => {
+                return self.back_off(cx);
+            }
         };
         cx.log(Decision::RoleLost {
             epoch,
@@ -271,12 +337,37 @@
         *self = Self::Loading(Box::new(loading));
     }
 
+    /// Writes a row to the part of the table that holds the role.
+    fn probe_table(cx: &mut Cx) -> Self {
+        let key = format!("{PROBE_KEY_PREFIX}{}", cx.options.daemon);
+        let row = RowId::new(HEARTBEATS, &cx.options.part, &key);
+        let txn = Transaction {
+            put: vec![(row, encode(&cx.options.nonce))],
+            ..Transaction::default()
+        };
+        cx.commit(CommitPurpose::TableProbe, txn);
+        Self::ProbingTable
+    }
+
     fn back_off(&mut self, cx: &Cx) {
-        let delay = cx.options.table.retry_delay * 2 + jitter(cx);
         *self = Self::Follower {
-            not_before: cx.now + delay,
+            not_before: backed_off_until(cx),
+            table_failed: false,
         };
     }
+
+    /// Backs off from a table that has failed.
+    fn back_off_from_table(&mut self, cx: &Cx) {
+        *self = Self::Follower {
+            not_before: backed_off_until(cx),
+            table_failed: true,
+        };
+    }
+}
+
+/// Returns the earliest time of the next takeover after one that has failed.
+fn backed_off_until(cx: &Cx) -> Now {
+    cx.now + cx.options.table.retry_delay * 2 + jitter(cx)
 }
 
 impl Takeover {
@@ -289,6 +380,7 @@
             heartbeat_at: last
                 .filter(|last| !is_inactive(cx, &last.row) && !heartbeats.holder_has_ended())
                 .map(|last| last.received_at),
+            heartbeat_version: last.map_or(0, |last| last.version),
             replaced_epoch: last.map_or(0, |last| last.row.owner.epoch),
             former_renews_until: former_renews_until(cx, heartbeats),
             former: last.map_or("".into(), |last| last.row.owner.daemon.clone()),
@@ -309,8 +401,9 @@
         (cx.now < until).then_some(until)
     }
 
-    /// Claims the role. The transaction also writes the sequence row: progress writes of the former
-    /// holder expect its old version, so that none of them can take effect afterwards.
+    /// Claims the role, unless the holder has sent a heartbeat that this daemon has not received.
+    /// The transaction also writes the sequence row: progress writes of the former holder expect its
+    /// old version, so that none of them can take effect afterwards.
     fn claim(&mut self, cx: &mut Cx, current: Option<OwnerRow>, version: Rev) {
         let claim = OwnerRow {
             epoch: current.map_or(0, |owner| owner.epoch) + 1,
@@ -326,18 +419,17 @@
             waiting: None,
             waiting_age_ms: 0,
         };
+        let heartbeat_row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
+        let sequence = RowId::new(PROGRESS, part, SEQUENCE_KEY);
         let txn = Transaction {
-            expect: vec![(row.clone(), version)],
+            expect: vec![
+                (row.clone(), version),
+                (heartbeat_row.clone(), self.heartbeat_version),
+            ],
             put: vec![
                 (row, encode(&claim)),
-                (
-                    RowId::new(PROGRESS, part, SEQUENCE_KEY),
-                    encode(&claim.epoch),
-                ),
-                (
-                    RowId::new(HEARTBEATS, part, HEARTBEAT_KEY),
-                    encode(&heartbeat),
-                ),
+                (sequence, encode(&claim.epoch)),
+                (heartbeat_row, encode(&heartbeat)),
             ],
             remove: Vec::new(),
         };
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -12,6 +12,7 @@
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
+use ragwortstall::core::workload::event::PlacerWrite;
 use ragwortstall::core::workload::event::ProbeResult;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
@@ -44,11 +45,19 @@
         let no_answer: Box<str> = "no answer".into();
         let limit = transfer_limit(&req);
         let answer = match req {
+            Request::Commit {
+                purpose, timeout, ..
+            } if self.is_silent(&purpose) => {
+                let outcome = CommitOutcome::Unknown(no_answer);
+                let answer = Answer::Committed(purpose, outcome);
+                return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
+            }
             Request::Commit { purpose, txn, .. } => {
                 let outcome = self.commit(table_answers, &purpose, txn);
                 Answer::Committed(purpose, outcome)
             }
             Request::Read { purpose, range } if table_answers => {
+                self.reads.push((range.part.clone(), range.from.clone()));
                 Answer::Read(purpose, Ok(self.table.page(&range)))
             }
             Request::Read { purpose, .. } => Answer::Read(purpose, Err(no_answer)),
@@ -125,6 +134,25 @@
         self.send_after(delay, Message::Answer(daemon, lifetime, answer));
     }
 
+    /// Returns whether a transaction neither takes effect nor gets an answer.
+    fn is_silent(&mut self, purpose: &CommitPurpose) -> bool {
+        let remaining = match purpose {
+            CommitPurpose::Placer(_, PlacerWrite::Progress) => {
+                if self.now < self.progress_silent_until {
+                    return true;
+                }
+                &mut self.silent_progress_writes
+            }
+            CommitPurpose::Placer(_, PlacerWrite::LoadingHeartbeat) => {
+                &mut self.silent_loading_heartbeats
+            }
+            _ => return false,
+        };
+        let is_silent = *remaining > 0;
+        *remaining = remaining.saturating_sub(1);
+        is_silent
+    }
+
     /// Runs a transaction, unless a fault prevents it; the outcome is the one that the daemon sees.
     fn commit(
         &mut self,
@@ -133,12 +161,14 @@
         txn: Transaction,
     ) -> CommitOutcome {
         let no_answer: Box<str> = "no answer".into();
-        if self.hold_archives && matches!(purpose, CommitPurpose::Archive(..)) {
+        if self.hold_archives
+            && matches!(purpose, CommitPurpose::Placer(_, PlacerWrite::Archive(_)))
+        {
             self.held_archives.push(txn);
             return CommitOutcome::Unknown(no_answer);
         }
         let refuses_progress = self.now < self.progress_refused_until;
-        if refuses_progress && matches!(purpose, CommitPurpose::Progress) {
+        if refuses_progress && matches!(purpose, CommitPurpose::Placer(_, PlacerWrite::Progress)) {
             return CommitOutcome::Refused("busy".into());
         }
         if !table_answers {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,12 +8,15 @@
 mod faults;
 mod harness;
 mod jobs;
+mod late_answers;
+mod live_holder;
 mod long_queue;
 mod pace;
 mod slow_link;
 mod status;
 mod table;
 mod takeover;
+mod terms;
 mod vm;
 mod vm_rows;
 
