Limit the whole time of a read of single rows

Found in the review: with the client's timeout without progress, a caller that asks for a job's state, or a daemon that drains, could wait 10 s for one row. Only reads of a whole part are now given time for their answer; those of a row or of a job's rows keep the total timeout.

--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -80,8 +80,11 @@
     pub to: Box<str>,
     /// Maximum number of rows in the answer; `None` for the maximum of the table service.
     pub limit: Option<usize>,
-    /// Longest time of the read without progress.
+    /// Timeout of the read.
     pub timeout: Duration,
+    /// Whether the answer may be large. The timeout is then the longest time without progress,
+    /// otherwise that of the whole read.
+    pub is_bulk: bool,
 }
 
 /// Rows read at one version of the table service.
@@ -127,6 +130,7 @@
             to: format!("{key}\0").into(),
             limit: None,
             timeout,
+            is_bulk: false,
         }
     }
 
@@ -140,6 +144,7 @@
             to: format!("{prefix}\u{7f}").into(),
             limit: None,
             timeout,
+            is_bulk: false,
         }
     }
 
@@ -153,6 +158,7 @@
             to: "".into(),
             limit: None,
             timeout,
+            is_bulk: true,
         }
     }
 }
