--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -49,6 +49,8 @@
     pub version: Rev,
     /// Time at which it was received.
     pub received_at: Now,
+    /// Time at which the call that returned it was sent.
+    pub requested_at: Now,
     /// Contents.
     pub row: HeartbeatRow,
 }
@@ -70,7 +72,7 @@
     pub fn waiting_jobs(&self, now: Now, queue: &str) -> Option<u64> {
         let last = self.last.as_ref()?;
         let (count, age) = last.row.waiting_jobs(queue)?;
-        let counted_at = last.received_at.saturating_sub(age);
+        let counted_at = last.requested_at.saturating_sub(age);
         (now < counted_at + MAX_WAITING_COUNT_AGE).then_some(count)
     }
 
@@ -112,7 +114,7 @@
     pub fn apply(&mut self, cx: &mut Cx, update: Update) {
         for row in update.rows {
             if let FeedRow::Internal(row) = row
-                && let Err(reason) = self.apply_row(cx, &row)
+                && let Err(reason) = self.apply_row(cx, update.as_of, &row)
             {
                 let key = row.key;
                 cx.log(Decision::RowUnreadable { key, reason });
@@ -120,7 +122,7 @@
         }
     }
 
-    fn apply_row(&mut self, cx: &Cx, row: &TableRow) -> super::rows::Result<()> {
+    fn apply_row(&mut self, cx: &Cx, as_of: Now, row: &TableRow) -> super::rows::Result<()> {
         if &*row.part == DAEMONS_PART {
             if let Some(value) = &row.value {
                 let address: AddressRow = decode(value)?;
@@ -142,6 +144,7 @@
                     Some(Heartbeat {
                         version: row.version,
                         received_at: cx.now,
+                        requested_at: as_of,
                         row: decode(value)?,
                     })
                 }
