Hand the placer role over to a fit host also while jobs are active

Cause: a placer on a host that is too small handed the role over only without an active job. Where jobs keep coming that time does not come, so a small host that got the role in the first moment after an outage, or from an earlier process of its own, kept it. A takeover by a fit host takes 0.2 to 0.5 s.

Now a busy placer with a fitness below one half, once settled and 2 s after the grant, opens a connection to the address of a fit daemon, one at a time and another one each second, and releases the role if that is accepted. A dead host never accepts. If the former placer had released the role while the fit hosts were known, these did not claim it: 30 s, as before, so that a host that listens but cannot claim moves the role at most three times in 60 s in the test. The idle hand-over is unchanged. The former holder travels from the takeover to the placer as `Former`; probes and their answers name their purpose and the epoch.

No lease is renewed during a release. Hence a busy placer starts none while the table has taken no write for 1.1 s nor for 2 s afterwards, and gives one up that the table refuses, unless a write of it may still take effect.

It is replaced by a_busy_placer_on_a_small_host_hands_over_to_a_large_one_that_appears, as strict: one hand-over within 4 s, the job goes on running, each task is started once, the job completes and the role stays.

The first of them, ..._listens_but_cannot_claim, fails if the release of the former placer is ignored; the dead-host test fails if any answer to a probe counts, the refusal test without giving up and without the 2 s, and the one among dead hosts without the change of daemons.

Not covered: if the table fails between the commit of the release and the claim, no daemon renews the leases until it is back.

--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -8,6 +8,7 @@
 use super::event::CommitPurpose;
 use super::event::FeedCall;
 use super::event::OrderId;
+use super::event::ProbePurpose;
 use super::event::ReadPurpose;
 use super::event::RenewalId;
 use super::table::Range;
@@ -114,11 +115,11 @@
         /// Timeout of the request.
         timeout: Duration,
     },
-    /// Probes whether the placer's process still listens at its address.
+    /// Probes whether a daemon's process listens at its address.
     Probe {
-        /// Version of the placer's last heartbeat.
-        heartbeat: Rev,
-        /// Address of the placer's daemon.
+        /// Purpose, by which the answer is matched.
+        purpose: ProbePurpose,
+        /// Address of the daemon.
         address: Box<str>,
         /// Timeout of the request.
         timeout: Duration,
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -86,8 +86,8 @@
     Stopped(OrderId, Result<u64, OrderError>),
     /// Result of an order to change the speed limit of a run: the VM's clock in milliseconds.
     SpeedSet(OrderId, Result<u64, OrderError>),
-    /// Result of probing the placer's process after the heartbeat of this version.
-    Probed(Rev, ProbeResult),
+    /// Result of probing another daemon's process.
+    Probed(ProbePurpose, ProbeResult),
     /// Result of an advice query.
     Advised(AdviceQuery, Result<Vec<AdvisedVm>, Box<str>>),
 }
@@ -373,6 +373,16 @@
     pub ticket: Box<str>,
 }
 
+/// Purpose of a probe of another daemon's process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbePurpose {
+    /// Finds out whether the placer's process, whose last heartbeat has this version, has ended.
+    Holder(Rev),
+    /// Finds out for the placer of an epoch whether the process of this daemon, whose host is fit
+    /// for the role, runs.
+    FitDaemon(Epoch, DaemonId),
+}
+
 /// Result of probing a daemon's address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
--- a/src/core/workload/hosts.rs
+++ b/src/core/workload/hosts.rs
@@ -73,6 +73,20 @@
         fit.map(|host| host.announced_at).max()
     }
 
+    /// Returns the daemon with a host fit for the placer that follows `last` in the order of names,
+    /// which starts again after its end; `None` if this daemon's host is fit or no other one is.
+    pub fn next_fit_daemon(&self, cx: &Cx, last: &str) -> Option<&DaemonId> {
+        let scale = self.scale(cx);
+        if scale.is_fit(&cx.options.capacity) {
+            return None;
+        }
+        let fit = self.hosts.iter();
+        let fit = fit.filter(|(_, host)| scale.is_fit(&host.capacity));
+        let fit = fit.map(|(daemon, _)| daemon);
+        fit.filter(|daemon| **daemon != cx.options.daemon)
+            .min_by_key(|daemon| (***daemon <= *last, *daemon))
+    }
+
     /// Returns the number of daemons that are fit for the placer, or not fit for it, as this one.
     pub fn peer_count(&self, cx: &Cx) -> usize {
         let scale = self.scale(cx);
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -22,6 +22,7 @@
 mod calls;
 mod cx;
 mod feeds;
+mod former;
 mod heartbeat;
 mod hosts;
 mod loading;
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -10,6 +10,7 @@
 use super::archive::ArchiveState;
 use super::archive::is_final;
 use super::fleet::Fleet;
+use super::hand_over::HandOver;
 use super::job_registry::Job;
 use super::job_registry::JobKey;
 use super::job_registry::JobRegistry;
@@ -26,6 +27,7 @@
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
+use crate::core::workload::former::Former;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -74,8 +76,8 @@
     pub owner: OwnerRow,
     /// Version of the owner row that records the grant.
     pub version: Rev,
-    /// Latest time at which a former placer may still renew leases.
-    pub former_renews_until: Now,
+    /// Former holder.
+    pub former: Former,
 }
 
 impl Placer {
@@ -84,14 +86,14 @@
         let RoleGrant {
             owner,
             version,
-            former_renews_until,
+            former,
         } = grant;
         let mut placer = Self {
             owner,
             grant_version: version,
             granted_at: cx.now,
             jobs_known_at: rows.read_since,
-            former_renews_until,
+            former_renews_until: former.renews_until,
             last_commit_sent_at: cx.now,
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
@@ -111,7 +113,7 @@
             last_round_at: Now::ZERO,
             vm_scans: 0,
             release: Release::NotRequested,
-            hands_over: false,
+            hand_over: HandOver::new(cx, former.released),
         };
         for row in rows.roster {
             placer.load_vm(cx, &row);
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -38,6 +38,7 @@
 use super::event::Feed;
 use super::event::FeedRow;
 use super::event::PlacerWrite;
+use super::event::ProbePurpose;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::rows::HeartbeatRow;
@@ -99,8 +100,7 @@
     /// Number of searches of the fleet for VMs on which a step fits.
     vm_scans: u64,
     release: Release,
-    /// Whether the role is released to a daemon on a fitter host, and not because of a drain.
-    hands_over: bool,
+    hand_over: hand_over::HandOver,
 }
 
 /// State of a voluntary release of the role.
@@ -262,7 +262,10 @@
     ) -> RoleLoss {
         match write {
             PlacerWrite::Roster => return self.handle_roster_outcome(cx, outcome),
-            PlacerWrite::Progress => return self.handle_progress_outcome(cx, outcome),
+            PlacerWrite::Progress => {
+                self.handle_release_outcome(outcome);
+                return self.handle_progress_outcome(cx, outcome);
+            }
             PlacerWrite::Archive(part) => self.handle_archive_outcome(cx, part, outcome),
             PlacerWrite::Retire => self.handle_retire_outcome(cx, outcome),
             // A heartbeat that was sent before the load was complete.
@@ -271,7 +274,7 @@
         None
     }
 
-    /// Handles the answer to a VM order or to an advice query.
+    /// Handles the answer to a VM order, to an advice query or to a probe of a fit daemon.
     ///
     /// Ignores answers to an earlier placer of this process: its runs are found again in the VMs'
     /// reports to this one.
@@ -287,6 +290,10 @@
             Answer::Started(order, result) => self.handle_start_answer(cx, &order, result),
             Answer::Stopped(order, result) => self.handle_stop_answer(cx, &order, &result),
             Answer::SpeedSet(order, result) => self.handle_speed_answer(cx, &order, &result),
+            Answer::Probed(ProbePurpose::FitDaemon(epoch, _), result) => {
+                self.handle_fit_daemon_probed(epoch, &result);
+                None
+            }
             Answer::Advised(query, result) => {
                 self.handle_advice(cx, &query, result);
                 None
--- a/src/core/workload/probe.rs
+++ b/src/core/workload/probe.rs
@@ -12,6 +12,7 @@
 
 use super::cx::Cx;
 use super::effect::Request;
+use super::event::ProbePurpose;
 use super::event::ProbeResult;
 use super::heartbeat::Heartbeat;
 use super::hosts::Hosts;
@@ -59,7 +60,7 @@
         }
         if let Some(address) = addresses.get(&heartbeat.row.owner.daemon) {
             cx.send(Request::Probe {
-                heartbeat: heartbeat.version,
+                purpose: ProbePurpose::Holder(heartbeat.version),
                 address: address.clone(),
                 timeout: PROBE_TIMEOUT,
             });
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -12,6 +12,9 @@
 use super::event::PlacerWrite;
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
+use super::former::Former;
+use super::former::is_earlier_process;
+use super::former::is_inactive;
 use super::heartbeat::HeartbeatMonitor;
 use super::loading::Loading;
 use super::placer::Placer;
@@ -79,10 +82,8 @@
     heartbeat_at: Option<Now>,
     /// Epoch of the holder to be replaced; zero if no heartbeat was received.
     replaced_epoch: Epoch,
-    /// Time until which the former holder may still renew leases.
-    former_renews_until: Now,
-    /// Former holder; empty if unknown.
-    former: Box<str>,
+    /// Former holder.
+    former: Former,
     /// Age of the last heartbeat at the start of the takeover; zero if none was received.
     heartbeat_age: Duration,
 }
@@ -323,13 +324,13 @@
         };
         cx.log(Decision::RoleTaken {
             epoch: owner.epoch,
-            former: takeover.former.clone(),
+            former: takeover.former.daemon.clone(),
             beat_age_ms: millis(takeover.heartbeat_age),
         });
         let grant = RoleGrant {
             owner,
             version,
-            former_renews_until: takeover.former_renews_until,
+            former: takeover.former.clone(),
         };
         let loading = Loading::start(cx, grant);
         *self = Self::Loading(Box::new(loading));
@@ -379,8 +380,7 @@
                 .filter(|last| !is_inactive(cx, &last.row) && !heartbeats.holder_has_ended())
                 .map(|last| last.received_at),
             replaced_epoch: last.map_or(0, |last| last.row.owner.epoch),
-            former_renews_until: former_renews_until(cx, heartbeats),
-            former: last.map_or("".into(), |last| last.row.owner.daemon.clone()),
+            former: Former::new(cx, heartbeats),
             heartbeat_age: last.map_or(Duration::ZERO, |last| {
                 cx.now.saturating_sub(last.received_at)
             }),
@@ -435,26 +435,6 @@
     }
 }
 
-/// Returns the time until which the former holder may still renew leases: now if it is known to be
-/// inactive, otherwise the end of the time for which a placer continues without the table.
-fn former_renews_until(cx: &Cx, heartbeats: &HeartbeatMonitor) -> Now {
-    match heartbeats.heartbeat() {
-        None => cx.now + cx.options.placer.partition_grace,
-        Some(last) if is_inactive(cx, &last.row) => cx.now,
-        Some(last) => last.received_at + cx.options.placer.partition_grace,
-    }
-}
-
-/// Returns whether the sender of a heartbeat is known to be inactive: an earlier process of this
-/// daemon, or a holder that has released the role.
-fn is_inactive(cx: &Cx, heartbeat: &HeartbeatRow) -> bool {
-    is_earlier_process(cx, &heartbeat.owner) || heartbeat.released
-}
-
-fn is_earlier_process(cx: &Cx, owner: &OwnerRow) -> bool {
-    owner.daemon == cx.options.daemon && owner.nonce != cx.options.nonce
-}
-
 /// Returns the time at which a follower may start a takeover: at once if the holder is an earlier
 /// process of this daemon; otherwise, and later by the delay for a lack of capacity:
 /// - a random delay after the start if there is no heartbeat, or after the heartbeat is overdue;
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -21,6 +21,7 @@
 use super::event::FeedAnswer;
 use super::event::FeedCall;
 use super::event::FeedRow;
+use super::event::ProbePurpose;
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
 use super::feeds::Update;
@@ -195,7 +196,7 @@
             Answer::Committed(purpose, outcome) => self.handle_commit(now, out, purpose, outcome),
             Answer::Read(purpose, page) => self.handle_read(now, out, purpose, page),
             Answer::Feed(..) => None,
-            Answer::Probed(version, result) => {
+            Answer::Probed(ProbePurpose::Holder(version), result) => {
                 self.heartbeats.handle_probe_result(cx, version, &result);
                 None
             }
--- a/tests/workload/capacity.rs
+++ b/tests/workload/capacity.rs
@@ -138,20 +138,159 @@
     assert_eq!(harness.starts.len(), 4);
 }
 
-#[test]
-fn a_busy_placer_on_a_small_host_keeps_the_role_until_it_is_idle() {
+/// Returns the same cell with a job of four tasks of 12 s that have been started.
+fn busy_cell_without_its_large_host() -> Harness {
     let mut harness = cell_without_its_large_host();
-    let epoch = harness.epoch();
-    let submission = job(vec![step(4, 8_000, &[])]);
+    let submission = job(vec![step(4, 12_000, &[])]);
     assert_eq!(harness.submit(2, ID, submission), Reply::Accepted);
     harness.run_for(500);
+    assert_eq!(harness.starts.len(), 4);
+    harness
+}
+
+#[test]
+fn a_busy_placer_on_a_small_host_hands_over_to_a_large_one_that_appears() {
+    let mut harness = busy_cell_without_its_large_host();
     harness.restart(0);
-    harness.run_for(6_500);
-    assert_eq!((harness.placer(), harness.epoch()), (Some(1), epoch));
     harness.run_for(4_000);
+    assert_eq!(harness.placer(), Some(0));
+    assert_eq!(harness.placer_count(), 1);
+    assert_eq!(hand_overs(&harness), 1);
+    assert_eq!(harness.state(2, ID), Some(JobState::Running));
+    harness.run_for(8_500);
     assert_eq!(harness.state(2, ID), Some(JobState::Completed));
     assert_eq!(harness.starts.len(), 4);
+    assert_eq!((harness.placer(), hand_overs(&harness)), (Some(0), 1));
+}
+
+#[test]
+fn a_busy_placer_on_a_small_host_hands_over_to_a_large_one_that_was_cut_off() {
+    let mut harness = Harness::with_hosts(&[LARGE, SMALL, SMALL], 2);
+    let submission = job(vec![step(4, 12_000, &[])]);
+    assert_eq!(harness.submit(2, ID, submission), Reply::Accepted);
+    harness.run_for(500);
+    harness.set_table_reachable(0, false);
+    assert_eq!(next_placer(&mut harness, 0).0, 1);
+    harness.set_table_reachable(0, true);
+    harness.run_for(6_000);
     assert_eq!(harness.placer(), Some(0));
+    assert_eq!(hand_overs(&harness), 1);
+    harness.run_for(4_500);
+    assert_eq!(harness.state(2, ID), Some(JobState::Completed));
+    assert_eq!(harness.starts.len(), 4);
+}
+
+#[test]
+fn a_busy_placer_finds_the_large_host_that_is_alive_among_dead_ones() {
+    let mut harness = Harness::with_hosts(&[LARGE, SMALL, LARGE, LARGE], 2);
+    for large in [2, 3, 0] {
+        harness.kill_host(large);
+    }
+    assert_eq!(next_placer(&mut harness, 0).0, 1);
+    let submission = job(vec![step(4, 12_000, &[])]);
+    assert_eq!(harness.submit(1, ID, submission), Reply::Accepted);
+    harness.run_for(500);
+    harness.restart(3);
+    harness.run_for(6_000);
+    assert_eq!(harness.placer(), Some(3));
+    assert_eq!(hand_overs(&harness), 1);
+    harness.run_for(6_500);
+    assert_eq!(harness.state(1, ID), Some(JobState::Completed));
+    assert_eq!(harness.starts.len(), 4);
+}
+
+#[test]
+fn a_busy_placer_on_a_small_host_keeps_the_role_while_the_large_one_is_dead() {
+    for with_host in [false, true] {
+        let mut harness = Harness::with_hosts(&[LARGE, SMALL, SMALL], 2);
+        if with_host {
+            harness.kill_host(0);
+        } else {
+            harness.kill(0);
+        }
+        assert_eq!(next_placer(&mut harness, 0).0, 1);
+        let epoch = harness.epoch();
+        let probes = harness.probes;
+        let submission = job(vec![step(4, 40_000, &[])]);
+        assert_eq!(harness.submit(2, ID, submission), Reply::Accepted);
+        harness.run_for(38_000);
+        assert_eq!(harness.state(2, ID), Some(JobState::Running));
+        assert_eq!((harness.placer(), harness.epoch()), (Some(1), epoch));
+        assert_eq!(hand_overs(&harness), 0);
+        let probes = harness.probes - probes;
+        assert!((20..=38).contains(&probes), "{probes} probes in 38 s");
+    }
+}
+
+#[test]
+fn a_busy_placer_seldom_hands_over_to_a_large_host_that_listens_but_cannot_claim() {
+    let mut harness = Harness::with_hosts(&[LARGE, SMALL, SMALL], 2);
+    harness.set_table_reachable(0, false);
+    assert_eq!(next_placer(&mut harness, 0).0, 1);
+    let lasting = job(vec![step(1, 59_000, &[])]);
+    assert_eq!(harness.submit(1, ID, lasting), Reply::Accepted);
+    for ix in 0..20 {
+        let id = format!("00000000000001{ix:02}");
+        let submission = job(vec![step(2, 500, &[])]);
+        assert_eq!(harness.submit(1, &id, submission), Reply::Accepted);
+        harness.run_for(3_000);
+        assert_eq!(harness.state(1, &id), Some(JobState::Completed), "{id}");
+    }
+    assert!(
+        (1..=3).contains(&hand_overs(&harness)),
+        "{} in 60 s",
+        hand_overs(&harness)
+    );
+    assert_eq!(harness.placer_count(), 1);
+    assert_eq!(harness.state(1, ID), Some(JobState::Completed));
+    assert_eq!(harness.starts.len(), 41);
+}
+
+#[test]
+fn a_busy_placer_on_a_large_host_or_among_equal_ones_probes_no_daemon() {
+    for hosts in [
+        [LARGE, SMALL, SMALL],
+        [SMALL; 3],
+        [HostCapacity::default(); 3],
+    ] {
+        let mut harness = Harness::with_hosts(&hosts, 2);
+        let epoch = harness.epoch();
+        let submission = job(vec![step(4, 35_000, &[])]);
+        assert_eq!(harness.submit(2, ID, submission), Reply::Accepted);
+        harness.run_for(34_000);
+        assert_eq!((harness.placer(), harness.epoch()), (Some(0), epoch));
+        assert_eq!(harness.probes, 0);
+    }
+}
+
+/// Returns the time from the restart of the large host until a busy placer's hand-over, in
+/// milliseconds.
+fn time_to_busy_hand_over() -> u64 {
+    let mut harness = busy_cell_without_its_large_host();
+    harness.restart(0);
+    for millis in 0..4_000 {
+        if hand_overs(&harness) > 0 {
+            return millis;
+        }
+        harness.run_for(1);
+    }
+    panic!("no hand-over within 4 s");
+}
+
+#[test]
+fn a_hand_over_that_the_table_refuses_ends_no_running_task() {
+    let hand_over = time_to_busy_hand_over();
+    // The release is sent 3 ms before the placer learns that it is committed.
+    for before in 3..13 {
+        let mut harness = busy_cell_without_its_large_host();
+        harness.restart(0);
+        harness.run_for(hand_over - before);
+        harness.commits_refused_until = harness.now + Duration::from_secs(6);
+        harness.run_for(14_000);
+        assert_eq!(harness.state(2, ID), Some(JobState::Completed));
+        assert_eq!(harness.starts.len(), 4, "refused {before} ms before");
+        assert_eq!(harness.placer(), Some(0));
+    }
 }
 
 #[test]
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -96,10 +96,10 @@
                 });
             }
             Request::Probe {
-                heartbeat, address, ..
+                purpose, address, ..
             } => {
                 self.probes += 1;
-                Answer::Probed(heartbeat, self.probe_result(&address))
+                Answer::Probed(purpose, self.probe_result(&address))
             }
             Request::Advise { query, .. } => {
                 return self.answer_advice(daemon, lifetime, query);
