--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -34,6 +34,20 @@
 use crate::core::model::Now;
 use crate::core::model::Ticket;
 
+/// Builds the context of an event. It borrows single fields only, so that the others stay available.
+macro_rules! context {
+    ($state:expr, $now:expr, $out:expr) => {
+        Cx {
+            now: $now,
+            unix_time: $state.offset + $now,
+            options: &$state.options,
+            catalog: $state.catalog.as_ref(),
+            table_answered_at: $state.feeds.last_answer_at(),
+            effects: $out,
+        }
+    };
+}
+
 /// State of a daemon.
 #[derive(Debug)]
 pub struct Workload {
@@ -90,14 +104,7 @@
     #[must_use]
     pub fn wake_at(&mut self, now: Now) -> Option<Now> {
         let mut out = Effects::new();
-        let cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            &mut out,
-        );
+        let cx = context!(self, now, &mut out);
         let mut at = self.feeds.wake_at();
         at = earliest(at, self.batcher.wake_at());
         at = earliest(at, self.role.wake_at(&cx, &self.feeds, &self.heartbeats));
@@ -133,14 +140,7 @@
     #[must_use]
     pub fn status(&mut self, now: Now) -> Status {
         let mut out = Effects::new();
-        let cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            &mut out,
-        );
+        let cx = context!(self, now, &mut out);
         let age = |at: Now| now.saturating_sub(at);
         let last = self.heartbeats.heartbeat();
         Status {
@@ -163,14 +163,7 @@
     }
 
     fn handle_call(&mut self, now: Now, out: &mut Effects, ticket: Ticket, call: Call) {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let components = Components {
             batcher: &mut self.batcher,
             feeds: &self.feeds,
@@ -183,14 +176,7 @@
         if let Answer::Feed(call, answer) = answer {
             return self.handle_feed_answer(now, out, call, answer);
         }
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let cx = &mut cx;
         let lost_reason = match answer {
             Answer::Committed(purpose, outcome) => self.handle_commit(now, out, purpose, outcome),
@@ -218,14 +204,7 @@
         purpose: CommitPurpose,
         outcome: CommitOutcome,
     ) -> Option<Box<str>> {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let cx = &mut cx;
         if let CommitOutcome::Refused(reason) | CommitOutcome::Unknown(reason) = &outcome {
             cx.log(Decision::CommitFailed {
@@ -261,14 +240,7 @@
         purpose: ReadPurpose,
         page: Result<Page, Box<str>>,
     ) -> Option<Box<str>> {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let cx = &mut cx;
         if let (Err(reason), true) = (&page, purpose.logs_failure()) {
             cx.log(Decision::ReadFailed {
@@ -303,14 +275,7 @@
         call: FeedCall,
         answer: FeedAnswer,
     ) {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let Some(update) = self.feeds.handle_answer(&mut cx, call, answer) else {
             return;
         };
@@ -344,14 +309,7 @@
                     }));
                     self.catalog = Some(Rc::from(catalog));
                     self.config_applied_at = now;
-                    let mut cx = context(
-                        &self.options,
-                        self.offset,
-                        self.catalog.as_ref(),
-                        &self.feeds,
-                        now,
-                        out,
-                    );
+                    let mut cx = context!(self, now, out);
                     if let Some(placer) = self.role.placer() {
                         placer.apply_config(&mut cx);
                     }
@@ -366,14 +324,7 @@
 
     /// Steps down from the placer role.
     fn lose_role(&mut self, now: Now, out: &mut Effects, reason: &str) {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         self.role.step_down(&mut cx, &mut self.feeds, reason);
     }
 
@@ -385,14 +336,7 @@
     }
 
     fn poll(&mut self, now: Now, out: &mut Effects) {
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         self.feeds.poll(&mut cx);
         if !self.feeds.is_up(Feed::Heartbeats) {
             self.batcher.refuse_queued(&mut cx);
@@ -418,14 +362,7 @@
         let Some(started_at) = self.drain_started_at.filter(|_| !self.exited) else {
             return;
         };
-        let mut cx = context(
-            &self.options,
-            self.offset,
-            self.catalog.as_ref(),
-            &self.feeds,
-            now,
-            out,
-        );
+        let mut cx = context!(self, now, out);
         let released = match self.role.placer() {
             Some(placer) => placer.release(&mut cx),
             None => true,
@@ -437,22 +374,3 @@
         }
     }
 }
-
-/// Builds the context of an event from separate fields, so that the other fields stay available.
-fn context<'a>(
-    options: &'a Options,
-    offset: Duration,
-    catalog: Option<&'a Rc<Catalog>>,
-    feeds: &Feeds,
-    now: Now,
-    out: &'a mut Effects,
-) -> Cx<'a> {
-    Cx {
-        now,
-        unix_time: offset + now,
-        options,
-        catalog,
-        table_answered_at: feeds.last_answer_at(),
-        effects: out,
-    }
-}
