Log an owner row that cannot be read, and claim no role over it

Found in the review by reading: such a row counted as none, so that the epochs would have begun at 1 again and all VMs would have rejected the orders, without a log line. The daemon now logs row_unreadable and backs off. The new test fails without it (it claims).

--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -180,7 +180,14 @@
         let Ok(row) = page.map(|page| page.rows.into_iter().next()) else {
             return self.back_off_from_table(cx);
         };
-        let current = row.as_ref().and_then(|row| Some((row, owner(row)?)));
+        let current = match row.as_ref().map(owner).transpose() {
+            Ok(owner) => row.as_ref().zip(owner),
+            Err(reason) => {
+                let key = OWNER_KEY.into();
+                cx.log(Decision::RowUnreadable { key, reason });
+                return self.back_off(cx);
+            }
+        };
         if let (true, Some((row, owner)), Some(claim)) =
             (after_unknown_claim, &current, &takeover.claim)
             && owner == claim
@@ -475,6 +482,7 @@
     cx.read(purpose, range);
 }
 
-fn owner(row: &TableRow) -> Option<OwnerRow> {
-    row.value.as_ref().and_then(|value| decode(value).ok())
+/// Decodes the owner row; the error is the reason why it cannot be decoded.
+fn owner(row: &TableRow) -> super::rows::Result<OwnerRow> {
+    decode(row.value.as_deref().unwrap_or_default())
 }
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -250,3 +250,21 @@
         decisions.any(|line| matches!(line, Decision::Settled { epoch, .. } if *epoch == term))
     }
 }
+
+/// Guards against an owner row that cannot be read and counts as no owner, so that the epochs begin
+/// anew and all VMs reject the orders.
+#[test]
+fn an_owner_row_that_cannot_be_read_is_not_taken_for_a_missing_one() {
+    let mut daemon = Daemon::new();
+    let unreadable = daemon.row("owner", "{}");
+    let req = daemon.take(is_read_of(JOBS, PART));
+    daemon.answer_read(req, vec![unreadable]);
+    let is_claim = |req: &Request| matches!(req, Request::Commit { txn, .. } if txn.put.iter().any(|(row, _)| &*row.key == "owner"));
+    assert!(
+        !daemon.requests.iter().any(is_claim),
+        "{:?}",
+        daemon.requests
+    );
+    let mut lines = daemon.decisions.iter();
+    assert!(lines.any(|line| matches!(line, Decision::RowUnreadable { .. })));
+}
