Forget a surplus run whose whole occurrence is done

The run is now looked up by its key, which needs the job alone. A run that is being stopped is no longer reported as of an unknown job. The new test fails without it (1 run left after its end for 0).

--- a/src/core/workload/placer/completion.rs
+++ b/src/core/workload/placer/completion.rs
@@ -37,7 +37,7 @@
 
     fn process_ended_task(&mut self, cx: &mut Cx, vm_key: VmKey, ended: &EndedTask) {
         let Some(task) = self.registry.find_task(&ended.task) else {
-            return;
+            return self.release_surplus_run(vm_key, ended);
         };
         let run = self
             .fleet
@@ -66,6 +66,18 @@
         self.log_end(cx, vm_key, task, ended);
     }
 
+    /// Frees the resources of a run whose task was done before it ended, with the whole occurrence.
+    fn release_surplus_run(&mut self, vm_key: VmKey, ended: &EndedTask) {
+        let Some(task) = self.registry.task_key(&ended.task) else {
+            return;
+        };
+        let vm = self.fleet.vms.get(&vm_key);
+        let run = vm.and_then(|vm| vm.runs.get(&task));
+        if run.is_some_and(|run| run.number == ended.run) {
+            self.release_run(vm_key, task);
+        }
+    }
+
     /// Records the duration of a run for the speed estimate of its VM.
     ///
     /// Only runs that this placer started and that completed without a checkpoint count.
--- a/src/core/workload/placer/job_registry.rs
+++ b/src/core/workload/placer/job_registry.rs
@@ -220,17 +220,21 @@
 
     /// Returns the key of a named task, if the registry has it.
     pub fn find_task(&self, name: &TaskName) -> Option<TaskKey> {
-        let job = self.key(&name.job)?;
+        let key = self.task_key(name)?;
+        self.task(key).map(|_| key)
+    }
+
+    /// Returns the key of a named task of a known job, also if the task's occurrence is done.
+    pub fn task_key(&self, name: &TaskName) -> Option<TaskKey> {
         let step = StepKey {
-            job,
+            job: self.key(&name.job)?,
             occurrence: name.occurrence,
             step: name.step,
         };
-        let key = TaskKey {
+        Some(TaskKey {
             step,
             index: name.index,
-        };
-        self.task(key).map(|_| key)
+        })
     }
 
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/renewal.rs
@@ -362,6 +362,9 @@
 
     fn reconcile_run(&mut self, cx: &mut Cx, key: VmKey, row: &RunningTask) {
         let Some(task) = self.registry.find_task(&row.task) else {
+            if self.is_surplus_run(key, row) {
+                return;
+            }
             return self.stop_unexpected(cx, key, row, "job is unknown");
         };
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
@@ -399,6 +402,16 @@
     }
 }
 
+impl Placer {
+    /// Returns whether a run of a task whose occurrence is done is known, and so is being stopped.
+    fn is_surplus_run(&self, key: VmKey, row: &RunningTask) -> bool {
+        let task = self.registry.task_key(&row.task);
+        let vm = self.fleet.vms.get(&key);
+        let run = task.and_then(|task| vm?.runs.get(&task));
+        run.is_some_and(|run| run.number == row.run)
+    }
+}
+
 /// Returns whether the answer to a renewal sent at `sent` would list the run if the VM had it.
 fn would_be_listed(run: &Run, sent: Now, cx: &Cx) -> bool {
     match run.phase {
--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/stops.rs
@@ -195,7 +195,7 @@
         let (_, vm) = self.fleet.by_id(&order.vm)?;
         vm.renewal.next_at = vm.renewal.next_at.min(cx.now + cx.options.vms.renewal_gap);
         let key = self.fleet.key(&order.vm)?;
-        let task = self.registry.find_task(&order.task)?;
+        let task = self.registry.task_key(&order.task)?;
         let vm = self.fleet.vms.get_mut(&key)?;
         let run = vm
             .runs
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 
@@ -52,6 +53,31 @@
     assert_eq!(harness.state(0, ID), Some(JobState::Completed));
 }
 
+/// Guards against a run that stays counted for ever, and is told to stop again and again, as the task
+/// was done by an earlier run and its occurrence is no longer known.
+#[test]
+fn a_run_whose_task_is_done_by_an_earlier_one_leaves_no_trace() {
+    let mut harness = Harness::new(2, 2);
+    let submission = job(vec![step(1, 3_000, &[])]);
+    assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
+    harness.run_for(600);
+    let vm = first_started_vm(&harness);
+    harness.vms.get_mut(&vm).expect("a VM").connected = false;
+    while harness.starts.len() < 2 {
+        harness.run_for(100);
+    }
+    harness.run_for(500);
+    harness.vms.get_mut(&vm).expect("a VM").connected = true;
+    harness.run_for(5_000);
+    assert_eq!(harness.state(0, ID), Some(JobState::Completed));
+    let placer = harness.placer().expect("a placer");
+    let status = harness.status(placer).placer.expect("a placer");
+    assert_eq!(status.runs, 0);
+    assert_eq!(status.free, status.capacity);
+    let is_stop = |decision: &&Decision| matches!(decision, Decision::StopOrdered { .. });
+    assert_eq!(harness.decisions.iter().filter(is_stop).count(), 1);
+}
+
 #[test]
 fn a_start_without_an_answer_is_not_repeated_while_it_may_run() {
     let mut harness = Harness::new(2, 2);
