Start tasks again only after inherited stops have ended

A run that is being stopped uses its VM for up to the stop timeout, and the VM lists it neither as running nor as ended. A new placer kept room for such runs, as the stops row names their VMs, but held their tasks for not running: it was settled once all VMs had answered, and started tasks that a former placer was moving, or whose start was not answered, while the old run still worked.

A placer is now settled only once the stops that it inherits have ended: the stop timeout and its margin (1.1 s) after the report of each VM that the stops row names. New jobs start at once as before; those of earlier placers wait up to 1.1 s longer after such a takeover.

Without it, the new test fails ("runs twice at 2.688s"). The load in terms.rs now has a stops row that names no VM, as a former placer leaves one; without such a row all its VMs count as stopping runs, and the check 100 ms after the answer would wait for 1.1 s.

--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -75,6 +75,9 @@
     pub capacity_uncertain_until: Now,
     /// Whether an earlier placer may have been stopping runs on this VM.
     pub inherits_stops: bool,
+    /// Time until which a run that an earlier placer was stopping may still execute; the VM lists it
+    /// neither as running nor as ended.
+    pub inherited_stops_until: Now,
     /// Unexpected runs whose stop waits until the stops row names this VM.
     pub unexpected_runs: Vec<UnexpectedRun>,
     /// Whether the stops row names this VM.
@@ -235,6 +238,7 @@
             fenced: false,
             capacity_uncertain_until: Now::ZERO,
             inherits_stops: false,
+            inherited_stops_until: Now::ZERO,
             unexpected_runs: Vec::new(),
             stop_record: StopRecord::Absent,
             processed_seq: 0,
@@ -369,6 +373,7 @@
         self.roster_state = self.roster_state.after_restart();
         self.capacity_uncertain_until = Now::ZERO;
         self.inherits_stops = false;
+        self.inherited_stops_until = Now::ZERO;
         self.unexpected_runs.clear();
         self.processed_seq = 0;
         self.stored_seq = 0;
--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/renewal.rs
@@ -188,13 +188,17 @@
     }
 
     /// Checks whether every run that an earlier placer may have started is accounted for: each VM
-    /// in the roster has answered a renewal of this epoch, or its lease must have expired.
+    /// in the roster has answered a renewal of this epoch, or its lease must have expired; and the
+    /// runs that an earlier placer was stopping, whose tasks may start again, have ended.
     fn check_settled(&mut self, cx: &mut Cx) {
         if self.settled {
             return;
         }
         let expiry = self.former_renews_until + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
-        let is_pending = |vm: &&Vm| !vm.fenced && vm.roster_state.is_inherited() && cx.now < expiry;
+        let is_pending = |vm: &&Vm| {
+            let may_run_unknown = !vm.fenced && vm.roster_state.is_inherited() && cx.now < expiry;
+            may_run_unknown || cx.now < vm.inherited_stops_until
+        };
         let pending = self.fleet.vms.values().filter(is_pending);
         let vms: Box<[VmId]> = pending.map(|vm| vm.id.clone()).collect();
         let took = cx.now.saturating_sub(self.granted_at);
@@ -236,7 +240,8 @@
             vm.fenced = true;
             if vm.inherits_stops {
                 vm.inherits_stops = false;
-                vm.capacity_uncertain_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
+                vm.inherited_stops_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
+                vm.capacity_uncertain_until = vm.inherited_stops_until;
             }
             self.next_round_at = Some(cx.now);
         }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -11,6 +11,7 @@
 mod late_answers;
 mod live_holder;
 mod long_queue;
+mod moves;
 mod pace;
 mod slow_link;
 mod status;
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -19,6 +19,7 @@
 use ragwortstall::core::workload::event::RenewalReport;
 use ragwortstall::core::workload::table::CommitOutcome;
 use ragwortstall::core::workload::table::JOBS;
+use ragwortstall::core::workload::table::PROGRESS;
 use ragwortstall::core::workload::table::Page;
 use ragwortstall::core::workload::table::ROSTER;
 use ragwortstall::core::workload::table::Range;
@@ -135,7 +136,7 @@
         self.answer_commit();
     }
 
-    /// Answers all reads of a load, with `roster` for the VMs.
+    /// Answers all reads of a load, with `roster` for the VMs; no run was being stopped.
     fn load(&mut self, roster: &[TableRow]) {
         while self
             .requests
@@ -143,11 +144,11 @@
             .any(|req| matches!(req, Request::Read { .. }))
         {
             let req = self.take(|req| matches!(req, Request::Read { .. }));
-            let is_roster = matches!(&req, Request::Read { range, .. } if range.table == ROSTER);
-            let rows = if is_roster {
-                roster.to_vec()
-            } else {
-                Vec::new()
+            let stops = self.row("stops", r#"{"vms":[]}"#);
+            let rows = match &req {
+                Request::Read { range, .. } if range.table == ROSTER => roster.to_vec(),
+                Request::Read { range, .. } if range.table == PROGRESS => vec![stops],
+                _ => Vec::new(),
             };
             self.answer_read(req, rows);
         }
