--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -19,6 +19,7 @@
 use ragwortstall::core::workload::event::RenewalReport;
 use ragwortstall::core::workload::table::CommitOutcome;
 use ragwortstall::core::workload::table::JOBS;
+use ragwortstall::core::workload::table::PROGRESS;
 use ragwortstall::core::workload::table::Page;
 use ragwortstall::core::workload::table::ROSTER;
 use ragwortstall::core::workload::table::Range;
@@ -135,7 +136,7 @@
         self.answer_commit();
     }
 
-    /// Answers all reads of a load, with `roster` for the VMs.
+    /// Answers all reads of a load, with `roster` for the VMs; no run was being stopped.
     fn load(&mut self, roster: &[TableRow]) {
         while self
             .requests
@@ -143,11 +144,11 @@
             .any(|req| matches!(req, Request::Read { .. }))
         {
             let req = self.take(|req| matches!(req, Request::Read { .. }));
-            let is_roster = matches!(&req, Request::Read { range, .. } if range.table == ROSTER);
-            let rows = if is_roster {
-                roster.to_vec()
-            } else {
-                Vec::new()
+            let stops = self.row("stops", r#"{"vms":[]}"#);
+            let rows = match &req {
+                Request::Read { range, .. } if range.table == ROSTER => roster.to_vec(),
+                Request::Read { range, .. } if range.table == PROGRESS => vec![stops],
+                _ => Vec::new(),
             };
             self.answer_read(req, rows);
         }
@@ -250,3 +251,21 @@
         decisions.any(|line| matches!(line, Decision::Settled { epoch, .. } if *epoch == term))
     }
 }
+
+/// Guards against an owner row that cannot be read and counts as no owner, so that the epochs begin
+/// anew and all VMs reject the orders.
+#[test]
+fn an_owner_row_that_cannot_be_read_is_not_taken_for_a_missing_one() {
+    let mut daemon = Daemon::new();
+    let unreadable = daemon.row("owner", "{}");
+    let req = daemon.take(is_read_of(JOBS, PART));
+    daemon.answer_read(req, vec![unreadable]);
+    let is_claim = |req: &Request| matches!(req, Request::Commit { txn, .. } if txn.put.iter().any(|(row, _)| &*row.key == "owner"));
+    assert!(
+        !daemon.requests.iter().any(is_claim),
+        "{:?}",
+        daemon.requests
+    );
+    let mut lines = daemon.decisions.iter();
+    assert!(lines.any(|line| matches!(line, Decision::RowUnreadable { .. })));
+}
