Add a failing test: a placer cut off from the table starts a silent VM's task again

By reading, the lease that this placer had renewed may expire while a successor has renewed the VM: a placer that the table does not answer for 1.1 s may have been replaced, and stops only after 2 s. The test shows that it starts the task again in that time ("started again on vm-1").

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod constraints;
 mod contention;
+mod cut_off;
 mod faults;
 mod harness;
 mod jobs;
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -36,19 +36,19 @@
 const TAKEOVER: Duration = Duration::from_millis(1_500);
 
 /// A daemon whose requests are answered one by one.
-struct Daemon {
+pub(crate) struct Daemon {
     state: Workload,
     now: Now,
     /// Version of the table's last change.
     version: u64,
     /// Requests without an answer, in the order in which they were sent.
-    requests: Vec<Request>,
+    pub requests: Vec<Request>,
     decisions: Vec<Decision>,
 }
 
 impl Daemon {
     /// Returns a daemon that knows the configuration and has read an empty table.
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let mut daemon = Self {
             state: Workload::new(Options::new("entry-0", "zone-a", 0)),
             now: Duration::ZERO,
@@ -63,13 +63,13 @@
         daemon
     }
 
-    fn tick(&mut self, passed: Duration) {
+    pub(crate) fn tick(&mut self, passed: Duration) {
         self.now += passed;
         let unix_time = START_TIME + self.now;
         self.apply(Event::Tick { unix_time });
     }
 
-    fn apply(&mut self, event: Event) {
+    pub(crate) fn apply(&mut self, event: Event) {
         for effect in self.state.step(self.now, event) {
             match effect {
                 Effect::Send(req) => self.requests.push(req),
@@ -80,13 +80,13 @@
     }
 
     /// Takes the first request that matches.
-    fn take(&mut self, matches: impl Fn(&Request) -> bool) -> Request {
+    pub(crate) fn take(&mut self, matches: impl Fn(&Request) -> bool) -> Request {
         let ix = self.requests.iter().position(matches);
         self.requests.remove(ix.expect("a request"))
     }
 
     /// Answers the outstanding call of a followed table with rows that have changed.
-    fn answer_feed(&mut self, feed: Feed, rows: Vec<FeedRow>) {
+    pub(crate) fn answer_feed(&mut self, feed: Feed, rows: Vec<FeedRow>) {
         self.version += 1;
         let req = self.take(|req| {
             matches!(req, Request::ReadAll { call, .. } | Request::Watch { call, .. } if call.feed == feed)
@@ -117,7 +117,7 @@
     }
 
     /// Commits the first outstanding transaction.
-    fn answer_commit(&mut self) {
+    pub(crate) fn answer_commit(&mut self) {
         self.version += 1;
         let req = self.take(|req| matches!(req, Request::Commit { .. }));
         let Request::Commit { purpose, .. } = req else {
@@ -128,7 +128,7 @@
     }
 
     /// Claims the role; `owner` is the owner row that the daemon reads before.
-    fn claim(&mut self, owner: Option<TableRow>) {
+    pub(crate) fn claim(&mut self, owner: Option<TableRow>) {
         self.requests
             .retain(|req| !matches!(req, Request::Commit { .. }));
         let req = self.take(is_read_of(JOBS, PART));
@@ -137,7 +137,7 @@
     }
 
     /// Answers all reads of a load, with `roster` for the VMs; no run was being stopped.
-    fn load(&mut self, roster: &[TableRow]) {
+    pub(crate) fn load(&mut self, roster: &[TableRow]) {
         while self
             .requests
             .iter()
@@ -163,7 +163,7 @@
         self.row("owner", owner)
     }
 
-    fn row(&self, key: &str, value: &str) -> TableRow {
+    pub(crate) fn row(&self, key: &str, value: &str) -> TableRow {
         TableRow {
             part: PART.into(),
             key: key.into(),
@@ -231,19 +231,25 @@
 
 impl Daemon {
     fn answer_renewal(&mut self, req: &Request) {
+        self.tick(Duration::from_millis(50));
+        self.report(req);
+        self.tick(Duration::from_millis(50));
+    }
+
+    /// Answers a renewal with a report of a VM on which nothing runs or has ended, as far as it can
+    /// tell yet.
+    pub(crate) fn report(&mut self, req: &Request) {
         let Request::Renew { renewal, .. } = req else {
             panic!("unexpected request {req:?}");
         };
         let report = RenewalReport {
             started_ms: 0,
-            clock_ms: 1_000,
+            clock_ms: u64::try_from(self.now.as_millis()).expect("a short test"),
             running: Vec::new(),
             ended: Vec::new(),
         };
         let renewal: RenewalId = renewal.clone();
-        self.tick(Duration::from_millis(50));
         self.apply(Event::Answer(Answer::Renewed(renewal, Ok(report))));
-        self.tick(Duration::from_millis(50));
     }
 
     fn is_settled(&self, term: u64) -> bool {
