--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/renewal.rs
@@ -169,12 +169,21 @@
         None
     }
 
-    /// Drops the runs of VMs that do not answer and whose leases have expired.
+    /// Drops the runs of VMs that do not answer and whose leases have expired, unless another placer
+    /// may have renewed the leases.
     pub(super) fn expire_leases(&mut self, cx: &mut Cx) {
         if cx.now < self.next_lease_check_at {
             return;
         }
         self.next_lease_check_at = cx.now + LEASE_CHECK_INTERVAL;
+        if !self.may_be_replaced(cx) {
+            self.drop_runs_of_expired_leases(cx);
+        }
+        self.check_settled(cx);
+        self.update_roster(cx);
+    }
+
+    fn drop_runs_of_expired_leases(&mut self, cx: &mut Cx) {
         for key in self.fleet.keys() {
             let is_expired = self.fleet.vms.get(&key).is_some_and(|vm| {
                 vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
@@ -183,8 +192,12 @@
                 self.drop_runs(cx, key, "lease expired");
             }
         }
-        self.check_settled(cx);
-        self.update_roster(cx);
+    }
+
+    /// Returns whether another daemon may have taken over: the table has confirmed no write for half
+    /// of the time after which that is due at the latest.
+    fn may_be_replaced(&self, cx: &Cx) -> bool {
+        cx.now >= self.last_commit_sent_at + cx.options.placer.takeover_after / 2
     }
 
     /// Checks whether every run that an earlier placer may have started is accounted for: each VM
