--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/load.rs
@@ -112,6 +112,7 @@
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
             vm_scans: 0,
+            rounds: 0,
             release: Release::NotRequested,
             hand_over: HandOver::new(cx, former.released),
         };
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -100,6 +100,8 @@
     last_round_at: Now,
     /// Number of searches of the fleet for VMs on which a step fits.
     vm_scans: u64,
+    /// Number of placement rounds.
+    rounds: u64,
     release: Release,
     hand_over: hand_over::HandOver,
 }
@@ -118,6 +120,11 @@
         self.owner.epoch
     }
 
+    /// Returns the number of searches of the fleet for VMs on which a step fits.
+    pub fn vm_scans(&self) -> u64 {
+        self.vm_scans
+    }
+
     /// Returns the number of jobs, ended ones included, that are not yet removed.
     pub fn job_count(&self) -> usize {
         self.registry.jobs.len()
@@ -135,6 +142,7 @@
             epoch: self.owner.epoch,
             vms: self.fleet.vms.len() as u64,
             vm_scans: self.vm_scans,
+            rounds: self.rounds,
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -136,6 +136,12 @@
         self.role.placer().map(|placer| placer.epoch())
     }
 
+    /// Returns the number of searches of the fleet since the role was granted; zero if this daemon
+    /// is not the placer.
+    pub fn vm_scans(&mut self) -> u64 {
+        self.role.placer().map_or(0, |placer| placer.vm_scans())
+    }
+
     /// Returns the status reported in metrics.
     #[must_use]
     pub fn status(&mut self, now: Now) -> Status {
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -35,6 +35,8 @@
     pub vms: u64,
     /// Number of searches of the fleet for VMs on which a step fits, since the role was granted.
     pub vm_scans: u64,
+    /// Number of placement rounds since the role was granted.
+    pub rounds: u64,
     /// Number of VMs that accept new tasks.
     pub usable_vms: u64,
     /// Total capacity of the usable VMs.
--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -24,6 +24,7 @@
 use spdlog::sink::Sink;
 use spdlog::sink::StdStreamSink;
 
+use crate::core::model::Epoch;
 use crate::core::workload::decision::Decision;
 use crate::shell::clock::Clock;
 
@@ -102,6 +103,31 @@
         /// Cause of the failure.
         reason: Box<str>,
     },
+    /// Load of a daemon that is the placer, over the last report interval.
+    PlacerLoad {
+        /// Epoch of the role.
+        epoch: Epoch,
+        /// Events that the reducer handled.
+        events: u64,
+        /// Time spent in the reducer, in microseconds.
+        step_us: u64,
+        /// Requests sent.
+        requests: u64,
+        /// Requests without an answer.
+        pending_requests: u64,
+        /// Longest delay of a timer behind its due time, in microseconds.
+        max_delay_us: u64,
+        /// Placement rounds since the role was granted.
+        rounds: u64,
+        /// Searches of the fleet for VMs on which a step fits, since the role was granted.
+        vm_scans: u64,
+        /// VMs that accept new tasks.
+        vms_usable: u64,
+        /// Runs that are active or being started or stopped.
+        runs: u64,
+        /// Tasks that are ready to start.
+        waiting: u64,
+    },
     /// Log lines were dropped.
     LinesDropped {
         /// Number of lines that exceeded the rate limit.
--- a/src/shell/workload/mod.rs
+++ b/src/shell/workload/mod.rs
@@ -3,6 +3,7 @@
 pub mod meters;
 
 mod advice;
+mod load;
 mod probe;
 mod runner;
 
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -15,6 +15,8 @@
 use rustc_hash::FxHashMap;
 
 use super::advice::forward_query;
+use super::load::Load;
+use super::load::LoadMeter;
 use super::meters;
 use super::meters::StatusGauges;
 use crate::core::model::Now;
@@ -26,8 +28,10 @@
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::Answer;
 use crate::core::workload::event::Call;
+use crate::core::workload::status::PlacerStatus;
 use crate::shell::clock::Clock;
 use crate::shell::log::Log;
+use crate::shell::log::ProcessEvent;
 use crate::shell::net::StopSender;
 use crate::shell::peer::Channels;
 
@@ -57,6 +61,7 @@
     last_ticket: Cell<Ticket>,
     log: Log,
     gauges: RefCell<StatusGauges>,
+    load: LoadMeter,
     next_report_at: Cell<Now>,
     /// Time of the next tick; `None` to sleep for [`MAX_SLEEP`].
     timer_at: Cell<Option<Now>>,
@@ -78,6 +83,7 @@
             last_ticket: Cell::new(0),
             log,
             gauges: RefCell::default(),
+            load: LoadMeter::default(),
             next_report_at: Cell::new(Now::ZERO),
             timer_at: Cell::new(None),
             wake,
@@ -92,7 +98,7 @@
         let started_at = std::time::Instant::now();
         let now = self.clock.now();
         let effects = self.state.borrow_mut().step(now, event);
-        histogram!("ragwortstall_step_seconds").record(started_at.elapsed().as_secs_f64());
+        self.load.record_step(started_at.elapsed());
         for effect in effects {
             self.perform(effect);
         }
@@ -144,6 +150,7 @@
     }
 
     fn spawn_request(self: &Rc<Self>, req: Request) {
+        self.load.record_request();
         let runner = Rc::clone(self);
         compio::runtime::spawn(async move {
             let kind = req.name();
@@ -164,6 +171,7 @@
                 .increment(1);
             histogram!("ragwortstall_request_seconds", "request" => kind)
                 .record(started_at.elapsed().as_secs_f64());
+            runner.load.record_answer();
             runner.apply(Event::Answer(answer));
         })
         .detach();
@@ -182,13 +190,15 @@
                 let at = self.timer_at.get().unwrap_or(now + MAX_SLEEP);
                 let sleep = at.saturating_sub(now).clamp(MIN_SLEEP, MAX_SLEEP);
                 if timeout(sleep, wakeups.next()).await.is_err() {
+                    let delay = self.clock.now().saturating_sub(now + sleep);
+                    self.load.record_delay(delay);
                     break;
                 }
             }
         }
     }
 
-    /// Updates the status gauges if [`REPORT_INTERVAL`] has passed.
+    /// Updates the status gauges, and logs the load of a placer, if [`REPORT_INTERVAL`] has passed.
     fn report(&self) {
         let now = self.clock.now();
         if now < self.next_report_at.get() {
@@ -197,5 +207,25 @@
         self.next_report_at.set(now + REPORT_INTERVAL);
         let status = self.state.borrow_mut().status(now);
         self.gauges.borrow_mut().report(&status);
+        let load = self.load.take();
+        if let Some(placer) = &status.placer {
+            self.log.process(&load_event(&load, placer));
+        }
+    }
+}
+
+fn load_event(load: &Load, placer: &PlacerStatus) -> ProcessEvent {
+    ProcessEvent::PlacerLoad {
+        epoch: placer.epoch,
+        events: load.events,
+        step_us: u64::try_from(load.step_time.as_micros()).unwrap_or(u64::MAX),
+        requests: load.requests,
+        pending_requests: load.pending_requests,
+        max_delay_us: u64::try_from(load.max_delay.as_micros()).unwrap_or(u64::MAX),
+        rounds: placer.rounds,
+        vm_scans: placer.vm_scans,
+        vms_usable: placer.usable_vms,
+        runs: placer.runs,
+        waiting: placer.waiting.values().sum(),
     }
 }
