Search the fleet once a round, and ask for advice only where there is room

The busier the cell, the more of it: the placer was late from the burst on and never recovered. - A round lists the VMs that accept tasks once; steps look at that list, which the round keeps up to date. - Steps ask for advice in rank order and claim the room that they would use, up to three times what is free (advice rejects VMs). - Steps ask about VMs on which no other step waits for advice: all queries of a round named the same VMs, so a few steps got room and the others asked again. - A step whose team is at its cap is not looked at; costs of candidates are computed once.

Not ruled out, so still to come: the placer's own lateness taken for the VMs' silence, when a host is slower still.

--- a/src/core/workload/placer/advice.rs
+++ b/src/core/workload/placer/advice.rs
@@ -8,6 +8,7 @@
 
 use super::fleet::VmKey;
 use super::job_registry::StepKey;
+use super::round::Pool;
 use crate::core::model::DaemonId;
 use crate::core::model::Now;
 use crate::core::model::VmId;
@@ -16,6 +17,7 @@
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::AdviceQuery;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::submission::Step;
 
 /// Fraction of a ticket's validity period in which the ticket is used, so that the start order
 /// arrives before it expires.
@@ -31,8 +33,8 @@
     pub tickets: FxHashMap<VmKey, AdviceTicket>,
     /// VMs that may not run the step.
     pub rejected: FxHashSet<VmKey>,
-    /// Whether a query is in flight.
-    pub in_flight: bool,
+    /// VMs that the query in flight names; `None` while none is in flight.
+    pub asked: Option<Box<[VmKey]>>,
     /// Earliest time of the next query.
     pub retry_at: Now,
 }
@@ -65,9 +67,17 @@
         self.tickets.values().any(|ticket| now < ticket.until)
     }
 
+    /// Returns the number of tasks of a step for which the VMs with valid tickets have room.
+    pub fn open_slots(&self, pool: &Pool, spec: &Step, now: Now) -> u32 {
+        let valid = self.tickets.iter().filter(|(_, ticket)| now < ticket.until);
+        valid.fold(0, |sum, (&vm, _)| {
+            sum.saturating_add(pool.open_slots(vm, spec))
+        })
+    }
+
     /// Returns whether a query may be sent.
     pub fn can_query(&self, now: Now) -> bool {
-        !self.in_flight && now >= self.retry_at
+        self.asked.is_none() && now >= self.retry_at
     }
 
     /// Records the answer for a VM: its ticket, or `None` if it may not run the step.
--- a/src/core/workload/placer/candidates.rs
+++ b/src/core/workload/placer/candidates.rs
@@ -1,10 +1,14 @@
 //! Selection of the VM for a task.
 
+use std::rc::Rc;
+
 use super::Placer;
 use super::fleet::Vm;
 use super::fleet::VmKey;
 use super::job_registry::StepKey;
+use super::round::Pool;
 use crate::core::model::Resources;
+use crate::core::model::ServiceId;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::submission::Step;
 
@@ -41,47 +45,81 @@
     /// Number of tasks of the same step and occurrence that run on the VM or are planned for it.
     /// Running ones are counted only if the step has a limit per VM.
     pub siblings: u32,
+    /// Number of steps that wait for advice on the VM.
+    pub asked: u32,
     /// Natural logarithm of the run time of tasks on this VM relative to other VMs.
     pub slowness: f64,
     on_preferred_rack: bool,
-    pub rack: Box<str>,
+    pub rack: Rc<str>,
+}
+
+/// VMs on which tasks of a step may be placed, with the placement cost of each.
+pub(super) struct CandidateList<'a> {
+    spec: &'a Step,
+    /// Candidates with room for a task, and their costs.
+    vms: Vec<(f64, Candidate)>,
 }
 
 impl Placer {
-    /// Returns the VMs on which tasks of a step fit, whether or not advice allows them.
-    pub(super) fn candidates(&self, cx: &Cx, key: StepKey) -> Vec<Candidate> {
-        let Some(job) = self.registry.jobs.get(&key.job) else {
-            return Vec::new();
-        };
-        let spec = job.spec(key.step);
-        let reservation = spec.reservation();
+    /// Returns the VMs of a service that accept new tasks, in ascending order of their keys.
+    pub(super) fn open_vms(&self, cx: &Cx, service: &ServiceId) -> Vec<Candidate> {
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
-        let fits = |vm: &Vm| {
-            vm.service == job.queue.service
-                && vm.is_usable(cx.now, max_silence)
-                && vm.free().holds(&reservation)
-                && (spec.required_label.is_empty() || vm.labels.contains(&spec.required_label))
+        let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
+        let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
+        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm)))
+            .collect()
+    }
+
+    /// Returns the VMs of a pool on which tasks of a step fit, whether or not advice allows them.
+    pub(super) fn candidates(&self, pool: &Pool, key: StepKey, spec: &Step) -> Vec<Candidate> {
+        let reservation = spec.reservation();
+        let fits = |vm: &&Candidate| {
+            vm.free.holds(&reservation)
+                && (spec.required_label.is_empty() || self.has_label(vm.vm, &spec.required_label))
         };
-        let vms = self.fleet.vms.iter().filter(|(_, vm)| fits(vm));
-        let list = vms
-            .map(|(&vm_key, vm)| Candidate {
-                vm: vm_key,
-                free: vm.free(),
-                capacity: vm.capacity,
-                filler_cpu_milli: vm.filler_cpu_milli,
-                has_latency_tasks: vm.latency_tasks > 0,
-                has_fillers: vm.filler_cpu_milli > 0,
-                siblings: vm.siblings(key, spec.max_per_vm > 0),
-                slowness: self.slowness.estimate(vm),
-                on_preferred_rack: spec.preferred_rack.is_empty() || vm.rack == spec.preferred_rack,
-                rack: vm.rack.clone(),
-            })
-            .filter(|candidate| candidate.has_room_for(spec));
-        list.collect()
+        let mut list: Vec<Candidate> = pool.vms().iter().filter(fits).cloned().collect();
+        if spec.max_per_vm > 0 {
+            for candidate in &mut list {
+                candidate.siblings = self.siblings(candidate.vm, key);
+            }
+            list.retain(|candidate| candidate.has_room_for(spec));
+        }
+        if !spec.preferred_rack.is_empty() {
+            for candidate in &mut list {
+                candidate.on_preferred_rack = *candidate.rack == *spec.preferred_rack;
+            }
+        }
+        list
+    }
+
+    fn has_label(&self, vm: VmKey, label: &str) -> bool {
+        let vm = self.fleet.vms.get(&vm);
+        vm.is_some_and(|vm| vm.labels.iter().any(|other| **other == *label))
+    }
+
+    fn siblings(&self, vm: VmKey, key: StepKey) -> u32 {
+        let vm = self.fleet.vms.get(&vm);
+        vm.map_or(0, |vm| vm.siblings(key))
     }
 }
 
 impl Candidate {
+    fn new(key: VmKey, vm: &Vm, slowness: f64) -> Self {
+        Self {
+            vm: key,
+            free: vm.free(),
+            capacity: vm.capacity,
+            filler_cpu_milli: vm.filler_cpu_milli,
+            has_latency_tasks: vm.latency_tasks > 0,
+            has_fillers: vm.filler_cpu_milli > 0,
+            siblings: 0,
+            asked: 0,
+            slowness,
+            on_preferred_rack: true,
+            rack: Rc::clone(&vm.rack),
+        }
+    }
+
     /// Returns whether another task of the step fits.
     pub fn has_room_for(&self, spec: &Step) -> bool {
         self.free.holds(&spec.reservation())
@@ -135,13 +173,34 @@
     }
 }
 
-/// Returns the candidate with the lowest cost that has room for a task; of several, the one with
-/// the lowest key.
-pub(super) fn best_candidate<'a>(
-    candidates: impl Iterator<Item = &'a mut Candidate>,
-    spec: &Step,
-) -> Option<&'a mut Candidate> {
-    candidates
-        .filter(|candidate| candidate.has_room_for(spec))
-        .min_by(|a, b| a.cost(spec).total_cmp(&b.cost(spec)).then(a.vm.cmp(&b.vm)))
+impl<'a> CandidateList<'a> {
+    /// Returns the list of those candidates that have room for a task of a step.
+    pub fn new(candidates: impl Iterator<Item = Candidate>, spec: &'a Step) -> Self {
+        let vms = candidates.filter(|candidate| candidate.has_room_for(spec));
+        Self {
+            spec,
+            vms: vms
+                .map(|candidate| (candidate.cost(spec), candidate))
+                .collect(),
+        }
+    }
+
+    /// Reserves the resources of a task on the candidate with the lowest cost, of several on the one
+    /// with the lowest key, and returns the VM; `None` if no candidate has room.
+    pub fn reserve_best(&mut self) -> Option<VmKey> {
+        let vms = self.vms.iter().enumerate();
+        let best = vms.min_by(|(_, (a, left)), (_, (b, right))| {
+            a.total_cmp(b).then_with(|| left.vm.cmp(&right.vm))
+        });
+        let (ix, _) = best?;
+        let (cost, candidate) = &mut self.vms[ix];
+        let vm = candidate.vm;
+        candidate.reserve(self.spec);
+        if candidate.has_room_for(self.spec) {
+            *cost = candidate.cost(self.spec);
+        } else {
+            self.vms.swap_remove(ix);
+        }
+        Some(vm)
+    }
 }
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -6,7 +6,7 @@
 use super::PENDING_ROUND_INTERVAL;
 use super::Placer;
 use super::candidates::Candidate;
-use super::candidates::best_candidate;
+use super::candidates::CandidateList;
 use super::fleet::VmKey;
 use super::job_registry::Placement;
 use super::job_registry::StepKey;
@@ -16,9 +16,9 @@
 use super::round::Round;
 use crate::core::model::Now;
 use crate::core::model::Resources;
+use crate::core::model::ServiceId;
 use crate::core::model::TaskIndex;
 use crate::core::model::VmId;
-use crate::core::workload::catalog::AdviceTiming;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::event::AdviceQuery;
@@ -55,6 +55,7 @@
         }
         self.next_round_at = None;
         self.last_round_at = cx.now;
+        self.rounds += 1;
         self.retry_stops(cx);
         self.count_inherited_tasks();
         let steps = self.ready_steps(cx);
@@ -131,7 +132,7 @@
         let (Some(step), Some(timing)) = (self.registry.step_mut(key), timing) else {
             return;
         };
-        step.advice.in_flight = false;
+        step.advice.asked = None;
         match result {
             Ok(approved) => {
                 let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
@@ -190,21 +191,27 @@
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return;
         };
-        let (submission, timing) = (job.submission.clone(), job.queue.advice);
+        let (submission, service) = (job.submission.clone(), job.queue.service.clone());
+        let is_advised = job.queue.advice.is_some();
         let spec = &submission.steps[usize::from(key.step)];
-        let service = job.queue.service.clone();
-        if round.is_unmet(&service, spec)
-            || (timing.is_some() && self.must_wait_for_advice(cx, round, key))
-        {
+        let is_capped = !self.usage.allows(cx, job.team.as_ref(), &spec.demand);
+        if is_capped || round.is_unmet(&service, spec) {
+            return;
+        }
+        let asks = is_advised && self.may_ask(cx, round, key, spec, &service);
+        if is_advised && !asks && !self.has_ticket(cx, key) {
             return;
         }
         self.vm_scans += 1;
-        let mut candidates = self.candidates(cx, key);
+        let pool = round.pool(&service, || self.open_vms(cx, &service));
+        let mut candidates = self.candidates(pool, key, spec);
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
         }
-        if timing.is_some() {
+        if asks {
             self.query_advice(cx, round, key, spec, &candidates);
+        }
+        if is_advised {
             let step = self.registry.step(key);
             candidates.retain(|candidate| {
                 step.is_some_and(|step| step.advice.ticket(candidate.vm, cx.now).is_some())
@@ -216,7 +223,7 @@
         let planned = if spec.traits.gang {
             self.plan_gang(cx, key, spec, &candidates)
         } else {
-            self.plan_tasks(cx, key, spec, &mut candidates)
+            self.plan_tasks(cx, key, spec, candidates.into_iter())
         };
         for (index, vm) in planned {
             let task = TaskKey { step: key, index };
@@ -226,7 +233,44 @@
                 self.next_run_number(task)
             };
             self.start_task(cx, task, vm, run);
+            let pool = round.pool(&service, Vec::new);
+            pool.reserve(vm, spec);
+        }
+    }
+
+    /// Returns whether a step may ask for advice in this round: it needs more VMs than it has
+    /// tickets for, and the steps before it leave room. Claims that room, also for a query that is
+    /// in flight.
+    fn may_ask(
+        &self,
+        cx: &Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+    ) -> bool {
+        let Some(step) = self.registry.step(key) else {
+            return false;
+        };
+        let pool = round.pool(service, || self.open_vms(cx, service));
+        // Runs of a step with a limit per VM occupy VMs that its tickets name.
+        let approved = if spec.max_per_vm == 0 {
+            step.advice.open_slots(pool, spec, cx.now)
+        } else {
+            0
+        };
+        if let Some(vms) = &step.advice.asked {
+            pool.record_asked(vms);
         }
+        let needed = step.waiting.saturating_sub(approved);
+        let has_claim = needed > 0 && pool.claim(spec, needed);
+        has_claim && round.advisor_available && step.advice.can_query(cx.now)
+    }
+
+    /// Returns whether a step has a valid ticket for any VM.
+    fn has_ticket(&self, cx: &Cx, key: StepKey) -> bool {
+        let step = self.registry.step(key);
+        step.is_some_and(|step| step.advice.has_ticket(cx.now))
     }
 
     /// Plans starts for as many waiting tasks of a step as the candidates and the team's cap allow.
@@ -235,12 +279,13 @@
         cx: &Cx,
         key: StepKey,
         spec: &Step,
-        candidates: &mut [Candidate],
+        candidates: impl Iterator<Item = Candidate>,
     ) -> Vec<PlannedStart> {
         let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
         else {
             return Vec::new();
         };
+        let mut candidates = CandidateList::new(candidates, spec);
         let mut planned = Vec::new();
         let mut requested = Resources::ZERO;
         for (index, task) in step.tasks.iter().enumerate() {
@@ -251,11 +296,10 @@
             if !self.usage.allows(cx, job.team.as_ref(), &requested) {
                 break;
             }
-            let Some(candidate) = best_candidate(candidates.iter_mut(), spec) else {
+            let Some(vm) = candidates.reserve_best() else {
                 break;
             };
-            candidate.reserve(spec);
-            planned.push((TaskIndex::try_from(index).unwrap_or(0), candidate.vm));
+            planned.push((TaskIndex::try_from(index).unwrap_or(0), vm));
         }
         planned
     }
@@ -290,14 +334,13 @@
                 let on_rack = candidates
                     .iter()
                     .filter(|candidate| &*candidate.rack == rack);
-                let mut on_rack: Vec<Candidate> = on_rack.cloned().collect();
-                let planned = self.plan_tasks(cx, key, spec, &mut on_rack);
+                let planned = self.plan_tasks(cx, key, spec, on_rack.cloned());
                 if planned.len() == step.tasks.len() {
                     return planned;
                 }
             }
         }
-        let planned = self.plan_tasks(cx, key, spec, &mut candidates.to_vec());
+        let planned = self.plan_tasks(cx, key, spec, candidates.iter().cloned());
         if planned.len() == step.tasks.len() {
             planned
         } else {
@@ -329,17 +372,6 @@
         }
     }
 
-    /// Returns whether a step has no valid ticket and cannot get one in this round, so that its
-    /// candidates, which take long to find in a large fleet, are not needed.
-    fn must_wait_for_advice(&self, cx: &Cx, round: &Round, key: StepKey) -> bool {
-        let Some(step) = self.registry.step(key) else {
-            return true;
-        };
-        let advice = &step.advice;
-        let can_query = round.advisor_available && advice.can_query(cx.now);
-        !can_query && !advice.has_ticket(cx.now)
-    }
-
     /// Sends an advice query if the VMs with valid tickets have no room for all waiting tasks.
     fn query_advice(
         &mut self,
@@ -352,47 +384,35 @@
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return;
         };
+        let service = job.queue.service.clone();
         let (Some(timing), Some(step)) = (job.queue.advice, self.registry.step(key)) else {
             return;
         };
-        if !round.advisor_available || !step.advice.can_query(cx.now) {
-            return;
-        }
         let id = job.id.clone();
         let Some(vms) = vms_to_query(cx, spec, step, candidates) else {
             return;
         };
-        let vms: Rc<[VmId]> = vms
-            .into_iter()
-            .filter_map(|vm| Some(self.fleet.vms.get(&vm)?.id.clone()))
-            .collect();
-        self.send_advice_query(cx, round, key, &id, vms, &timing);
-    }
-
-    fn send_advice_query(
-        &mut self,
-        cx: &mut Cx,
-        round: &mut Round,
-        key: StepKey,
-        id: &str,
-        vms: Rc<[VmId]>,
-        timing: &AdviceTiming,
-    ) {
         let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats) else {
             round.advisor_available = false;
             return;
         };
+        let pool = round.pool(&service, Vec::new);
+        pool.record_asked(&vms);
+        let ids = vms.iter();
+        let ids = ids.filter_map(|vm| Some(self.fleet.vms.get(vm)?.id.clone()));
+        let ids: Rc<[VmId]> = ids.collect();
         if let Some(step) = self.registry.step_mut(key) {
-            step.advice.in_flight = true;
+            step.advice.asked = Some(vms.into());
         }
-        self.forwarders.send(cx, forwarder, key, id, vms, timing);
+        self.forwarders.send(cx, forwarder, key, &id, ids, &timing);
     }
 }
 
 /// Returns the VMs to query advice for, the best first.
 ///
 /// VMs that were approved before and whose tickets have expired come first, and their slots are not
-/// oversampled. VMs that are not slow come next. Returns `None` if the VMs with valid tickets have
+/// oversampled. VMs that are not slow come next, first those on which fewer other steps wait for
+/// advice, as these would take the same room. Returns `None` if the VMs with valid tickets have
 /// room for all waiting tasks or if no other VM is left.
 fn vms_to_query(
     cx: &Cx,
@@ -427,6 +447,7 @@
         (
             !approved_before(candidate),
             is_slow(candidate),
+            candidate.asked,
             fits,
             candidate.vm,
         )
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -1,6 +1,7 @@
 //! State of the VMs that the placer manages: leases, clocks and the runs placed on them.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -14,7 +15,6 @@
 use super::stops::UnexpectedRun;
 use super::throttle::FULL_SPEED_PERCENT;
 use crate::core::model::Now;
-use crate::core::model::RackId;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::model::VmId;
@@ -53,7 +53,7 @@
     pub labels: Vec<Box<str>>,
     /// Labels except the rack, joined by spaces. VMs of the same kind share a slowness estimate.
     pub kind: Box<str>,
-    pub rack: RackId,
+    pub rack: Rc<str>,
     pub capacity: Resources,
     /// Whether the VM table has a row for this VM.
     pub listed: bool,
@@ -271,7 +271,7 @@
             .join(" ")
             .into();
         self.labels = row.labels;
-        self.rack = row.rack;
+        self.rack = row.rack.into();
         self.capacity = row.capacity;
         if row.draining {
             self.draining_since.get_or_insert(now);
@@ -315,12 +315,9 @@
         reading.is_some_and(|reading| reading.min_ms(now) > self.lease_end_ms + EXPIRY_MARGIN_MS)
     }
 
-    /// Returns the number of runs of a step on this VM, or zero if the step has no limit per VM
-    /// (`is_limited` is false). Runs of tasks that are already done count until they have ended.
-    pub fn siblings(&self, key: StepKey, is_limited: bool) -> u32 {
-        if !is_limited {
-            return 0;
-        }
+    /// Returns the number of runs of a step on this VM. Runs of tasks that are already done count
+    /// until they have ended.
+    pub fn siblings(&self, key: StepKey) -> u32 {
         let runs = self.runs.keys().filter(|task| task.step == key);
         u32::try_from(runs.count()).unwrap_or(u32::MAX)
     }
--- a/src/core/workload/placer/round.rs
+++ b/src/core/workload/placer/round.rs
@@ -2,21 +2,48 @@
 //! in vain: a search of the fleet takes time in proportion to the VMs, and while it lasts no
 //! heartbeat is sent.
 
+use rustc_hash::FxHashMap;
+
+use super::candidates::Candidate;
+use super::fleet::VmKey;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::submission::Step;
 
+/// Multiple of the free capacity of a service for which steps may ask for advice at the same time,
+/// as advice rejects some of the VMs.
+const CLAIM_FACTOR: u64 = 3;
+
 /// State of a placement round.
 pub(super) struct Round<'a> {
     /// Daemons through which advice queries can be sent.
     pub heartbeats: &'a HeartbeatMonitor,
     /// Whether a daemon may be free for an advice query.
     pub advisor_available: bool,
+    /// VMs that accept new tasks, by service.
+    pools: FxHashMap<ServiceId, Pool>,
     /// Needs that no VM had room for.
     unmet: Vec<Need>,
 }
 
+/// VMs of a service that accept new tasks.
+pub(super) struct Pool {
+    /// VMs in ascending order of their keys, with the resources that the round has left so far.
+    vms: Vec<Candidate>,
+    /// Sum of the free resources at the start of the round, times [`CLAIM_FACTOR`], less what
+    /// steps that wait for advice may use.
+    unclaimed: Claimable,
+}
+
+/// Resources that steps may claim, in the units of [`Resources`].
+#[derive(Clone, Copy, Debug, Default)]
+struct Claimable {
+    cpu_milli: u64,
+    mem_mib: u64,
+    accel: u64,
+}
+
 /// What a VM must have to run a task of a step.
 struct Need {
     service: ServiceId,
@@ -30,17 +57,31 @@
         Self {
             heartbeats,
             advisor_available: true,
+            pools: FxHashMap::default(),
             unmet: Vec::new(),
         }
     }
 
+    /// Returns the pool of a service; lists its VMs by `list` if this is the first use of it.
+    pub fn pool(
+        &mut self,
+        service: &ServiceId,
+        list: impl FnOnce() -> Vec<Candidate>,
+    ) -> &mut Pool {
+        self.pools
+            .entry(service.clone())
+            .or_insert_with(|| Pool::new(list()))
+    }
+
     /// Records that no VM has room for a task of a step. During a round, room only decreases.
     pub fn record_unmet(&mut self, service: &ServiceId, spec: &Step) {
-        self.unmet.push(Need {
+        let need = Need {
             service: service.clone(),
             required_label: spec.required_label.clone(),
             reservation: spec.reservation(),
-        });
+        };
+        self.unmet.retain(|other| !need.covers(other));
+        self.unmet.push(need);
     }
 
     /// Returns whether no VM can have room for a task of a step, as none had for a smaller one that
@@ -54,3 +95,83 @@
         })
     }
 }
+
+impl Pool {
+    fn new(vms: Vec<Candidate>) -> Self {
+        let mut unclaimed = Claimable::default();
+        for vm in &vms {
+            unclaimed.add(&vm.free, CLAIM_FACTOR);
+        }
+        Self { vms, unclaimed }
+    }
+
+    /// Returns the number of tasks of a step for which a VM has room.
+    pub fn open_slots(&self, vm: VmKey, spec: &Step) -> u32 {
+        let ix = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm);
+        ix.map_or(0, |ix| self.vms[ix].max_tasks(spec))
+    }
+
+    /// Returns the VMs, with the resources that the round has left so far.
+    pub fn vms(&self) -> &[Candidate] {
+        &self.vms
+    }
+
+    /// Reserves the resources of a task that the round places on a VM.
+    pub fn reserve(&mut self, vm: VmKey, spec: &Step) {
+        if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
+            self.vms[ix].reserve(spec);
+        }
+        self.unclaimed.subtract(&spec.reservation(), CLAIM_FACTOR);
+    }
+
+    /// Counts a step that waits for advice on these VMs.
+    pub fn record_asked(&mut self, vms: &[VmKey]) {
+        for vm in vms {
+            if let Ok(ix) = self.vms.binary_search_by_key(vm, |candidate| candidate.vm) {
+                self.vms[ix].asked += 1;
+            }
+        }
+    }
+
+    /// Claims room for `tasks` tasks of a step that waits for advice. Returns whether room was left
+    /// for one.
+    ///
+    /// Steps behind those that will use all room would ask in vain: their tickets would expire
+    /// before the VMs have room again.
+    pub fn claim(&mut self, spec: &Step, tasks: u32) -> bool {
+        let reservation = spec.reservation();
+        let is_left = self.unclaimed.holds(&reservation);
+        self.unclaimed.subtract(&reservation, tasks.into());
+        is_left
+    }
+}
+
+impl Claimable {
+    fn add(&mut self, amount: &Resources, factor: u64) {
+        self.cpu_milli += u64::from(amount.cpu_milli) * factor;
+        self.mem_mib += u64::from(amount.mem_mib) * factor;
+        self.accel += u64::from(amount.accel) * factor;
+    }
+
+    fn subtract(&mut self, amount: &Resources, factor: u64) {
+        let minus = |from: u64, amount: u32| from.saturating_sub(u64::from(amount) * factor);
+        self.cpu_milli = minus(self.cpu_milli, amount.cpu_milli);
+        self.mem_mib = minus(self.mem_mib, amount.mem_mib);
+        self.accel = minus(self.accel, amount.accel);
+    }
+
+    fn holds(&self, amount: &Resources) -> bool {
+        u64::from(amount.cpu_milli) <= self.cpu_milli
+            && u64::from(amount.mem_mib) <= self.mem_mib
+            && u64::from(amount.accel) <= self.accel
+    }
+}
+
+impl Need {
+    /// Returns whether a step with the need `other` is unmet if this need is.
+    fn covers(&self, other: &Self) -> bool {
+        self.service == other.service
+            && (self.required_label.is_empty() || self.required_label == other.required_label)
+            && other.reservation.holds(&self.reservation)
+    }
+}
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod feed_calls;
 mod link;
+mod processor;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,11 +35,16 @@
 
 use self::feed_calls::FeedCalls;
 use self::link::Link;
+pub(crate) use self::processor::Costs;
+use self::processor::Processor;
 use crate::catalog::KEY;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
 use crate::vm::SimVm;
 
+/// Step of the simulated time.
+const STEP: Duration = Duration::from_millis(1);
+
 /// One-way latency of a message.
 const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 
@@ -66,6 +72,7 @@
     /// Time of the next tick.
     wake_at: Option<Now>,
     link: Link,
+    processor: Processor,
 }
 
 /// Message in transit, with the index and the lifetime of its daemon.
@@ -243,6 +250,7 @@
                 lifetime: 1,
                 wake_at: Some(Now::ZERO),
                 link: Link::default(),
+                processor: Processor::default(),
             });
         }
         harness.run_for(2_000);
@@ -254,7 +262,7 @@
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
             self.step();
-            self.now += Duration::from_millis(1);
+            self.now += STEP;
         }
     }
 
@@ -381,6 +389,27 @@
         self.daemons[daemon].link.rate = Some(rate);
     }
 
+    /// Sets the processor time that the work of all daemons takes.
+    pub(crate) fn set_costs(&mut self, costs: Costs) {
+        for daemon in &mut self.daemons {
+            daemon.processor.costs = Some(costs);
+        }
+    }
+
+    /// Sends a submission without waiting for its reply.
+    pub(crate) fn send_submission(&mut self, daemon: usize, id: &str, job: Submission) {
+        self.submissions.insert(id.into(), job.clone());
+        self.last_ticket += 1;
+        let call = Call {
+            host: "labels.example".into(),
+            path: format!("/jobs/{id}").into(),
+            key: Some(KEY.into()),
+            action: Action::Submit(Ok(job)),
+        };
+        let ticket = self.last_ticket;
+        self.apply(daemon, Event::Call { ticket, call });
+    }
+
     /// Simulates one point in time: transfers, VMs, ticks, messages and delayed answers.
     fn step(&mut self) {
         self.advance_links();
@@ -394,6 +423,10 @@
                     self.handle_request(daemon, lifetime, req);
                 }
                 Message::Answer(daemon, lifetime, answer) => {
+                    if let Some(at) = self.busy_after(daemon) {
+                        self.defer(at, Message::Answer(daemon, lifetime, answer));
+                        continue;
+                    }
                     if self.is_alive(daemon, lifetime) {
                         self.feed_calls.remove(daemon, &answer);
                         self.apply(daemon, Event::Answer(answer));
@@ -420,8 +453,23 @@
         (first.0 <= self.now).then(|| self.messages.remove(&first))?
     }
 
+    /// Returns the time until which a daemon's processor is busy, if that is past this step.
+    fn busy_after(&self, daemon: usize) -> Option<Now> {
+        let end = self.now + STEP;
+        self.daemons[daemon].processor.busy_after(end)
+    }
+
+    /// Puts a message back until a time, behind those that wait for that time already.
+    fn defer(&mut self, at: Now, message: Message) {
+        self.last_message += 1;
+        self.messages.insert((at, self.last_message), message);
+    }
+
     fn tick_daemons(&mut self) {
         for ix in 0..self.daemons.len() {
+            if self.busy_after(ix).is_some() {
+                continue;
+            }
             let daemon = &self.daemons[ix];
             if daemon.up && daemon.wake_at.is_some_and(|at| self.now >= at) {
                 let unix_time = START_TIME + self.now;
@@ -436,6 +484,11 @@
         let effects = daemon.state.step(self.now, event);
         daemon.wake_at = daemon.state.wake_at(self.now);
         let lifetime = daemon.lifetime;
+        let sends = |effect: &&Effect| matches!(effect, Effect::Send(_));
+        let requests = effects.iter().filter(sends).count();
+        let requests = u32::try_from(requests).expect("few requests");
+        let searches = daemon.state.vm_scans();
+        daemon.processor.handle(self.now, requests, searches);
         for effect in effects {
             match effect {
                 Effect::Send(req) => {
--- /dev/null
+++ b/tests/workload/harness/processor.rs
@@ -0,0 +1,42 @@
+//! Processor of a daemon's host: events wait while the daemon handles earlier ones.
+
+use std::time::Duration;
+
+use ragwortstall::core::model::Now;
+
+/// Processor time that the work of a daemon takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Costs {
+    pub event: Duration,
+    pub request: Duration,
+    /// Search of the fleet for VMs on which a step fits.
+    pub search: Duration,
+}
+
+/// Processor of a daemon's host; it takes no time before its costs are set.
+#[derive(Debug, Default)]
+pub(super) struct Processor {
+    pub costs: Option<Costs>,
+    /// End of the work so far.
+    busy_until: Now,
+    /// Searches since the start of the process that are accounted for.
+    searches: u64,
+}
+
+impl Processor {
+    /// Returns the time at which the next event can be handled, if that is later than `end`.
+    pub(super) fn busy_after(&self, end: Now) -> Option<Now> {
+        (self.busy_until >= end).then_some(self.busy_until)
+    }
+
+    /// Accounts for an event. `searches` is their number since the start of the process.
+    pub(super) fn handle(&mut self, now: Now, requests: u32, searches: u64) {
+        let Some(costs) = self.costs else {
+            return;
+        };
+        let new = u32::try_from(searches.saturating_sub(self.searches)).expect("few searches");
+        self.searches = searches;
+        let work = costs.event + costs.request * requests + costs.search * new;
+        self.busy_until = self.busy_until.max(now) + work;
+    }
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the workload reducer against a simulated table and simulated VMs, in virtual time.
 
 mod archive;
+mod busy_placer;
 mod capacity;
 mod catalog;
 mod constraints;
