--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -56,6 +56,9 @@
                 let outcome = self.commit(table_answers, &purpose, txn);
                 Answer::Committed(purpose, outcome)
             }
+            Request::Read { purpose, range } if self.unreadable_parts.contains(&range.part) => {
+                Answer::Read(purpose, Err(no_answer))
+            }
             Request::Read { purpose, range } if table_answers => {
                 self.reads.push((range.part.clone(), range.from.clone()));
                 Answer::Read(purpose, Ok(self.table.page(&range)))
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -134,6 +134,8 @@
     pub lost_watch_answers: BTreeSet<(usize, Feed)>,
     /// Numbers of calls for the rows of followed tables.
     pub feed_calls: FeedCalls,
+    /// Parts of the jobs' table that cannot be read.
+    pub unreadable_parts: BTreeSet<Box<str>>,
     /// Ranges that daemons have read, as part and first key.
     pub reads: Vec<(Box<str>, Box<str>)>,
     /// Time until which the table refuses the placer's writes of progress.
@@ -214,6 +216,7 @@
             commit_answers_lost_until: Now::ZERO,
             lost_watch_answers: BTreeSet::new(),
             feed_calls: FeedCalls::default(),
+            unreadable_parts: BTreeSet::new(),
             reads: Vec::new(),
             progress_refused_until: Now::ZERO,
             silent_progress_writes: 0,
--- a/tests/workload/jobs.rs
+++ b/tests/workload/jobs.rs
@@ -33,6 +33,12 @@
     }
 }
 
+/// Returns the number of the part of the table that stores a job.
+pub(crate) fn part_number(id: &str) -> u8 {
+    let add = |hash: u8, byte: u8| hash.wrapping_mul(31).wrapping_add(byte);
+    id.bytes().fold(0, add) % 32
+}
+
 #[test]
 fn a_job_of_two_steps_completes() {
     let mut harness = Harness::new(3, 2);
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -15,6 +15,7 @@
 mod long_queue;
 mod moves;
 mod pace;
+mod partial_outage;
 mod slow_link;
 mod status;
 mod table;
--- a/tests/workload/slow_link.rs
+++ b/tests/workload/slow_link.rs
@@ -11,6 +11,7 @@
 
 use crate::harness::Harness;
 use crate::jobs::job;
+use crate::jobs::part_number;
 use crate::jobs::step;
 
 /// Rate of a link of 10 Mbit/s, in bytes per millisecond.
@@ -260,8 +261,7 @@
 
 /// Returns whether a job is in one of the eight parts that a load reads first.
 fn is_read_first(id: &str) -> bool {
-    let add = |hash: u8, byte: u8| hash.wrapping_mul(31).wrapping_add(byte);
-    id.bytes().fold(0, add) % 32 < 8
+    part_number(id) < 8
 }
 
 /// Guards against a load that is given up although its pages arrive all the while, as none of them is
