--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -10,6 +10,7 @@
 use super::job_registry::StepKey;
 use super::job_registry::TaskKey;
 use super::roster::RosterState;
+use super::schedule::RenewalSchedule;
 use super::slowness::SlownessEstimate;
 use super::stops::StopRecord;
 use super::stops::UnexpectedRun;
@@ -38,6 +39,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     pub vms: BTreeMap<VmKey, Vm>,
+    pub schedule: RenewalSchedule,
     ids: FxHashMap<VmId, VmKey>,
     /// Key assigned to the VM that was added last.
     last_key: VmKey,
@@ -196,13 +198,16 @@
         }
         self.last_key += 1;
         self.ids.insert(id.into(), self.last_key);
-        self.vms.insert(self.last_key, Vm::new(id, address, now));
+        let vm = Vm::new(id, address, now);
+        self.schedule.add(self.last_key, vm.renewal.next_at);
+        self.vms.insert(self.last_key, vm);
         self.last_key
     }
 
     pub fn remove(&mut self, key: VmKey) {
         if let Some(vm) = self.vms.remove(&key) {
             self.ids.remove(&vm.id);
+            self.schedule.remove(key, vm.renewal.next_at);
         }
     }
 
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -16,6 +16,7 @@
 mod retire;
 mod roster;
 mod round;
+mod schedule;
 mod shares;
 mod slowness;
 mod starts;
@@ -215,7 +216,7 @@
             self.next_round_at
                 .map(|at| self.earliest_round_at(cx).max(at)),
         );
-        earliest(at, self.next_renewal_at())
+        earliest(at, self.fleet.next_renewal_at())
     }
 
     /// Applies the current configuration to all jobs.
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/progress.rs
@@ -230,8 +230,8 @@
                     && vm.started_ms == started_ms
                 {
                     vm.stored_seq = vm.stored_seq.max(seq);
-                    let gap = cx.now + cx.options.vms.renewal_gap;
-                    vm.renewal.next_at = vm.renewal.next_at.min(gap);
+                    let gap = cx.options.vms.renewal_gap;
+                    self.fleet.hasten_renewal(key, cx.now + gap);
                 }
             }
             return None;
--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/renewal.rs
@@ -15,7 +15,6 @@
 use crate::core::model::Now;
 use crate::core::model::VmId;
 use crate::core::workload::cx::Cx;
-use crate::core::workload::cx::earliest;
 use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::Request;
@@ -93,17 +92,12 @@
 
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self, cx: &mut Cx) {
-        if self.next_renewal_at().is_none_or(|at| cx.now < at) {
-            return;
-        }
         let renewal_wait = self.renewal_wait(cx);
-        for key in self.fleet.keys() {
+        for key in self.fleet.due_renewals(cx.now) {
+            self.fleet.begin_renewal(key, cx.now);
             let Some(vm) = self.fleet.vms.get_mut(&key) else {
                 continue;
             };
-            if vm.renewal.sent_at.is_some() || cx.now < vm.renewal.next_at {
-                continue;
-            }
             let options = &cx.options.vms;
             // A VM that failed to answer is polled without renewing its lease, so that the lease
             // can expire.
@@ -113,7 +107,6 @@
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let waits = vm.fenced && vm.stored_seq == vm.processed_seq && vm.renewal.failures == 0;
             let wait = if waits { renewal_wait } else { Duration::ZERO };
-            vm.renewal.sent_at = Some(cx.now);
             let renewal = RenewalId {
                 vm: vm.id.clone(),
                 sent: cx.now,
@@ -140,16 +133,6 @@
         wait.clamp(options.renewal_wait, options.max_renewal_wait)
     }
 
-    /// Returns the time of the next renewal, if any VM has none pending.
-    pub(super) fn next_renewal_at(&self) -> Option<Now> {
-        let not_pending = self
-            .fleet
-            .vms
-            .values()
-            .filter(|vm| vm.renewal.sent_at.is_none());
-        not_pending.fold(None, |at, vm| earliest(at, Some(vm.renewal.next_at)))
-    }
-
     /// Handles the answer to a renewal.
     pub(super) fn handle_renewal_answer(
         &mut self,
@@ -157,10 +140,8 @@
         renewal: &RenewalId,
         result: Result<RenewalReport, OrderError>,
     ) -> RoleLoss {
-        let (key, vm) = self.fleet.by_id(&renewal.vm)?;
-        if vm.renewal.sent_at == Some(renewal.sent) {
-            vm.renewal.sent_at = None;
-        }
+        let key = self.fleet.key(&renewal.vm)?;
+        self.fleet.end_renewal(key, renewal.sent);
         match result {
             Ok(report) => self.apply_report(cx, key, renewal.sent, &report),
             Err(OrderError::Fenced) => return Some(format!("fenced by VM {}", renewal.vm).into()),
@@ -274,15 +255,15 @@
         self.process_ended_tasks(cx);
         self.reconcile(cx, key, sent, &report.running, is_complete);
         self.throttle_fillers(cx, key);
-        if let Some(vm) = self.fleet.vms.get_mut(&key) {
+        if let Some(vm) = self.fleet.vms.get(&key) {
             let is_stored = vm.stored_seq == vm.processed_seq;
             let has_lease = vm.lease_end_ms > report.clock_ms;
-            let gap = cx.options.vms.renewal_gap;
-            vm.renewal.next_at = match (has_lease, is_stored) {
-                (false, _) => cx.now,
-                (true, true) => cx.now + gap,
-                (true, false) => cx.now + STORE_WAIT,
+            let delay = match (has_lease, is_stored) {
+                (false, _) => Duration::ZERO,
+                (true, true) => cx.options.vms.renewal_gap,
+                (true, false) => STORE_WAIT,
             };
+            self.fleet.schedule_renewal(key, cx.now + delay);
         }
     }
 
@@ -291,7 +272,6 @@
             return;
         };
         vm.renewal.failures += 1;
-        vm.renewal.next_at = cx.now + cx.options.vms.retry_delay;
         if vm.renewal.failures == 1 {
             cx.log(Decision::VmContact {
                 vm: vm.id.clone(),
@@ -300,6 +280,8 @@
                 reason: format!("{err:?}").into(),
             });
         }
+        let retry_at = cx.now + cx.options.vms.retry_delay;
+        self.fleet.schedule_renewal(key, retry_at);
     }
 
     /// Handles a restart of a VM, which begins a new lifetime: none of its former runs still
@@ -308,8 +290,8 @@
         self.drop_runs(cx, key, "VM restarted");
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
-            vm.renewal.next_at = cx.now;
         }
+        self.fleet.schedule_renewal(key, cx.now);
     }
 
     /// Drops all runs of a VM and requeues their tasks.
--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/stops.rs
@@ -192,9 +192,9 @@
         if let Err(OrderError::Fenced) = result {
             return Some(format!("fenced by VM {}", order.vm).into());
         }
-        let (_, vm) = self.fleet.by_id(&order.vm)?;
-        vm.renewal.next_at = vm.renewal.next_at.min(cx.now + cx.options.vms.renewal_gap);
         let key = self.fleet.key(&order.vm)?;
+        let gap = cx.options.vms.renewal_gap;
+        self.fleet.hasten_renewal(key, cx.now + gap);
         let task = self.registry.task_key(&order.task)?;
         let vm = self.fleet.vms.get_mut(&key)?;
         let run = vm
