Do not take this process's delays for a server's silence

When it was busy, or the process did not run, a call timed out although its answer had arrived and only waited to be read; healthy VMs counted as silent, got no tasks and lost their leases. Test: client_answers::an_answer_that_waits_for_a_busy_client_is_not_late, ResponseTimeout on the code before.

--- a/src/shell/net/client.rs
+++ b/src/shell/net/client.rs
@@ -6,12 +6,12 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use compio::time;
 use cyper_core::HyperStream;
 use http::Request;
 use http::Response;
@@ -25,6 +25,7 @@
 use super::CallLabel;
 use super::Error;
 use super::Result;
+use super::deadline::wait_until;
 use super::pool::Conn;
 use super::pool::Pool;
 use super::progress::Limit;
@@ -241,9 +242,10 @@
 
 /// Opens a TCP connection with `TCP_NODELAY`; fails after `timeout`.
 pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream> {
-    let stream = match time::timeout(timeout, TcpStream::connect(addr)).await {
-        Ok(result) => result.map_err(|err| Error::Connect(addr, err))?,
-        Err(_) => return Err(Error::ConnectTimeout(addr)),
+    let stream = pin!(TcpStream::connect(addr));
+    let stream = match wait_until(Instant::now() + timeout, stream).await {
+        Some(result) => result.map_err(|err| Error::Connect(addr, err))?,
+        None => return Err(Error::ConnectTimeout(addr)),
     };
     stream
         .set_nodelay(true)
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -2,6 +2,7 @@
 //! exchanges with each server.
 
 mod client;
+mod deadline;
 mod error;
 mod exec;
 mod label;
--- a/src/shell/net/progress.rs
+++ b/src/shell/net/progress.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use compio::time;
-
 use super::CallLabel;
 use super::Error;
+use super::deadline::wait_until;
 
 /// Step that an exchange has reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,12 +88,12 @@
     }
 
     /// Runs the exchange up to its deadline, which each part of the response may move; returns
-    /// `None` if it did not complete in time.
+    /// `None` if it did not complete in time. Delays of this thread do not count.
     pub async fn run<F: Future>(&self, limit: Limit, exchange: F) -> Option<F::Output> {
         let mut exchange = pin!(exchange);
         loop {
             let deadline = self.deadline(limit);
-            if let Ok(output) = time::timeout_at(deadline, exchange.as_mut()).await {
+            if let Some(output) = wait_until(deadline, exchange.as_mut()).await {
                 return Some(output);
             }
             if self.deadline(limit) <= Instant::now() {
--- a/tests/client_answers.rs
+++ b/tests/client_answers.rs
@@ -1,6 +1,8 @@
 //! Tests of the HTTP client with responses whose bodies arrive in pieces, over loopback.
 
 use std::cell::Cell;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -350,3 +352,41 @@
         assert_eq!(client.idle_count(server.address), 0);
     });
 }
+
+/// Time that the thread of the client is busy while the answer arrives, past the timeout.
+const BUSY: Duration = Duration::from_millis(900);
+
+/// Starts a server on a thread of its own that answers one request after `delay`.
+fn start_on_other_thread(delay: Duration) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 4096];
+        let _ = stream.read(&mut buf).unwrap();
+        std::thread::sleep(delay);
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).unwrap();
+        // Keeps the connection open until the client has closed it.
+        let _ = stream.read(&mut buf);
+    });
+    address
+}
+
+/// Guards against a server that counts as silent as this process was busy when its answer arrived.
+#[test]
+fn an_answer_that_waits_for_a_busy_client_is_not_late() {
+    run(async || {
+        let address = start_on_other_thread(Duration::from_millis(100));
+        let client = Client::new(ClientOptions::default());
+        let req = Request::get("/").header(HOST, "server");
+        let req = req.body(Full::default()).unwrap();
+        let exchange = client.send(address, req, BUSY / 2);
+        let busy = async {
+            sleep(Duration::from_millis(50)).await;
+            std::thread::sleep(BUSY);
+        };
+        let (result, ()) = join(exchange, busy).await;
+        assert!(result.is_ok(), "{result:?}");
+    });
+}
