Relay calls through a daemon that reaches the table

A daemon whose table is down now passes calls on to another one, once: to the next one if that one cannot handle them either, three at most; to none for 0.5 s after all have failed or the network has. A call without a reply is unknown, one that was not sent is not. Tests: relay::, of which the first is refused without the change, the third told "not run" and the last gets an answer of the older configuration without the version.

--- a/src/core/model/resources.rs
+++ b/src/core/model/resources.rs
@@ -91,6 +91,15 @@
             .max(ratio(self.accel, total.accel))
     }
 
+    /// Returns how often this amount holds `each`; zero amounts of `each` do not count.
+    #[must_use]
+    pub fn count_of(&self, each: &Self) -> u32 {
+        let count = |amount: u32, each: u32| amount.checked_div(each).unwrap_or(u32::MAX);
+        count(self.cpu_milli, each.cpu_milli)
+            .min(count(self.mem_mib, each.mem_mib))
+            .min(count(self.accel, each.accel))
+    }
+
     fn zip(&self, other: &Self, f: impl Fn(u32, u32) -> u32) -> Self {
         Self {
             cpu_milli: f(self.cpu_milli, other.cpu_milli),
--- a/src/core/workload/calls.rs
+++ b/src/core/workload/calls.rs
@@ -363,11 +363,12 @@
     cx.reply(ticket, waiting.map_or(unknown, Reply::Waiting));
 }
 
-fn reply_unavailable(cx: &mut Cx, ticket: Ticket, call: &Call, reason: &str) {
+/// Refuses a call for a reason other than the table's.
+pub(super) fn reply_unavailable(cx: &mut Cx, ticket: Ticket, call: &Call, reason: &str) {
     cx.log(Decision::Refused {
         id: call.path.clone(),
         reason: reason.into(),
-        config: 0,
+        config: cx.catalog.map_or(0, |catalog| catalog.version),
         table_age_ms: cx.table_age_ms(),
     });
     cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -126,6 +126,12 @@
         helper: Box<str>,
         reason: Box<str>,
     },
+    /// A call could not be relayed through a daemon.
+    RelayFailed {
+        id: JobId,
+        daemon: DaemonId,
+        reason: Box<str>,
+    },
     /// A configuration became active.
     ConfigTaken {
         version: u64,
--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -5,6 +5,7 @@
 
 use super::decision::Decision;
 use super::event::AdviceQuery;
+use super::event::Call;
 use super::event::CommitPurpose;
 use super::event::FeedCall;
 use super::event::OrderId;
@@ -134,6 +135,17 @@
         /// Timeout of the request.
         timeout: Duration,
     },
+    /// Passes a client's call on to another daemon.
+    Relay {
+        /// Ticket by which the reply is matched to the call.
+        ticket: Ticket,
+        /// Call.
+        call: Box<Call>,
+        /// Address of the daemon.
+        via: Box<str>,
+        /// Timeout of the request.
+        timeout: Duration,
+    },
 }
 
 /// Order to start a task.
@@ -158,7 +170,8 @@
 }
 
 /// Reply to a caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// The job is stored and will be run.
     Accepted,
@@ -217,6 +230,7 @@
             Self::SetSpeed { .. } => "pace",
             Self::Probe { .. } => "reach",
             Self::Advise { .. } => "advise",
+            Self::Relay { .. } => "relay",
         }
     }
 }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::catalog::Catalog;
+use super::effect::Reply;
 use super::submission::Submission;
 use super::table::CommitOutcome;
 use super::table::Page;
@@ -44,7 +45,7 @@
 }
 
 /// Call to a queue, addressed by host and path.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Call {
     /// Host name.
     pub host: Box<str>,
@@ -54,10 +55,13 @@
     pub key: Option<Box<str>>,
     /// Requested operation.
     pub action: Action,
+    /// Version of the configuration that the daemon has seen which passed the call on to this one;
+    /// `None` for a call of a client.
+    pub relayed_with: Option<u64>,
 }
 
 /// Operation on the job or queue that a call addresses.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Action {
     /// Submits a job; the error is the reason why the body could not be parsed.
     Submit(Result<Submission, Box<str>>),
@@ -90,6 +94,26 @@
     Probed(ProbePurpose, ProbeResult),
     /// Result of an advice query.
     Advised(AdviceQuery, Result<Vec<AdvisedVm>, Box<str>>),
+    /// Reply of the daemon to which a call was relayed.
+    Relayed(Ticket, Result<RelayedReply, RelayError>),
+}
+
+/// Reply to a relayed call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayedReply {
+    /// Reply to the client.
+    pub reply: Reply,
+    /// Version of the configuration of the daemon that handled the call.
+    pub config: u64,
+}
+
+/// Reason why a relayed call got no reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayError {
+    /// The call was not sent.
+    NotSent(Box<str>),
+    /// The call may have been handled.
+    NoReply(Box<str>),
 }
 
 /// Purpose of a transaction. Logged in its `Debug` form.
@@ -158,7 +182,11 @@
             | Self::Stopped(OrderId { sent, .. }, _)
             | Self::SpeedSet(OrderId { sent, .. }, _) => Some(*sent),
             Self::Advised(query, _) => Some(query.sent),
-            Self::Committed(..) | Self::Read(..) | Self::Feed(..) | Self::Probed(..) => None,
+            Self::Committed(..)
+            | Self::Read(..)
+            | Self::Feed(..)
+            | Self::Probed(..)
+            | Self::Relayed(..) => None,
         }
     }
 }
@@ -409,6 +437,7 @@
             Self::Stopped(_, result) | Self::SpeedSet(_, result) => result.is_ok(),
             Self::Probed(_, result) => matches!(result, ProbeResult::Listening),
             Self::Advised(_, result) => result.is_ok(),
+            Self::Relayed(_, result) => result.is_ok(),
         }
     }
 }
--- a/src/core/workload/placer/candidates.rs
+++ b/src/core/workload/placer/candidates.rs
@@ -128,11 +128,7 @@
 
     /// Returns the number of tasks of the step that fit.
     pub fn max_tasks(&self, spec: &Step) -> u32 {
-        let reservation = spec.reservation();
-        let count = |free: u32, each: u32| free.checked_div(each).unwrap_or(u32::MAX);
-        let limit = count(self.free.cpu_milli, reservation.cpu_milli)
-            .min(count(self.free.mem_mib, reservation.mem_mib))
-            .min(count(self.free.accel, reservation.accel));
+        let limit = self.free.count_of(&spec.reservation());
         if spec.max_per_vm == 0 {
             limit
         } else {
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -288,10 +288,9 @@
         let mut candidates = CandidateList::new(candidates, spec);
         let mut planned = Vec::new();
         let mut requested = Resources::ZERO;
-        for (index, task) in step.tasks.iter().enumerate() {
-            if task.placement != Placement::Waiting {
-                continue;
-            }
+        let waiting = step.tasks.iter().enumerate();
+        let waiting = waiting.filter(|(_, task)| task.placement == Placement::Waiting);
+        for (index, _) in waiting {
             requested = requested.plus(&spec.demand);
             if !self.usage.allows(cx, job.team.as_ref(), &requested) {
                 break;
--- a/src/core/workload/placer/starts.rs
+++ b/src/core/workload/placer/starts.rs
@@ -9,7 +9,6 @@
 use super::job_registry::TaskKey;
 use super::throttle::FULL_SPEED_PERCENT;
 use crate::core::model::Now;
-use crate::core::model::Resources;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
@@ -19,6 +18,7 @@
 use crate::core::workload::event::OrderError;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::StartError;
+use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
 
@@ -52,9 +52,7 @@
         let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, cx.options.vms.lease) else {
             return;
         };
-        let spec = job.spec(task.step.step);
-        let (reservation, demand, has_target) =
-            (spec.reservation(), spec.demand, spec.target_ms > 0);
+        let new_run = Run::new(run, job.spec(task.step.step), cx.now);
         let (team, payload) = (job.team.clone(), job.payload.clone());
         let Some(step) = self.registry.step_mut(task.step) else {
             return;
@@ -71,8 +69,7 @@
         step.waiting -= 1;
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
         let free_cpu_milli = vm.free().cpu_milli;
-        vm.add_run(task, Run::new(run, reservation, demand, has_target, cx.now));
-        self.usage.add(team.as_ref(), &demand);
+        vm.add_run(task, new_run);
         let order = vm.order_for(name.clone(), run, cx.now);
         let start = StartOrder {
             order,
@@ -85,6 +82,7 @@
             timeout: cx.options.vms.order_timeout,
         };
         let id = vm.id.clone();
+        self.usage.add(team.as_ref(), &new_run.demand);
         cx.send(Request::Start(Box::new(start)));
         cx.log(Decision::Placed {
             task: name.to_string().into(),
@@ -183,24 +181,21 @@
         let Some(job) = self.registry.jobs.get(&task.step.job) else {
             return;
         };
-        let spec = job.spec(task.step.step);
-        let (reservation, demand, has_target) =
-            (spec.reservation(), spec.demand, spec.target_ms > 0);
+        let mut run = Run::new(row.run, job.spec(task.step.step), cx.now);
         let (id, team) = (job.id.clone(), job.team.clone());
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
         };
-        let mut run = Run::new(row.run, reservation, demand, has_target, cx.now);
         run.phase = Phase::Running { since: cx.now };
         run.measurement = row.measurement;
         vm.add_run(task, run);
-        self.usage.add(team.as_ref(), &demand);
         cx.log(Decision::RunAdopted {
             id,
             task: row.task.to_string().into(),
             run: row.run,
             vm: vm.id.clone(),
         });
+        self.usage.add(team.as_ref(), &run.demand);
         if let Some(step) = self.registry.step_mut(task.step) {
             step.waiting -= 1;
             let state = &mut step.tasks[task.index as usize];
@@ -215,18 +210,12 @@
 }
 
 impl Run {
-    fn new(
-        number: RunNumber,
-        reservation: Resources,
-        demand: Resources,
-        has_target: bool,
-        now: Now,
-    ) -> Self {
+    fn new(number: RunNumber, spec: &Step, now: Now) -> Self {
         Self {
             number,
-            reservation,
-            demand,
-            has_target,
+            reservation: spec.reservation(),
+            demand: spec.demand,
+            has_target: spec.target_ms > 0,
             sent_at: now,
             phase: Phase::Starting,
             speed_percent: FULL_SPEED_PERCENT,
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -7,6 +7,7 @@
 use super::batcher::SubmissionBatcher;
 use super::calls::CallHandler;
 use super::calls::Components;
+use super::calls::reply_unavailable;
 use super::catalog::Catalog;
 use super::cx::Cx;
 use super::cx::earliest;
@@ -27,6 +28,7 @@
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::options::Options;
+use super::relay::Relays;
 use super::role::Role;
 use super::status::Status;
 use super::table::CommitOutcome;
@@ -61,6 +63,7 @@
     heartbeats: HeartbeatMonitor,
     batcher: SubmissionBatcher,
     calls: CallHandler,
+    relays: Relays,
     role: Role,
     address_state: AddressState,
     /// Start of the drain, if one was requested.
@@ -84,6 +87,7 @@
             heartbeats: HeartbeatMonitor::default(),
             batcher: SubmissionBatcher::default(),
             calls: CallHandler::default(),
+            relays: Relays::default(),
             role: Role::new(),
             address_state: AddressState::Due(Now::ZERO),
             drain_started_at: None,
@@ -170,6 +174,19 @@
 
     fn handle_call(&mut self, now: Now, out: &mut Effects, ticket: Ticket, call: Call) {
         let mut cx = context!(self, now, out);
+        let table_is_up = self.feeds.is_up(Feed::Heartbeats);
+        if !table_is_up && self.relays.start(&mut cx, &self.heartbeats, ticket, &call) {
+            return;
+        }
+        let relayed_with = call.relayed_with.unwrap_or(0);
+        let min_config = self.relays.min_config().max(relayed_with);
+        if cx
+            .catalog
+            .is_some_and(|catalog| catalog.version < min_config)
+        {
+            let reason = "callers have seen a newer configuration";
+            return reply_unavailable(&mut cx, ticket, &call, reason);
+        }
         let components = Components {
             batcher: &mut self.batcher,
             feeds: &self.feeds,
@@ -192,6 +209,11 @@
                 self.heartbeats.handle_probe_result(cx, version, &result);
                 None
             }
+            Answer::Relayed(ticket, result) => {
+                let heartbeats = &self.heartbeats;
+                self.relays.handle_result(cx, heartbeats, ticket, result);
+                None
+            }
             answer => match self.role.placer() {
                 Some(placer) => placer.handle_answer(cx, answer),
                 None => None,
@@ -373,7 +395,8 @@
             Some(placer) => placer.release(&mut cx),
             None => true,
         };
-        let is_idle = released && self.batcher.is_idle() && self.calls.is_idle();
+        let is_idle =
+            released && self.batcher.is_idle() && self.calls.is_idle() && self.relays.is_idle();
         if is_idle || now >= started_at + self.options.drain_timeout {
             self.exited = true;
             out.push(Effect::Exit);
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -7,3 +7,7 @@
 #[allow(missing_docs, clippy::pedantic)]
 #[rustfmt::skip]
 pub mod peer;
+
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod relay;
--- a/src/shell/peer/channel.rs
+++ b/src/shell/peer/channel.rs
@@ -50,9 +50,7 @@
         F: FnOnce(Channel, Uri) -> Fut,
         Fut: Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
     {
-        let peer: SocketAddr = address
-            .parse()
-            .map_err(|err| format!("peer address {address:?}: {err}"))?;
+        let peer = parse(address)?;
         let origin = Uri::try_from(format!("http://{peer}")).map_err(|err| err.to_string())?;
         let exchange = async {
             let tx = self.connection(peer, timeout).await;
@@ -70,6 +68,13 @@
         Ok(reply?.into_inner())
     }
 
+    /// Opens a connection to the daemon at `address` if there is none; fails after `timeout`.
+    pub async fn open(&self, address: &str, timeout: Duration) -> Result<()> {
+        let opened = self.connection(parse(address)?, timeout).await;
+        opened.map_err(|err| err.to_string())?;
+        Ok(())
+    }
+
     /// Returns the open connection to a peer, or opens one.
     async fn connection(
         &self,
@@ -98,6 +103,11 @@
     }
 }
 
+fn parse(address: &str) -> Result<SocketAddr> {
+    let peer = address.parse();
+    peer.map_err(|err| format!("peer address {address:?}: {err}").into())
+}
+
 /// Client of the protocol between daemons.
 pub struct PeerClient {
     timeout: Duration,
--- a/src/shell/workload/advice.rs
+++ b/src/shell/workload/advice.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::TcpListener;
 use futures_channel::mpsc;
 use futures_channel::oneshot;
 use futures_util::StreamExt;
@@ -22,8 +21,6 @@
 use crate::proto::advice::advice_client::AdviceClient;
 use crate::proto::advice::advice_server::Advice;
 use crate::proto::advice::advice_server::AdviceServer;
-use crate::shell::net::StopReceiver;
-use crate::shell::net::serve_http2;
 use crate::shell::peer::Channels;
 
 use super::Backend;
@@ -34,7 +31,8 @@
 /// Forwarded query, with the sender of its result.
 type PendingQuery = (Query, oneshot::Sender<Result<Vec<AdvisedVm>>>);
 
-struct Service {
+/// Server of forwarded queries. It passes them to the thread of the runner.
+pub(super) struct Service {
     tx: mpsc::UnboundedSender<PendingQuery>,
 }
 
@@ -59,8 +57,8 @@
     }
 }
 
-/// Serves the advice queries that other daemons forward through this one, until `stop`.
-pub async fn serve<B: Backend>(listener: TcpListener, backend: Rc<B>, stop: StopReceiver) {
+/// Returns the server of the advice queries that other daemons forward through this one.
+pub(super) fn server<B: Backend>(backend: Rc<B>) -> AdviceServer<Service> {
     let (tx, mut rx) = mpsc::unbounded::<PendingQuery>();
     compio::runtime::spawn(async move {
         while let Some((query, reply)) = rx.next().await {
@@ -72,12 +70,7 @@
         }
     })
     .detach();
-    let server = AdviceServer::new(Service { tx });
-    let service = hyper::service::service_fn(move |req| {
-        let mut server = server.clone();
-        async move { tower_service::Service::call(&mut server, req).await }
-    });
-    serve_http2(listener, service, stop).await;
+    AdviceServer::new(Service { tx })
 }
 
 /// Sends an advice query through the daemon at the address `via`.
--- a/src/shell/workload/mod.rs
+++ b/src/shell/workload/mod.rs
@@ -4,10 +4,12 @@
 
 mod advice;
 mod load;
+mod peers;
 mod probe;
+mod relay;
 mod runner;
 
-pub use advice::serve as serve_advice;
+pub use peers::serve as serve_peers;
 pub use probe::probe;
 pub use runner::Backend;
 pub use runner::Runner;
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -19,6 +19,7 @@
 use super::load::LoadMeter;
 use super::meters;
 use super::meters::StatusGauges;
+use super::relay::forward_call;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
 use crate::core::workload::Effect;
@@ -127,6 +128,16 @@
         self.state.borrow().is_ready(self.clock.now())
     }
 
+    /// Returns the version of the configuration in force.
+    pub fn config_version(&self) -> u64 {
+        self.state.borrow().config_version()
+    }
+
+    /// Returns the external systems of the daemon.
+    pub fn backend(&self) -> Rc<B> {
+        Rc::clone(&self.backend)
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &Log {
         &self.log
@@ -164,6 +175,15 @@
                     let result = forward_query(&runner.channels, &via, &query, timeout).await;
                     Answer::Advised(query, result)
                 }
+                Request::Relay {
+                    ticket,
+                    call,
+                    via,
+                    timeout,
+                } => {
+                    let result = forward_call(&runner.channels, &via, *call, timeout).await;
+                    Answer::Relayed(ticket, result)
+                }
                 req => Rc::clone(&runner.backend).execute(req).await,
             };
             let result = if answer.is_success() { "ok" } else { "failed" };
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
+use ragwortstall::core::model::Ticket;
+use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::AdviceQuery;
 use ragwortstall::core::workload::event::AdvisedVm;
 use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::CommitPurpose;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedAnswer;
@@ -14,6 +17,7 @@
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::PlacerWrite;
 use ragwortstall::core::workload::event::ProbeResult;
+use ragwortstall::core::workload::event::RelayError;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::table::CommitOutcome;
@@ -27,6 +31,7 @@
 use super::Message;
 use super::PendingRenewal;
 use super::PendingWatch;
+use super::RelayedCall;
 use super::link::MAX_TRANSFER;
 use super::link::timed_out;
 use super::link::transfer_limit;
@@ -112,6 +117,11 @@
                 self.probes += 1;
                 Answer::Probed(purpose, self.probe_result(&address))
             }
+            Request::Relay {
+                ticket, call, via, ..
+            } => {
+                return self.relay(daemon, lifetime, ticket, *call, &via);
+            }
             Request::Advise { query, .. } => {
                 return self.answer_advice(daemon, lifetime, query);
             }
@@ -123,6 +133,27 @@
         }
     }
 
+    /// Passes a call on to the daemon at an address.
+    fn relay(&mut self, daemon: usize, lifetime: u64, ticket: Ticket, call: Call, via: &str) {
+        self.relays += 1;
+        let target = self.daemons.iter().position(|other| &*other.name == via);
+        let target = target.filter(|&target| self.daemons[target].up);
+        let Some(target) = target else {
+            let refused = Err(RelayError::NotSent("connection refused".into()));
+            return self.answer(daemon, lifetime, Answer::Relayed(ticket, refused));
+        };
+        self.last_ticket += 1;
+        let own = self.last_ticket;
+        let relayed = RelayedCall {
+            daemon,
+            lifetime,
+            ticket,
+            handler: target,
+        };
+        self.relayed.insert(own, relayed);
+        self.apply(target, Event::Call { ticket: own, call });
+    }
+
     /// Answers an advice query after the time that the service takes; all VMs are approved.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
@@ -336,7 +367,9 @@
     fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
             Feed::Config if after == 0 => {
-                return vec![FeedRow::Config(Box::new(catalog(self.cap, self.advice)))];
+                let mut catalog = catalog(self.cap, self.advice);
+                catalog.version = self.config_version;
+                return vec![FeedRow::Config(Box::new(catalog))];
             }
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -28,6 +28,8 @@
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedCall;
 use ragwortstall::core::workload::event::FeedRow;
+use ragwortstall::core::workload::event::RelayError;
+use ragwortstall::core::workload::event::RelayedReply;
 use ragwortstall::core::workload::status::Status;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::table::Transaction;
@@ -96,6 +98,15 @@
     limit: Duration,
 }
 
+/// Call that a daemon has passed on to another one.
+struct RelayedCall {
+    daemon: usize,
+    lifetime: u64,
+    ticket: Ticket,
+    /// Daemon that handles the call.
+    handler: usize,
+}
+
 /// Lease renewal that waits for a run to end.
 struct PendingRenewal {
     daemon: usize,
@@ -120,6 +131,8 @@
     pub lost_commit_answers: u32,
     /// Cap of each team, for daemons that start from now on.
     pub cap: Resources,
+    /// Version of the configuration, for daemons that start from now on.
+    pub config_version: u64,
     /// Advice on the queue, for daemons that start from now on.
     pub advice: Option<AdviceTiming>,
     /// Additional latency of each read of the table.
@@ -152,6 +165,10 @@
     pub held_archives: Vec<Transaction>,
     /// Decisions that the daemons have logged.
     pub decisions: Vec<Decision>,
+    /// Number of calls relayed between daemons.
+    pub relays: u32,
+    /// Number of the next relayed calls whose replies are lost.
+    pub lost_relay_replies: u32,
     /// Number of probes of daemons' processes.
     pub probes: u32,
     /// Starts that took effect: time, task, run number and VM.
@@ -172,6 +189,8 @@
     pending_watches: Vec<PendingWatch>,
     pending_renewals: Vec<PendingRenewal>,
     replies: BTreeMap<Ticket, Reply>,
+    /// Relayed calls, by the ticket at the daemon that handles them.
+    relayed: BTreeMap<Ticket, RelayedCall>,
     last_ticket: Ticket,
 }
 
@@ -209,6 +228,7 @@
             table_up: true,
             lost_commit_answers: 0,
             cap: Resources::ZERO,
+            config_version: 1,
             advice: None,
             table_latency: Duration::ZERO,
             commits_refused_until: Now::ZERO,
@@ -225,6 +245,8 @@
             hold_archives: false,
             held_archives: Vec::new(),
             decisions: Vec::new(),
+            relays: 0,
+            lost_relay_replies: 0,
             probes: 0,
             starts: Vec::new(),
             speed_orders: Vec::new(),
@@ -239,6 +261,7 @@
             pending_watches: Vec::new(),
             pending_renewals: Vec::new(),
             replies: BTreeMap::new(),
+            relayed: BTreeMap::new(),
             last_ticket: 0,
         };
         for (ix, &capacity) in hosts.iter().enumerate() {
@@ -308,6 +331,7 @@
             path: format!("/jobs/{id}").into(),
             key: Some(key.into()),
             action,
+            relayed_with: None,
         };
         self.apply(daemon, Event::Call { ticket, call });
         for _ in 0..3_000 {
@@ -408,6 +432,7 @@
             path: format!("/jobs/{id}").into(),
             key: Some(KEY.into()),
             action: Action::Submit(Ok(job)),
+            relayed_with: None,
         };
         let ticket = self.last_ticket;
         self.apply(daemon, Event::Call { ticket, call });
@@ -498,15 +523,30 @@
                     self.feed_calls.add(ix, &req);
                     self.send_after(MESSAGE_DELAY, Message::Request(ix, lifetime, req));
                 }
-                Effect::Reply(ticket, reply) => {
-                    self.replies.insert(ticket, reply);
-                }
+                Effect::Reply(ticket, reply) => self.handle_reply(ticket, reply),
                 Effect::Log(decision) => self.decisions.push(decision),
                 Effect::Exit => self.kill(ix),
             }
         }
     }
 
+    /// Keeps the reply to a caller, or returns that to a relayed call to its daemon.
+    fn handle_reply(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(call) = self.relayed.remove(&ticket) else {
+            self.replies.insert(ticket, reply);
+            return;
+        };
+        let result = if self.lost_relay_replies > 0 {
+            self.lost_relay_replies -= 1;
+            Err(RelayError::NoReply("timed out".into()))
+        } else {
+            let config = self.daemons[call.handler].state.config_version();
+            Ok(RelayedReply { reply, config })
+        };
+        let answer = Answer::Relayed(call.ticket, result);
+        self.answer(call.daemon, call.lifetime, answer);
+    }
+
     fn send_after(&mut self, delay: Duration, message: Message) {
         self.last_message += 1;
         self.messages
