--- a/tests/workload/contention.rs
+++ b/tests/workload/contention.rs
@@ -1,15 +1,33 @@
 //! Placement when there is more work than capacity: fair shares and slow VMs.
 
+use std::time::Duration;
+
+use ragwortstall::core::workload::catalog::AdviceTiming;
+use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::submission::Step;
 
 use crate::catalog::OTHER_KEY;
 use crate::harness::Harness;
+use crate::jobs::ID;
 use crate::jobs::job;
 use crate::jobs::step;
 
 /// The slow VMs of [`harness_with_slow_vms`].
 const SLOW_VMS: [&str; 2] = ["vm-0", "vm-2"];
 
+/// Number of VMs of a cell with wide gangs.
+const VMS: usize = 5;
+
+/// Number of gangs that fit on no number of VMs.
+const WIDE_GANGS: u64 = 40;
+
+const ADVICE: AdviceTiming = AdviceTiming {
+    base_latency: Duration::from_millis(28),
+    latency_per_vm: Duration::from_micros(400),
+    ticket_validity: Duration::from_millis(2_500),
+};
+
 /// Id of a job of the other team, or of the job submitted last.
 const OTHER: &str = "00000000000000b1";
 
@@ -96,3 +114,35 @@
     assert_eq!(harness.starts.len(), 20);
     assert!(harness.starts.iter().all(|start| is_slow(&start.3)));
 }
+
+/// Guards against gangs that are too wide for the VMs and keep all room for the advice that they
+/// wait for, so that no step behind them asks for any.
+#[test]
+fn gangs_that_fit_on_too_few_vms_do_not_keep_others_from_advice() {
+    let mut harness = Harness::new(4, VMS);
+    harness.advice = Some(ADVICE);
+    for daemon in 0..4 {
+        harness.kill(daemon);
+        harness.restart(daemon);
+    }
+    harness.run_for(3_000);
+    for number in 0..WIDE_GANGS {
+        let id = format!("{number:016x}");
+        let gang = whole_vm_step(u32::try_from(VMS).expect("few VMs") + 1);
+        assert_eq!(harness.submit(0, &id, job(vec![gang])), Reply::Accepted);
+    }
+    harness.run_for(4_000);
+    assert_eq!(harness.starts.len(), 0);
+    let small = job(vec![whole_vm_step(1)]);
+    assert_eq!(harness.submit(0, ID, small), Reply::Accepted);
+    harness.run_for(5_000);
+    assert_eq!(harness.state(0, ID), Some(JobState::Completed));
+}
+
+/// Returns a gang of `count` tasks, each of which takes a whole VM.
+fn whole_vm_step(count: u32) -> Step {
+    let mut gang = step(count, 500, &[]);
+    gang.demand.cpu_milli = 16_000;
+    gang.traits.gang = true;
+    gang
+}
