Hold VMs for waiting gangs, and learn which may run them early

The first waiting gang holds up to half of the open VMs of its service, all together an eighth; steps behind it are not placed there. While too few VMs are known that may run the gang, it asks about VMs without room too. What lasting tasks use is left out. Gangs have a module of their own. Tests: contention::a_gang_gets_whole_vms_beside_small_tasks and ..that_advice_allows.., which fail on the code before (still queued after 4.5 s).

--- a/src/core/workload/placer/advice.rs
+++ b/src/core/workload/placer/advice.rs
@@ -62,6 +62,11 @@
         self.tickets.get(&vm).filter(|ticket| now < ticket.until)
     }
 
+    /// Returns whether a VM may run the step; a ticket for it may have expired.
+    pub fn is_approved(&self, vm: VmKey) -> bool {
+        self.tickets.contains_key(&vm)
+    }
+
     /// Returns whether a ticket for any VM is valid.
     pub fn has_ticket(&self, now: Now) -> bool {
         self.tickets.values().any(|ticket| now < ticket.until)
--- a/src/core/workload/placer/candidates.rs
+++ b/src/core/workload/placer/candidates.rs
@@ -35,6 +35,8 @@
 pub(super) struct Candidate {
     pub vm: VmKey,
     pub free: Resources,
+    /// Resources that runs do not use that last until they are cancelled.
+    pub drained: Resources,
     capacity: Resources,
     /// CPU demand of the fillers on the VM, in millicores.
     filler_cpu_milli: u32,
@@ -72,12 +74,36 @@
 
     /// Returns the VMs of a pool on which tasks of a step fit, whether or not advice allows them.
     pub(super) fn candidates(&self, pool: &Pool, key: StepKey, spec: &Step) -> Vec<Candidate> {
+        self.fitting(pool.vms().iter().cloned(), key, spec)
+    }
+
+    /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
+    /// not last until they are cancelled.
+    pub(super) fn drained_candidates(
+        &self,
+        pool: &Pool,
+        key: StepKey,
+        spec: &Step,
+    ) -> Vec<Candidate> {
+        let drained = pool.vms().iter().cloned().map(|mut vm| {
+            vm.free = vm.drained;
+            vm
+        });
+        self.fitting(drained, key, spec)
+    }
+
+    fn fitting(
+        &self,
+        vms: impl Iterator<Item = Candidate>,
+        key: StepKey,
+        spec: &Step,
+    ) -> Vec<Candidate> {
         let reservation = spec.reservation();
-        let fits = |vm: &&Candidate| {
+        let fits = |vm: &Candidate| {
             vm.free.holds(&reservation)
                 && (spec.required_label.is_empty() || self.has_label(vm.vm, &spec.required_label))
         };
-        let mut list: Vec<Candidate> = pool.vms().iter().filter(fits).cloned().collect();
+        let mut list: Vec<Candidate> = vms.filter(fits).collect();
         if spec.max_per_vm > 0 {
             for candidate in &mut list {
                 candidate.siblings = self.siblings(candidate.vm, key);
@@ -108,6 +134,7 @@
         Self {
             vm: key,
             free: vm.free(),
+            drained: vm.capacity.minus(&vm.lasting),
             capacity: vm.capacity,
             filler_cpu_milli: vm.filler_cpu_milli,
             has_latency_tasks: vm.latency_tasks > 0,
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/dispatch.rs
@@ -42,7 +42,7 @@
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Index of a task in its step and the VM that it is to start on.
-type PlannedStart = (TaskIndex, VmKey);
+pub(super) type PlannedStart = (TaskIndex, VmKey);
 
 impl Placer {
     /// Runs a placement round if one is due.
@@ -195,7 +195,13 @@
         let is_advised = job.queue.advice.is_some();
         let spec = &submission.steps[usize::from(key.step)];
         let is_capped = !self.usage.allows(cx, job.team.as_ref(), &spec.demand);
-        if is_capped || round.is_unmet(&service, spec) {
+        if is_capped {
+            return;
+        }
+        if spec.traits.gang {
+            return self.place_gang(cx, round, key, spec, &service, is_advised);
+        }
+        if round.is_unmet(&service, spec) {
             return;
         }
         let asks = is_advised && self.may_ask(cx, round, key, spec, &service);
@@ -220,18 +226,9 @@
         if candidates.is_empty() {
             return;
         }
-        let planned = if spec.traits.gang {
-            self.plan_gang(cx, key, spec, &candidates)
-        } else {
-            self.plan_tasks(cx, key, spec, candidates.into_iter())
-        };
-        for (index, vm) in planned {
+        for (index, vm) in self.plan_tasks(cx, key, spec, candidates.into_iter()) {
             let task = TaskKey { step: key, index };
-            let run = if spec.traits.gang {
-                self.gang_run_number(key)
-            } else {
-                self.next_run_number(task)
-            };
+            let run = self.next_run_number(task);
             self.start_task(cx, task, vm, run);
             let pool = round.pool(&service, Vec::new);
             pool.reserve(vm, spec);
@@ -274,7 +271,7 @@
     }
 
     /// Plans starts for as many waiting tasks of a step as the candidates and the team's cap allow.
-    fn plan_tasks(
+    pub(super) fn plan_tasks(
         &self,
         cx: &Cx,
         key: StepKey,
@@ -303,76 +300,8 @@
         planned
     }
 
-    /// Plans starts for all tasks of a gang, or none. Prefers a single rack if the step has
-    /// `same_rack` set.
-    fn plan_gang(
-        &self,
-        cx: &Cx,
-        key: StepKey,
-        spec: &Step,
-        candidates: &[Candidate],
-    ) -> Vec<PlannedStart> {
-        let Some(step) = self.registry.step(key) else {
-            return Vec::new();
-        };
-        if step
-            .tasks
-            .iter()
-            .any(|task| task.placement != Placement::Waiting)
-        {
-            return Vec::new();
-        }
-        let mut racks: Vec<&str> = candidates
-            .iter()
-            .map(|candidate| &*candidate.rack)
-            .collect();
-        racks.sort_unstable();
-        racks.dedup();
-        if spec.traits.same_rack {
-            for rack in racks {
-                let on_rack = candidates
-                    .iter()
-                    .filter(|candidate| &*candidate.rack == rack);
-                let planned = self.plan_tasks(cx, key, spec, on_rack.cloned());
-                if planned.len() == step.tasks.len() {
-                    return planned;
-                }
-            }
-        }
-        let planned = self.plan_tasks(cx, key, spec, candidates.iter().cloned());
-        if planned.len() == step.tasks.len() {
-            planned
-        } else {
-            Vec::new()
-        }
-    }
-
-    /// Returns the run number that all members of a gang share.
-    fn gang_run_number(&self, key: StepKey) -> u64 {
-        let count = self.registry.step(key).map_or(0, |step| step.tasks.len());
-        let members = (0..count).map(|index| TaskKey {
-            step: key,
-            index: TaskIndex::try_from(index).unwrap_or(0),
-        });
-        let waiting = |task: &TaskKey| {
-            self.registry
-                .task(*task)
-                .is_some_and(|task| task.placement == Placement::Waiting)
-        };
-        let all: Vec<TaskKey> = members.collect();
-        let started = all.iter().find(|task| !waiting(task));
-        match started.and_then(|task| self.registry.task(*task)) {
-            Some(member) => member.run,
-            None => all
-                .into_iter()
-                .map(|task| self.next_run_number(task))
-                .max()
-                .unwrap_or(1),
-        }
-    }
-
     /// Sends an advice query if the VMs with valid tickets have no room for all waiting tasks.
-    fn query_advice(
+    pub(super) fn query_advice(
         &mut self,
         cx: &mut Cx,
         round: &mut Round,
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/fleet.rs
@@ -91,6 +91,8 @@
     pub stored_seq: u64,
     /// Resources reserved by runs.
     pub used: Resources,
+    /// Resources reserved by runs of tasks that run until their job is cancelled.
+    pub lasting: Resources,
     /// Total CPU demand of the fillers on this VM, in millicores. Fillers are tasks that use only
     /// CPU time that other tasks leave idle.
     pub filler_cpu_milli: u32,
@@ -143,6 +145,8 @@
     pub demand: Resources,
     /// Whether the task has a latency target.
     pub has_target: bool,
+    /// Whether the task runs until its job is cancelled.
+    pub long_running: bool,
     /// When the start order was sent, or when the run of an earlier placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
@@ -249,6 +253,7 @@
             processed_seq: 0,
             stored_seq: 0,
             used: Resources::ZERO,
+            lasting: Resources::ZERO,
             filler_cpu_milli: 0,
             filler_speed_percent: FULL_SPEED_PERCENT,
             speed_changed_at: Now::ZERO,
@@ -347,6 +352,9 @@
     /// Adds a run and reserves its resources.
     pub fn add_run(&mut self, key: TaskKey, run: Run) {
         self.used = self.used.plus(&run.reservation);
+        if run.long_running {
+            self.lasting = self.lasting.plus(&run.reservation);
+        }
         self.latency_tasks += u32::from(run.has_target);
         if run.reservation.cpu_milli == 0 {
             self.filler_cpu_milli += run.demand.cpu_milli;
@@ -358,6 +366,9 @@
     pub fn remove_run(&mut self, key: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&key)?;
         self.used = self.used.minus(&run.reservation);
+        if run.long_running {
+            self.lasting = self.lasting.minus(&run.reservation);
+        }
         self.latency_tasks -= u32::from(run.has_target);
         if run.reservation.cpu_milli == 0 {
             self.filler_cpu_milli = self.filler_cpu_milli.saturating_sub(run.demand.cpu_milli);
--- /dev/null
+++ b/src/core/workload/placer/gang.rs
@@ -0,0 +1,193 @@
+//! Placement of gangs, whose tasks start together or not at all.
+//!
+//! A gang needs room on several VMs at the same time. Smaller tasks that are placed one by one take
+//! the room of each VM as it becomes free, so that a gang would wait until there is little other
+//! work. A waiting gang therefore holds as many VMs as it needs: steps behind it are not placed there
+//! until the runs on them have ended and the gang has started.
+
+use std::cmp::Reverse;
+
+use super::Placer;
+use super::candidates::Candidate;
+use super::dispatch::PlannedStart;
+use super::fleet::VmKey;
+use super::job_registry::Placement;
+use super::job_registry::StepKey;
+use super::job_registry::TaskKey;
+use super::round::Pool;
+use super::round::Round;
+use crate::core::model::ServiceId;
+use crate::core::model::TaskIndex;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::submission::Step;
+
+impl Placer {
+    /// Starts a gang if the VMs have room for all its tasks; otherwise asks for the advice that it
+    /// needs, and holds VMs for it.
+    pub(super) fn place_gang(
+        &mut self,
+        cx: &mut Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+        is_advised: bool,
+    ) {
+        let Some(step) = self.registry.step(key) else {
+            return;
+        };
+        // Tasks of the last run may not have ended yet.
+        if step.waiting < spec.count {
+            return;
+        }
+        self.vm_scans += 1;
+        let pool = round.pool(service, || self.open_vms(cx, service));
+        let mut open = self.candidates(pool, key, spec);
+        let mut usable = self.drained_candidates(pool, key, spec);
+        if is_advised {
+            self.ask_for_gang(cx, round, key, spec, service, &open, &usable);
+            let Some(step) = self.registry.step(key) else {
+                return;
+            };
+            open.retain(|vm| step.advice.ticket(vm.vm, cx.now).is_some());
+            usable.retain(|vm| step.advice.is_approved(vm.vm));
+        }
+        let planned = self.plan_gang(cx, key, spec, &open);
+        if planned.is_empty() {
+            hold_vms(round.pool(service, Vec::new), spec, usable);
+        }
+        let run = self.gang_run_number(key);
+        for (index, vm) in planned {
+            self.start_task(cx, TaskKey { step: key, index }, vm, run);
+            round.pool(service, Vec::new).reserve(vm, spec);
+        }
+    }
+
+    /// Asks about the VMs that have room now if the gang may fit there; otherwise, while too few VMs
+    /// are known that may run it, about others.
+    #[allow(clippy::too_many_arguments)]
+    fn ask_for_gang(
+        &mut self,
+        cx: &mut Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+        open: &[Candidate],
+        usable: &[Candidate],
+    ) {
+        let Some(step) = self.registry.step(key) else {
+            return;
+        };
+        let pool = round.pool(service, Vec::new);
+        if let Some(vms) = &step.advice.asked {
+            return pool.record_asked(vms);
+        }
+        let is_approved = |vm: &&Candidate| step.advice.is_approved(vm.vm);
+        let is_known = slots(usable.iter().filter(is_approved), spec) >= spec.count;
+        let is_rejected = |vm: &&Candidate| step.advice.rejected.contains(&vm.vm);
+        let may_fit = slots(open.iter().filter(|vm| !is_rejected(vm)), spec) >= spec.count;
+        let asked: Vec<Candidate> = if may_fit {
+            open.to_vec()
+        } else if !is_known {
+            let unknown = usable.iter().filter(|vm| !is_approved(vm));
+            unknown.cloned().collect()
+        } else {
+            return;
+        };
+        if round.advisor_available && step.advice.can_query(cx.now) {
+            self.query_advice(cx, round, key, spec, &asked);
+        }
+    }
+
+    /// Plans starts for all tasks of a gang, or none. Prefers a single rack if the step has
+    /// `same_rack` set.
+    fn plan_gang(
+        &self,
+        cx: &Cx,
+        key: StepKey,
+        spec: &Step,
+        candidates: &[Candidate],
+    ) -> Vec<PlannedStart> {
+        let Some(step) = self.registry.step(key) else {
+            return Vec::new();
+        };
+        if step
+            .tasks
+            .iter()
+            .any(|task| task.placement != Placement::Waiting)
+        {
+            return Vec::new();
+        }
+        let mut racks: Vec<&str> = candidates
+            .iter()
+            .map(|candidate| &*candidate.rack)
+            .collect();
+        racks.sort_unstable();
+        racks.dedup();
+        if spec.traits.same_rack {
+            for rack in racks {
+                let on_rack = candidates
+                    .iter()
+                    .filter(|candidate| &*candidate.rack == rack);
+                let planned = self.plan_tasks(cx, key, spec, on_rack.cloned());
+                if planned.len() == step.tasks.len() {
+                    return planned;
+                }
+            }
+        }
+        let planned = self.plan_tasks(cx, key, spec, candidates.iter().cloned());
+        if planned.len() == step.tasks.len() {
+            planned
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns the run number that all members of a gang share.
+    fn gang_run_number(&self, key: StepKey) -> u64 {
+        let count = self.registry.step(key).map_or(0, |step| step.tasks.len());
+        let members = (0..count).map(|index| TaskKey {
+            step: key,
+            index: TaskIndex::try_from(index).unwrap_or(0),
+        });
+        let waiting = |task: &TaskKey| {
+            self.registry
+                .task(*task)
+                .is_some_and(|task| task.placement == Placement::Waiting)
+        };
+        let all: Vec<TaskKey> = members.collect();
+        let started = all.iter().find(|task| !waiting(task));
+        match started.and_then(|task| self.registry.task(*task)) {
+            Some(member) => member.run,
+            None => all
+                .into_iter()
+                .map(|task| self.next_run_number(task))
+                .max()
+                .unwrap_or(1),
+        }
+    }
+}
+
+/// Holds VMs for a gang: the ones with the most free room, so that they stay the same until all have
+/// room. Holds none if the gang does not fit on them, or if too many are held already.
+fn hold_vms(pool: &mut Pool, spec: &Step, mut vms: Vec<Candidate>) {
+    vms.sort_by_key(|vm| (Reverse(pool.free(vm.vm).cpu_milli), vm.vm));
+    let mut held: Vec<VmKey> = Vec::new();
+    let mut room = 0_u32;
+    for vm in vms {
+        if room >= spec.count {
+            break;
+        }
+        room = room.saturating_add(vm.max_tasks(spec));
+        held.push(vm.vm);
+    }
+    if room >= spec.count {
+        pool.hold(&held);
+    }
+}
+
+/// Returns the number of tasks of a step for which VMs have room.
+fn slots<'a>(vms: impl Iterator<Item = &'a Candidate>, spec: &Step) -> u32 {
+    vms.fold(0, |sum, vm| sum.saturating_add(vm.max_tasks(spec)))
+}
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -6,6 +6,7 @@
 mod completion;
 mod dispatch;
 mod fleet;
+mod gang;
 mod hand_over;
 mod heartbeat;
 mod job_registry;
--- a/src/core/workload/placer/round.rs
+++ b/src/core/workload/placer/round.rs
@@ -15,6 +15,13 @@
 /// as advice rejects some of the VMs.
 const CLAIM_FACTOR: u64 = 3;
 
+/// Largest part of a service's VMs that is held for the first waiting gang, as a divisor. Their room
+/// is partly idle.
+const FIRST_HELD_DIVISOR: usize = 2;
+
+/// Largest part of a service's VMs that is held for several gangs, as a divisor.
+const HELD_DIVISOR: usize = 8;
+
 /// State of a placement round.
 pub(super) struct Round<'a> {
     /// Daemons through which advice queries can be sent.
@@ -31,6 +38,8 @@
 pub(super) struct Pool {
     /// VMs in ascending order of their keys, with the resources that the round has left so far.
     vms: Vec<Candidate>,
+    /// Number of VMs held for gangs.
+    held: usize,
     /// Sum of the free resources at the start of the round, times [`CLAIM_FACTOR`], less what
     /// steps that wait for advice may use.
     unclaimed: Claimable,
@@ -102,7 +111,11 @@
         for vm in &vms {
             unclaimed.add(&vm.free, CLAIM_FACTOR);
         }
-        Self { vms, unclaimed }
+        Self {
+            vms,
+            held: 0,
+            unclaimed,
+        }
     }
 
     /// Returns the number of tasks of a step for which a VM has room.
@@ -124,6 +137,32 @@
         self.unclaimed.subtract(&spec.reservation(), CLAIM_FACTOR);
     }
 
+    /// Returns the resources of a VM that the round has left so far; none if it is held.
+    pub fn free(&self, vm: VmKey) -> Resources {
+        let ix = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm);
+        ix.map_or(Resources::ZERO, |ix| self.vms[ix].free)
+    }
+
+    /// Holds VMs for a gang: the round has no room left on them. Does nothing if too many VMs would
+    /// be held.
+    pub fn hold(&mut self, vms: &[VmKey]) {
+        let divisor = if self.held == 0 {
+            FIRST_HELD_DIVISOR
+        } else {
+            HELD_DIVISOR
+        };
+        if (self.held + vms.len()) * divisor > self.vms.len() {
+            return;
+        }
+        self.held += vms.len();
+        for vm in vms {
+            if let Ok(ix) = self.vms.binary_search_by_key(vm, |candidate| candidate.vm) {
+                self.vms[ix].free = Resources::ZERO;
+                self.vms[ix].drained = Resources::ZERO;
+            }
+        }
+    }
+
     /// Counts a step that waits for advice on these VMs.
     pub fn record_asked(&mut self, vms: &[VmKey]) {
         for vm in vms {
--- a/src/core/workload/placer/starts.rs
+++ b/src/core/workload/placer/starts.rs
@@ -216,6 +216,7 @@
             reservation: spec.reservation(),
             demand: spec.demand,
             has_target: spec.target_ms > 0,
+            long_running: spec.traits.long_running,
             sent_at: now,
             phase: Phase::Starting,
             speed_percent: FULL_SPEED_PERCENT,
--- a/tests/workload/busy_placer.rs
+++ b/tests/workload/busy_placer.rs
@@ -52,13 +52,8 @@
 impl Cell {
     /// Starts a cell whose queue has advice.
     fn new() -> Self {
-        let mut harness = Harness::new(DAEMONS, VMS);
-        harness.advice = Some(ADVICE);
-        for daemon in 0..DAEMONS {
-            harness.kill(daemon);
-            harness.restart(daemon);
-        }
-        harness.run_for(5_000);
+        let mut harness = Harness::with_advice(DAEMONS, VMS, Some(ADVICE));
+        harness.run_for(2_000);
         harness.decisions.clear();
         harness.set_costs(COSTS);
         Self {
--- a/tests/workload/contention.rs
+++ b/tests/workload/contention.rs
@@ -19,6 +19,12 @@
 /// Number of VMs of a cell with wide gangs.
 const VMS: usize = 5;
 
+/// Interval between small jobs, in milliseconds.
+const SMALL_INTERVAL_MS: u64 = 75;
+
+/// Time for which a gang may wait beside small tasks, in milliseconds.
+const GANG_WAIT_MS: u64 = 6_000;
+
 /// Number of gangs that fit on no number of VMs.
 const WIDE_GANGS: u64 = 40;
 
@@ -119,13 +125,7 @@
 /// wait for, so that no step behind them asks for any.
 #[test]
 fn gangs_that_fit_on_too_few_vms_do_not_keep_others_from_advice() {
-    let mut harness = Harness::new(4, VMS);
-    harness.advice = Some(ADVICE);
-    for daemon in 0..4 {
-        harness.kill(daemon);
-        harness.restart(daemon);
-    }
-    harness.run_for(3_000);
+    let mut harness = Harness::with_advice(4, VMS, Some(ADVICE));
     for number in 0..WIDE_GANGS {
         let id = format!("{number:016x}");
         let gang = whole_vm_step(u32::try_from(VMS).expect("few VMs") + 1);
@@ -139,6 +139,34 @@
     assert_eq!(harness.state(0, ID), Some(JobState::Completed));
 }
 
+/// Guards against a gang that waits for ever as small tasks take the room of each VM that gets
+/// free, although the VMs hold both.
+fn assert_gang_starts_beside_small_tasks(advice: Option<AdviceTiming>) {
+    let mut harness = Harness::with_advice(4, VMS, advice);
+    for number in 0..GANG_WAIT_MS / SMALL_INTERVAL_MS {
+        // Four VMs of five are busy with small tasks.
+        let mut small = step(2, 600, &[]);
+        small.demand.cpu_milli = 4_000;
+        harness.send_submission(1, &format!("{number:016x}"), job(vec![small]));
+        if number == 20 {
+            let gang = job(vec![whole_vm_step(2)]);
+            harness.send_submission(0, ID, gang);
+        }
+        harness.run_for(SMALL_INTERVAL_MS);
+    }
+    assert_eq!(harness.state(0, ID), Some(JobState::Completed));
+}
+
+#[test]
+fn a_gang_gets_whole_vms_beside_small_tasks() {
+    assert_gang_starts_beside_small_tasks(None);
+}
+
+#[test]
+fn a_gang_gets_whole_vms_that_advice_allows_beside_small_tasks() {
+    assert_gang_starts_beside_small_tasks(Some(ADVICE));
+}
+
 /// Returns a gang of `count` tasks, each of which takes a whole VM.
 fn whole_vm_step(count: u32) -> Step {
     let mut gang = step(count, 500, &[]);
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -283,6 +283,18 @@
         harness
     }
 
+    /// Creates a cell of `daemons` daemons and `vms` VMs whose queue has this advice.
+    pub(crate) fn with_advice(daemons: usize, vms: usize, advice: Option<AdviceTiming>) -> Self {
+        let mut harness = Self::new(daemons, vms);
+        harness.advice = advice;
+        for daemon in 0..daemons {
+            harness.kill(daemon);
+            harness.restart(daemon);
+        }
+        harness.run_for(3_000);
+        harness
+    }
+
     /// Advances the simulation by `millis` milliseconds.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
--- a/tests/workload/long_queue.rs
+++ b/tests/workload/long_queue.rs
@@ -27,18 +27,6 @@
     ticket_validity: Duration::from_millis(2_500),
 };
 
-/// Returns a cell of two daemons whose queue has this advice.
-fn cell(vms: usize, advice: Option<AdviceTiming>) -> Harness {
-    let mut harness = Harness::new(2, vms);
-    harness.advice = advice;
-    for daemon in 0..2 {
-        harness.kill(daemon);
-        harness.restart(daemon);
-    }
-    harness.run_for(3_000);
-    harness
-}
-
 fn submit(harness: &mut Harness, count: u64) {
     for number in 0..count {
         let id = format!("{number:016x}");
@@ -64,7 +52,7 @@
 /// heartbeats come late and it is replaced by one with the same queue.
 #[test]
 fn steps_that_wait_for_advice_cost_no_searches_of_the_fleet() {
-    let mut harness = cell(100, Some(SLOW_ADVICE));
+    let mut harness = Harness::with_advice(2, 100, Some(SLOW_ADVICE));
     submit(&mut harness, JOBS);
     let scans = scans(&mut harness);
     assert!(scans <= MAX_SCANS, "{scans} searches in {COUNTED_MS} ms");
@@ -73,7 +61,7 @@
 /// Guards against the same where the VMs are full.
 #[test]
 fn steps_that_no_vm_has_room_for_cost_no_searches_of_the_fleet() {
-    let mut harness = cell(2, None);
+    let mut harness = Harness::with_advice(2, 2, None);
     submit(&mut harness, JOBS);
     assert_eq!(harness.starts.len(), 32);
     let scans = scans(&mut harness);
