--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -3,13 +3,10 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
-use ragwortstall::core::model::Ticket;
-use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::AdviceQuery;
 use ragwortstall::core::workload::event::AdvisedVm;
 use ragwortstall::core::workload::event::Answer;
-use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::CommitPurpose;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedAnswer;
@@ -17,7 +14,6 @@
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::PlacerWrite;
 use ragwortstall::core::workload::event::ProbeResult;
-use ragwortstall::core::workload::event::RelayError;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::table::CommitOutcome;
@@ -31,7 +27,6 @@
 use super::Message;
 use super::PendingRenewal;
 use super::PendingWatch;
-use super::RelayedCall;
 use super::link::MAX_TRANSFER;
 use super::link::timed_out;
 use super::link::transfer_limit;
@@ -133,27 +128,6 @@
         }
     }
 
-    /// Passes a call on to the daemon at an address.
-    fn relay(&mut self, daemon: usize, lifetime: u64, ticket: Ticket, call: Call, via: &str) {
-        self.relays += 1;
-        let target = self.daemons.iter().position(|other| &*other.name == via);
-        let target = target.filter(|&target| self.daemons[target].up);
-        let Some(target) = target else {
-            let refused = Err(RelayError::NotSent("connection refused".into()));
-            return self.answer(daemon, lifetime, Answer::Relayed(ticket, refused));
-        };
-        self.last_ticket += 1;
-        let own = self.last_ticket;
-        let relayed = RelayedCall {
-            daemon,
-            lifetime,
-            ticket,
-            handler: target,
-        };
-        self.relayed.insert(own, relayed);
-        self.apply(target, Event::Call { ticket: own, call });
-    }
-
     /// Answers an advice query after the time that the service takes; all VMs are approved.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -1,8 +1,10 @@
 //! Test harness: daemons, a table and VMs that exchange messages in virtual time.
 
 mod backend;
+mod callers;
 mod feed_calls;
 mod link;
+mod options;
 mod processor;
 
 use std::collections::BTreeMap;
@@ -14,32 +16,27 @@
 use ragwortstall::core::model::Ticket;
 use ragwortstall::core::workload::Effect;
 use ragwortstall::core::workload::Event;
-use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
 use ragwortstall::core::workload::capacity::HostCapacity;
 use ragwortstall::core::workload::catalog::AdviceTiming;
 use ragwortstall::core::workload::decision::Decision;
-use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::effect::Request;
-use ragwortstall::core::workload::event::Action;
 use ragwortstall::core::workload::event::Answer;
-use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedCall;
 use ragwortstall::core::workload::event::FeedRow;
-use ragwortstall::core::workload::event::RelayError;
-use ragwortstall::core::workload::event::RelayedReply;
 use ragwortstall::core::workload::status::Status;
 use ragwortstall::core::workload::submission::Submission;
 use ragwortstall::core::workload::table::Transaction;
 use ragwortstall::core::workload::task::TaskName;
 
+use self::callers::RelayedCall;
 use self::feed_calls::FeedCalls;
 use self::link::Link;
+use self::options::options;
 pub(crate) use self::processor::Costs;
 use self::processor::Processor;
-use crate::catalog::KEY;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
 use crate::vm::SimVm;
@@ -98,15 +95,6 @@
     limit: Duration,
 }
 
-/// Call that a daemon has passed on to another one.
-struct RelayedCall {
-    daemon: usize,
-    lifetime: u64,
-    ticket: Ticket,
-    /// Daemon that handles the call.
-    handler: usize,
-}
-
 /// Lease renewal that waits for a run to end.
 struct PendingRenewal {
     daemon: usize,
@@ -304,57 +292,6 @@
         }
     }
 
-    /// Submits a job through a daemon and returns the reply.
-    pub(crate) fn submit(&mut self, daemon: usize, id: &str, job: Submission) -> Reply {
-        self.submit_as(KEY, daemon, id, job)
-    }
-
-    /// Submits a job with an API key.
-    pub(crate) fn submit_as(
-        &mut self,
-        key: &str,
-        daemon: usize,
-        id: &str,
-        job: Submission,
-    ) -> Reply {
-        self.submissions.insert(id.into(), job.clone());
-        self.call_as(key, daemon, id, Action::Submit(Ok(job)))
-    }
-
-    /// Returns the state of a job as reported by a daemon.
-    pub(crate) fn state(&mut self, daemon: usize, id: &str) -> Option<JobState> {
-        match self.call(daemon, id, Action::Get) {
-            Reply::State(state) => Some(state),
-            _ => None,
-        }
-    }
-
-    /// Sends a call and returns its reply; panics if there is none within three seconds.
-    pub(crate) fn call(&mut self, daemon: usize, id: &str, action: Action) -> Reply {
-        self.call_as(KEY, daemon, id, action)
-    }
-
-    /// Sends a call with an API key and returns its reply.
-    pub(crate) fn call_as(&mut self, key: &str, daemon: usize, id: &str, action: Action) -> Reply {
-        self.last_ticket += 1;
-        let ticket = self.last_ticket;
-        let call = Call {
-            host: "labels.example".into(),
-            path: format!("/jobs/{id}").into(),
-            key: Some(key.into()),
-            action,
-            relayed_with: None,
-        };
-        self.apply(daemon, Event::Call { ticket, call });
-        for _ in 0..3_000 {
-            if let Some(reply) = self.replies.remove(&ticket) {
-                return reply;
-            }
-            self.run_for(1);
-        }
-        panic!("no reply to a call for job {id} within 3 s");
-    }
-
     /// Returns the index of the placer's daemon, if there is a placer.
     pub(crate) fn placer(&mut self) -> Option<usize> {
         let is_placer = |daemon: &mut SimDaemon| daemon.up && daemon.state.epoch().is_some();
@@ -435,21 +372,6 @@
         }
     }
 
-    /// Sends a submission without waiting for its reply.
-    pub(crate) fn send_submission(&mut self, daemon: usize, id: &str, job: Submission) {
-        self.submissions.insert(id.into(), job.clone());
-        self.last_ticket += 1;
-        let call = Call {
-            host: "labels.example".into(),
-            path: format!("/jobs/{id}").into(),
-            key: Some(KEY.into()),
-            action: Action::Submit(Ok(job)),
-            relayed_with: None,
-        };
-        let ticket = self.last_ticket;
-        self.apply(daemon, Event::Call { ticket, call });
-    }
-
     /// Simulates one point in time: transfers, VMs, ticks, messages and delayed answers.
     fn step(&mut self) {
         self.advance_links();
@@ -542,23 +464,6 @@
         }
     }
 
-    /// Keeps the reply to a caller, or returns that to a relayed call to its daemon.
-    fn handle_reply(&mut self, ticket: Ticket, reply: Reply) {
-        let Some(call) = self.relayed.remove(&ticket) else {
-            self.replies.insert(ticket, reply);
-            return;
-        };
-        let result = if self.lost_relay_replies > 0 {
-            self.lost_relay_replies -= 1;
-            Err(RelayError::NoReply("timed out".into()))
-        } else {
-            let config = self.daemons[call.handler].state.config_version();
-            Ok(RelayedReply { reply, config })
-        };
-        let answer = Answer::Relayed(call.ticket, result);
-        self.answer(call.daemon, call.lifetime, answer);
-    }
-
     fn send_after(&mut self, delay: Duration, message: Message) {
         self.last_message += 1;
         self.messages
@@ -590,13 +495,3 @@
         self.daemons[daemon].up && self.daemons[daemon].lifetime == lifetime
     }
 }
-
-fn options(name: &str, capacity: HostCapacity, lifetime: u64, stop_time: Duration) -> Options {
-    // Differs between daemons and between processes of a daemon.
-    let nonce = name.bytes().map(u64::from).sum::<u64>() * 37 + lifetime;
-    let mut options = Options::new(name, "zone-a", nonce);
-    options.capacity = capacity;
-    options.vms.stop_timeout = stop_time;
-    options.peer_address = name.into();
-    options
-}
