Count runs of ended jobs against their team's cap after a takeover

Cause: a new placer took runs of cancelled and failed jobs that it found on the VMs for unexpected ones. It stopped them, but counted neither their room nor their team's share meanwhile, so that other tasks of the team started beside them. Such runs are adopted and stopped now.

--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/renewal.rs
@@ -394,10 +394,13 @@
             .registry
             .task(task)
             .is_some_and(|task| task.placement == Placement::Waiting);
-        if is_active && is_waiting {
-            self.adopt_run(cx, key, task, row);
-        } else {
-            self.stop_unexpected(cx, key, row, "run is not assigned to this VM");
+        if !is_waiting {
+            return self.stop_unexpected(cx, key, row, "run is not assigned to this VM");
+        }
+        // A run of a job that has ended counts for its VM and its team until it has stopped.
+        self.adopt_run(cx, key, task, row);
+        if !is_active {
+            self.order_stop(cx, key, task, "job has ended");
         }
     }
 }
--- a/tests/workload/takeover.rs
+++ b/tests/workload/takeover.rs
@@ -305,3 +305,33 @@
         );
     }
 }
+
+/// Guards against a team that exceeds its cap at a takeover, as runs of its cancelled jobs, which are
+/// being stopped, do not count.
+#[test]
+fn runs_of_cancelled_jobs_count_against_the_cap_until_they_have_ended() {
+    let mut harness = Harness::with_stop_time(3, 2, LONG_STOP);
+    harness.cap = Resources::new(2_000, 0, 0, 0);
+    for daemon in 0..3 {
+        harness.kill(daemon);
+        harness.restart(daemon);
+    }
+    harness.run_for(3_000);
+    let submission = job(vec![step(2, 60_000, &[])]);
+    assert_eq!(harness.submit(0, ID, submission.clone()), Reply::Accepted);
+    harness.run_for(500);
+    assert_eq!(harness.submit(0, OTHER, submission), Reply::Accepted);
+    harness.run_for(500);
+    assert_eq!(harness.starts.len(), 2);
+    let placer = harness.placer().expect("a placer");
+    harness.kill(placer);
+    let daemon = (placer + 1) % 3;
+    let reply = harness.call(daemon, ID, Action::Cancel);
+    assert_eq!(reply, Reply::Cancelled);
+    for _ in 0..600 {
+        harness.run_for(10);
+        let running: usize = harness.vms.values().map(|vm| vm.runs.len()).sum();
+        assert!(running <= 2, "{running} runs at {:?}", harness.now);
+    }
+    assert_eq!(harness.starts.len(), 4);
+}
