--- a/src/core/workload/batcher.rs
+++ b/src/core/workload/callers/batcher.rs
@@ -8,21 +8,21 @@
 use std::time::Duration;
 
 use super::calls::UNAVAILABLE_RETRY_AFTER;
-use super::cx::Cx;
-use super::cx::earliest;
-use super::decision::Decision;
-use super::effect::Reply;
-use super::event::CommitPurpose;
-use super::rows::JobRow;
-use super::rows::encode;
-use super::rows::job_part;
-use super::rows::job_row;
-use super::table::CommitOutcome;
-use super::table::TableRow;
-use super::table::Transaction;
 use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::cx::earliest;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::Reply;
+use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::rows::JobRow;
+use crate::core::workload::rows::encode;
+use crate::core::workload::rows::job_part;
+use crate::core::workload::rows::job_row;
+use crate::core::workload::table::CommitOutcome;
+use crate::core::workload::table::TableRow;
+use crate::core::workload::table::Transaction;
 
 /// Time after the arrival of a submission during which a failed transaction with it is retried.
 const RETRY_WINDOW: Duration = Duration::from_millis(1_200);
@@ -35,7 +35,7 @@
 
 /// Submitted jobs that wait for a transaction or its outcome.
 #[derive(Debug, Default)]
-pub(super) struct SubmissionBatcher {
+pub(in crate::core::workload) struct SubmissionBatcher {
     /// Queues by the number of the table's part.
     parts: BTreeMap<u8, PartQueue>,
 }
--- a/src/core/workload/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -7,47 +7,47 @@
 use rustc_hash::FxHashMap;
 
 use super::batcher::SubmissionBatcher;
-use super::catalog::Catalog;
-use super::catalog::Queue;
-use super::cx::Cx;
-use super::cx::millis;
-use super::decision::Decision;
-use super::effect::JobState;
-use super::effect::Reply;
-use super::event::Action;
-use super::event::Call;
-use super::event::CommitPurpose;
-use super::event::Feed;
-use super::event::ReadPurpose;
-use super::feeds::Feeds;
-use super::heartbeat::HeartbeatMonitor;
-use super::rows::JobRow;
-use super::rows::ProgressRow;
-use super::rows::cancel_key;
-use super::rows::decode;
-use super::rows::job_part;
-use super::rows::job_part_name;
-use super::rows::job_row;
-use super::submission::Submission;
-use super::table::CommitOutcome;
-use super::table::JOBS;
-use super::table::PROGRESS;
-use super::table::Page;
-use super::table::Range;
-use super::table::Transaction;
 use crate::core::model::JobId;
 use crate::core::model::TeamId;
 use crate::core::model::Ticket;
+use crate::core::workload::catalog::Catalog;
+use crate::core::workload::catalog::Queue;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::cx::millis;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::JobState;
+use crate::core::workload::effect::Reply;
+use crate::core::workload::event::Action;
+use crate::core::workload::event::Call;
+use crate::core::workload::event::CommitPurpose;
+use crate::core::workload::event::Feed;
+use crate::core::workload::event::ReadPurpose;
+use crate::core::workload::feeds::Feeds;
+use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::rows::JobRow;
+use crate::core::workload::rows::ProgressRow;
+use crate::core::workload::rows::cancel_key;
+use crate::core::workload::rows::decode;
+use crate::core::workload::rows::job_part;
+use crate::core::workload::rows::job_part_name;
+use crate::core::workload::rows::job_row;
+use crate::core::workload::submission::Submission;
+use crate::core::workload::table::CommitOutcome;
+use crate::core::workload::table::JOBS;
+use crate::core::workload::table::PROGRESS;
+use crate::core::workload::table::Page;
+use crate::core::workload::table::Range;
+use crate::core::workload::table::Transaction;
 
 /// Delay before a retry that is suggested to callers while the table is unavailable.
-pub(super) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(in crate::core::workload) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Length of a job identifier, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
 
 /// Handles calls and keeps track of those that wait for the table.
 #[derive(Debug, Default)]
-pub(super) struct CallHandler {
+pub(in crate::core::workload) struct CallHandler {
     pending: FxHashMap<Ticket, PendingCall>,
 }
 
@@ -61,7 +61,7 @@
 }
 
 /// Other components of the reducer that a call may need.
-pub(super) struct Components<'a> {
+pub(in crate::core::workload) struct Components<'a> {
     /// Batches submissions into transactions.
     pub batcher: &'a mut SubmissionBatcher,
     /// Followed tables of the platform.
@@ -364,7 +364,12 @@
 }
 
 /// Refuses a call for a reason other than the table's.
-pub(super) fn reply_unavailable(cx: &mut Cx, ticket: Ticket, call: &Call, reason: &str) {
+pub(in crate::core::workload) fn reply_unavailable(
+    cx: &mut Cx,
+    ticket: Ticket,
+    call: &Call,
+    reason: &str,
+) {
     cx.log(Decision::Refused {
         id: call.path.clone(),
         reason: reason.into(),
--- a/src/core/workload/relay.rs
+++ b/src/core/workload/callers/relay.rs
@@ -9,18 +9,18 @@
 use rustc_hash::FxHashMap;
 
 use super::calls::UNAVAILABLE_RETRY_AFTER;
-use super::cx::Cx;
-use super::decision::Decision;
-use super::effect::Reply;
-use super::effect::Request;
-use super::event::Action;
-use super::event::Call;
-use super::event::RelayError;
-use super::event::RelayedReply;
-use super::heartbeat::HeartbeatMonitor;
 use crate::core::model::DaemonId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::Reply;
+use crate::core::workload::effect::Request;
+use crate::core::workload::event::Action;
+use crate::core::workload::event::Call;
+use crate::core::workload::event::RelayError;
+use crate::core::workload::event::RelayedReply;
+use crate::core::workload::heartbeat::HeartbeatMonitor;
 
 /// Number of daemons to which a call is relayed in turn, if each replies that it cannot handle it.
 const MAX_ATTEMPTS: u32 = 3;
@@ -37,7 +37,7 @@
 
 /// Relayed calls and the daemons that take them.
 #[derive(Debug, Default)]
-pub(super) struct Relays {
+pub(in crate::core::workload) struct Relays {
     pending: FxHashMap<Ticket, Relayed>,
     paused_until: Now,
     daemons_paused_until: FxHashMap<DaemonId, Now>,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -1,36 +1,16 @@
 //! The placer: leases the VMs of its part, starts ready tasks and records the ends of their runs.
 
-mod advice;
-mod archive;
-mod candidates;
-mod completion;
-mod dispatch;
-mod fleet;
-mod gang;
-mod hand_over;
-mod heartbeat;
-mod job_registry;
-mod load;
-mod progress;
-mod rank;
-mod renewal;
-mod retire;
-mod roster;
-mod round;
-mod schedule;
-mod shares;
-mod slowness;
-mod starts;
-mod stops;
-mod throttle;
-mod usage;
+mod orders;
+mod rounds;
+mod state;
+mod storage;
 
 use std::time::Duration;
 
-use fleet::Fleet;
-use job_registry::JobRegistry;
-pub(super) use load::LoadedRows;
-pub(super) use load::RoleGrant;
+use state::fleet::Fleet;
+use state::job_registry::JobRegistry;
+pub(super) use storage::load::LoadedRows;
+pub(super) use storage::load::RoleGrant;
 
 use super::cx::Cx;
 use super::cx::earliest;
@@ -82,17 +62,17 @@
     last_commit_sent_at: Now,
     registry: JobRegistry,
     fleet: Fleet,
-    usage: usage::Usage,
-    slowness: slowness::SlownessByKind,
-    forwarders: advice::AdviceForwarders,
-    progress: progress::ProgressWriter,
-    archive: archive::ArchiveState,
-    retire: retire::RetireState,
+    usage: state::usage::Usage,
+    slowness: state::slowness::SlownessByKind,
+    forwarders: rounds::advice::AdviceForwarders,
+    progress: storage::progress::ProgressWriter,
+    archive: storage::archive::ArchiveState,
+    retire: storage::retire::RetireState,
     /// Ended runs that VMs have reported and that are not yet processed, with the key of the VM.
-    pending_ended_tasks: Vec<(fleet::VmKey, EndedTask)>,
+    pending_ended_tasks: Vec<(state::fleet::VmKey, EndedTask)>,
     next_heartbeat_at: Now,
     next_lease_check_at: Now,
-    roster_change: Option<roster::RosterChange>,
+    roster_change: Option<storage::roster::RosterChange>,
     /// Whether all runs that an earlier placer may have started are accounted for.
     settled: bool,
     /// Whether the VMs that delay `settled` have been logged.
@@ -105,7 +85,7 @@
     /// Number of placement rounds.
     rounds: u64,
     release: Release,
-    hand_over: hand_over::HandOver,
+    hand_over: storage::hand_over::HandOver,
 }
 
 /// State of a voluntary release of the role.
--- a/src/core/workload/placer/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::fleet::Phase;
-use super::fleet::Run;
-use super::fleet::VmKey;
-use super::job_registry::Job;
-use super::job_registry::JobKey;
-use super::job_registry::Placement;
-use super::job_registry::TaskKey;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::fleet::Phase;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::task::EndedTask;
 use crate::core::workload::task::RunOutcome;
 
@@ -25,7 +25,7 @@
 
 impl Placer {
     /// Processes the ended runs that VMs have reported.
-    pub(super) fn process_ended_tasks(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn process_ended_tasks(&mut self, cx: &mut Cx) {
         for (vm_key, ended) in std::mem::take(&mut self.pending_ended_tasks) {
             if let Some(vm) = self.fleet.vms.get_mut(&vm_key) {
                 vm.processed_seq = vm.processed_seq.max(ended.seq);
@@ -227,7 +227,13 @@
     }
 
     /// Moves a job to a terminal state. Unless it completed, stops its remaining runs.
-    pub(super) fn finish_job(&mut self, cx: &mut Cx, key: JobKey, state: JobState, reason: &str) {
+    pub(in crate::core::workload::placer) fn finish_job(
+        &mut self,
+        cx: &mut Cx,
+        key: JobKey,
+        state: JobState,
+        reason: &str,
+    ) {
         let Some(job) = self.registry.jobs.get_mut(&key) else {
             return;
         };
@@ -248,7 +254,12 @@
     }
 
     /// Frees the resources of a run that is over and requeues its task unless that is done.
-    pub(super) fn release_and_requeue(&mut self, cx: &Cx, vm_key: VmKey, task: TaskKey) {
+    pub(in crate::core::workload::placer) fn release_and_requeue(
+        &mut self,
+        cx: &Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+    ) {
         self.release_run(vm_key, task);
         self.registry.requeue(task, cx.now);
         self.schedule_round(cx.now);
--- /dev/null
+++ b/src/core/workload/placer/orders/mod.rs
@@ -0,0 +1,7 @@
+//! Orders to VMs, and the reports with which VMs answer them.
+
+pub(in crate::core::workload::placer) mod completion;
+pub(in crate::core::workload::placer) mod renewal;
+pub(in crate::core::workload::placer) mod starts;
+pub(in crate::core::workload::placer) mod stops;
+pub(in crate::core::workload::placer) mod throttle;
--- a/src/core/workload/placer/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -3,15 +3,6 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::RoleLoss;
-use super::fleet::ClockReading;
-use super::fleet::Phase;
-use super::fleet::Run;
-use super::fleet::Vm;
-use super::fleet::VmKey;
-use super::job_registry::Placement;
-use super::job_registry::TaskKey;
 use crate::core::model::Now;
 use crate::core::model::VmId;
 use crate::core::workload::cx::Cx;
@@ -22,6 +13,15 @@
 use crate::core::workload::event::RenewalId;
 use crate::core::workload::event::RenewalReport;
 use crate::core::workload::event::VmRow;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::state::fleet::ClockReading;
+use crate::core::workload::placer::state::fleet::Phase;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::Vm;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::task::RunningTask;
 
 /// Longest delay of the next renewal while ended runs of the last report are not yet stored in the
@@ -46,7 +46,7 @@
 
 impl Placer {
     /// Applies a row of the VM table.
-    pub(super) fn apply_vm_row(&mut self, cx: &mut Cx, row: VmRow) {
+    pub(in crate::core::workload::placer) fn apply_vm_row(&mut self, cx: &mut Cx, row: VmRow) {
         let key = self.fleet.get_or_add(&row.id, &row.address, cx.now);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
@@ -77,21 +77,21 @@
     }
 
     /// Handles the removal of a VM's row.
-    pub(super) fn mark_vm_unlisted(&mut self, id: &str) {
+    pub(in crate::core::workload::placer) fn mark_vm_unlisted(&mut self, id: &str) {
         if let Some((_, vm)) = self.fleet.by_id(id) {
             vm.listed = false;
         }
     }
 
     /// Marks all VMs as not listed, before a snapshot of the VM table is applied.
-    pub(super) fn mark_all_vms_unlisted(&mut self) {
+    pub(in crate::core::workload::placer) fn mark_all_vms_unlisted(&mut self) {
         for vm in self.fleet.vms.values_mut() {
             vm.listed = false;
         }
     }
 
     /// Sends the renewals that are due.
-    pub(super) fn send_renewals(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn send_renewals(&mut self, cx: &mut Cx) {
         let renewal_wait = self.renewal_wait(cx);
         for key in self.fleet.due_renewals(cx.now) {
             self.fleet.begin_renewal(key, cx.now);
@@ -126,7 +126,7 @@
 
     /// Returns the longest time for which a VM delays its answer until a run ends (long poll). It
     /// grows with the number of VMs, to bound the rate of renewals.
-    pub(super) fn renewal_wait(&self, cx: &Cx) -> Duration {
+    pub(in crate::core::workload::placer) fn renewal_wait(&self, cx: &Cx) -> Duration {
         let options = &cx.options.vms;
         let vms = u32::try_from(self.fleet.vms.len()).unwrap_or(u32::MAX);
         let wait = Duration::from_secs(1) * vms / options.renewals_per_second.max(1);
@@ -134,7 +134,7 @@
     }
 
     /// Handles the answer to a renewal.
-    pub(super) fn handle_renewal_answer(
+    pub(in crate::core::workload::placer) fn handle_renewal_answer(
         &mut self,
         cx: &mut Cx,
         renewal: &RenewalId,
@@ -152,7 +152,7 @@
 
     /// Drops the runs of VMs that do not answer and whose leases have expired, unless another placer
     /// may have renewed the leases.
-    pub(super) fn expire_leases(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn expire_leases(&mut self, cx: &mut Cx) {
         if cx.now < self.next_lease_check_at {
             return;
         }
@@ -295,7 +295,12 @@
     }
 
     /// Drops all runs of a VM and requeues their tasks.
-    pub(super) fn drop_runs(&mut self, cx: &mut Cx, key: VmKey, reason: &'static str) {
+    pub(in crate::core::workload::placer) fn drop_runs(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        reason: &'static str,
+    ) {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return;
         };
@@ -389,7 +394,7 @@
             .registry
             .jobs
             .get(&task.step.job)
-            .is_some_and(super::job_registry::Job::is_active);
+            .is_some_and(crate::core::workload::placer::state::job_registry::Job::is_active);
         let is_waiting = self
             .registry
             .task(task)
--- a/src/core/workload/placer/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -1,13 +1,5 @@
 //! Starts of runs, and adoption of runs that an earlier placer started.
 
-use super::Placer;
-use super::RoleLoss;
-use super::fleet::Phase;
-use super::fleet::Run;
-use super::fleet::VmKey;
-use super::job_registry::Placement;
-use super::job_registry::TaskKey;
-use super::throttle::FULL_SPEED_PERCENT;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
@@ -18,6 +10,14 @@
 use crate::core::workload::event::OrderError;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::StartError;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
+use crate::core::workload::placer::state::fleet::Phase;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
@@ -28,7 +28,7 @@
 impl Placer {
     /// Returns the number for the next run of a task, above all numbers that earlier placers may
     /// have used.
-    pub(super) fn next_run_number(&self, task: TaskKey) -> RunNumber {
+    pub(in crate::core::workload::placer) fn next_run_number(&self, task: TaskKey) -> RunNumber {
         let floor = self
             .registry
             .jobs
@@ -39,7 +39,13 @@
     }
 
     /// Sends the start of a task to a VM. Does nothing if the VM's clock is not known yet.
-    pub(super) fn start_task(&mut self, cx: &mut Cx, task: TaskKey, vm_key: VmKey, run: RunNumber) {
+    pub(in crate::core::workload::placer) fn start_task(
+        &mut self,
+        cx: &mut Cx,
+        task: TaskKey,
+        vm_key: VmKey,
+        run: RunNumber,
+    ) {
         let Some(name) = self.registry.task_name(task) else {
             return;
         };
@@ -96,7 +102,7 @@
     }
 
     /// Handles the answer to a start.
-    pub(super) fn handle_start_answer(
+    pub(in crate::core::workload::placer) fn handle_start_answer(
         &mut self,
         cx: &mut Cx,
         order: &OrderId,
@@ -153,7 +159,7 @@
     }
 
     /// Records that a task has started, which moves a queued job to the running state.
-    pub(super) fn record_start(&mut self, cx: &mut Cx, task: TaskKey) {
+    pub(in crate::core::workload::placer) fn record_start(&mut self, cx: &mut Cx, task: TaskKey) {
         let Some(job) = self.registry.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -171,7 +177,7 @@
     }
 
     /// Adopts a run that an earlier placer started.
-    pub(super) fn adopt_run(
+    pub(in crate::core::workload::placer) fn adopt_run(
         &mut self,
         cx: &mut Cx,
         vm_key: VmKey,
--- a/src/core/workload/placer/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -5,14 +5,6 @@
 //! resources to other tasks. The placer therefore stores the VMs with such runs in the stops row of
 //! the table before it sends a stop.
 
-use super::Placer;
-use super::RoleLoss;
-use super::fleet::Phase;
-use super::fleet::Run;
-use super::fleet::Vm;
-use super::fleet::VmKey;
-use super::job_registry::JobKey;
-use super::job_registry::TaskKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
@@ -20,6 +12,14 @@
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::OrderError;
 use crate::core::workload::event::OrderId;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::state::fleet::Phase;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::Vm;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::rows::StopsRow;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
@@ -27,7 +27,7 @@
 
 /// Whether the stops row names a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StopRecord {
+pub(in crate::core::workload::placer) enum StopRecord {
     /// Not named, or unknown.
     Absent,
     /// The next write will name it.
@@ -38,7 +38,7 @@
 
 /// A run that a VM reports but that is not assigned to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct UnexpectedRun {
+pub(in crate::core::workload::placer) struct UnexpectedRun {
     task: TaskName,
     run: RunNumber,
     reason: &'static str,
@@ -47,7 +47,7 @@
 impl Placer {
     /// Stops a run, or repeats the stop if that is due. The order is sent once the stops row names
     /// the VM.
-    pub(super) fn order_stop(
+    pub(in crate::core::workload::placer) fn order_stop(
         &mut self,
         cx: &mut Cx,
         vm_key: VmKey,
@@ -88,7 +88,7 @@
     ///
     /// No tasks are placed on the VM for the longest time that the stop and one more renewal can
     /// take, as the run uses resources of the VM that the placer does not count.
-    pub(super) fn stop_unexpected(
+    pub(in crate::core::workload::placer) fn stop_unexpected(
         &mut self,
         cx: &mut Cx,
         vm_key: VmKey,
@@ -127,7 +127,10 @@
 
     /// Returns the stops row to write, with the keys of its VMs; `None` if the stored row is up to
     /// date.
-    pub(super) fn stops_row(&self, now: Now) -> Option<(Vec<VmKey>, StopsRow)> {
+    pub(in crate::core::workload::placer) fn stops_row(
+        &self,
+        now: Now,
+    ) -> Option<(Vec<VmKey>, StopsRow)> {
         let named = self
             .fleet
             .vms
@@ -144,7 +147,7 @@
 
     /// Marks the VMs that the next stops row does not name, before that row is written. `named` has
     /// the keys of the VMs that it does name, in ascending order.
-    pub(super) fn clear_stop_records(&mut self, named: &[VmKey]) {
+    pub(in crate::core::workload::placer) fn clear_stop_records(&mut self, named: &[VmKey]) {
         for (key, vm) in &mut self.fleet.vms {
             if named.binary_search(key).is_err() {
                 vm.stop_record = StopRecord::Absent;
@@ -153,7 +156,11 @@
     }
 
     /// Handles a completed write of the stops row: sends the stops that waited for it.
-    pub(super) fn handle_stops_written(&mut self, cx: &mut Cx, named: &[VmKey]) {
+    pub(in crate::core::workload::placer) fn handle_stops_written(
+        &mut self,
+        cx: &mut Cx,
+        named: &[VmKey],
+    ) {
         for &key in named {
             let Some(vm) = self.fleet.vms.get_mut(&key) else {
                 continue;
@@ -176,14 +183,14 @@
     }
 
     /// Loads the VMs on which an earlier placer may have been stopping runs.
-    pub(super) fn load_stops_row(&mut self, row: &StopsRow) {
+    pub(in crate::core::workload::placer) fn load_stops_row(&mut self, row: &StopsRow) {
         for vm in self.fleet.vms.values_mut() {
             vm.inherits_stops = row.vms.contains(&vm.id);
         }
     }
 
     /// Handles the answer to a stop.
-    pub(super) fn handle_stop_answer(
+    pub(in crate::core::workload::placer) fn handle_stop_answer(
         &mut self,
         cx: &mut Cx,
         order: &OrderId,
@@ -211,7 +218,7 @@
     }
 
     /// Repeats the stops that were not acknowledged in time.
-    pub(super) fn retry_stops(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn retry_stops(&mut self, cx: &mut Cx) {
         for key in self.fleet.keys() {
             let Some(vm) = self.fleet.vms.get(&key) else {
                 continue;
@@ -232,7 +239,7 @@
     }
 
     /// Cancels a job: starts none of its tasks any more and stops its runs.
-    pub(super) fn cancel_job(&mut self, cx: &mut Cx, key: JobKey) {
+    pub(in crate::core::workload::placer) fn cancel_job(&mut self, cx: &mut Cx, key: JobKey) {
         let Some(job) = self.registry.jobs.get_mut(&key) else {
             return;
         };
@@ -244,7 +251,7 @@
     }
 
     /// Stops all runs of a job.
-    pub(super) fn stop_job(&mut self, cx: &mut Cx, job: JobKey) {
+    pub(in crate::core::workload::placer) fn stop_job(&mut self, cx: &mut Cx, job: JobKey) {
         for key in self.fleet.keys() {
             let Some(vm) = self.fleet.vms.get(&key) else {
                 continue;
@@ -261,7 +268,7 @@
     /// Stops the runs on a draining VM that are worth restarting elsewhere before the VM leaves:
     /// those of tasks with checkpoints, except gangs, and of tasks that run until cancelled, unless
     /// they have an unavailability budget.
-    pub(super) fn evacuate_vm(&mut self, cx: &mut Cx, key: VmKey) {
+    pub(in crate::core::workload::placer) fn evacuate_vm(&mut self, cx: &mut Cx, key: VmKey) {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return;
         };
--- a/src/core/workload/placer/throttle.rs
+++ b/src/core/workload/placer/orders/throttle.rs
@@ -6,21 +6,21 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::RoleLoss;
-use super::fleet::Phase;
-use super::fleet::Run;
-use super::fleet::VmKey;
-use super::job_registry::TaskKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::OrderError;
 use crate::core::workload::event::OrderId;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::state::fleet::Phase;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 
 /// Speed of a task that is not throttled, in percent.
-pub(super) const FULL_SPEED_PERCENT: u32 = 100;
+pub(in crate::core::workload::placer) const FULL_SPEED_PERCENT: u32 = 100;
 
 /// Tail latency at which the speed limit of fillers is halved, in percent of the target. At 100 the
 /// limit drops to zero.
@@ -41,7 +41,7 @@
 impl Placer {
     /// Adjusts the speed limit of the fillers on a VM to the tail latencies of its tasks with a
     /// latency target.
-    pub(super) fn throttle_fillers(&mut self, cx: &mut Cx, key: VmKey) {
+    pub(in crate::core::workload::placer) fn throttle_fillers(&mut self, cx: &mut Cx, key: VmKey) {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return;
         };
@@ -72,7 +72,7 @@
     }
 
     /// Handles the answer to a change of the speed limit.
-    pub(super) fn handle_speed_answer(
+    pub(in crate::core::workload::placer) fn handle_speed_answer(
         &mut self,
         cx: &mut Cx,
         order: &OrderId,
--- a/src/core/workload/placer/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -6,9 +6,6 @@
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
-use super::fleet::VmKey;
-use super::job_registry::StepKey;
-use super::round::Pool;
 use crate::core::model::DaemonId;
 use crate::core::model::Now;
 use crate::core::model::VmId;
@@ -17,6 +14,9 @@
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::AdviceQuery;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::rounds::round::Pool;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::submission::Step;
 
 /// Fraction of a ticket's validity period in which the ticket is used, so that the start order
@@ -28,7 +28,7 @@
 
 /// Cached advice for one step.
 #[derive(Debug, Default)]
-pub(super) struct StepAdvice {
+pub(in crate::core::workload::placer) struct StepAdvice {
     /// Tickets of the VMs that may run the step; expired ones are kept.
     pub tickets: FxHashMap<VmKey, AdviceTicket>,
     /// VMs that may not run the step.
@@ -41,7 +41,7 @@
 
 /// Permission to run a step on a VM.
 #[derive(Clone, Debug)]
-pub(super) struct AdviceTicket {
+pub(in crate::core::workload::placer) struct AdviceTicket {
     pub text: Box<str>,
     /// Time until which the ticket is used; earlier than the end of its validity.
     pub until: Now,
@@ -51,7 +51,7 @@
 /// in flight through each. The key `None` stands for this daemon, which queries the advice service
 /// directly.
 #[derive(Debug, Default)]
-pub(super) struct AdviceForwarders {
+pub(in crate::core::workload::placer) struct AdviceForwarders {
     in_flight: FxHashMap<Option<DaemonId>, u32>,
     paused_until: FxHashMap<DaemonId, Now>,
 }
--- a/src/core/workload/placer/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
-use super::Placer;
-use super::fleet::Vm;
-use super::fleet::VmKey;
-use super::job_registry::StepKey;
-use super::round::Pool;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::cx::Cx;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::rounds::round::Pool;
+use crate::core::workload::placer::state::fleet::Vm;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::submission::Step;
 
 /// Weight of a VM's slowness in the placement cost, relative to the fraction of its capacity that
@@ -32,7 +32,7 @@
 
 /// A VM on which tasks of a step may be placed, with the resources left by the plan so far.
 #[derive(Clone, Debug)]
-pub(super) struct Candidate {
+pub(in crate::core::workload::placer) struct Candidate {
     pub vm: VmKey,
     pub free: Resources,
     /// Resources that runs do not use that last until they are cancelled.
@@ -56,7 +56,7 @@
 }
 
 /// VMs on which tasks of a step may be placed, with the placement cost of each.
-pub(super) struct CandidateList<'a> {
+pub(in crate::core::workload::placer) struct CandidateList<'a> {
     spec: &'a Step,
     /// Candidates with room for a task, and their costs.
     vms: Vec<(f64, Candidate)>,
@@ -64,7 +64,11 @@
 
 impl Placer {
     /// Returns the VMs of a service that accept new tasks, in ascending order of their keys.
-    pub(super) fn open_vms(&self, cx: &Cx, service: &ServiceId) -> Vec<Candidate> {
+    pub(in crate::core::workload::placer) fn open_vms(
+        &self,
+        cx: &Cx,
+        service: &ServiceId,
+    ) -> Vec<Candidate> {
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
         let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
         let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
@@ -73,13 +77,18 @@
     }
 
     /// Returns the VMs of a pool on which tasks of a step fit, whether or not advice allows them.
-    pub(super) fn candidates(&self, pool: &Pool, key: StepKey, spec: &Step) -> Vec<Candidate> {
+    pub(in crate::core::workload::placer) fn candidates(
+        &self,
+        pool: &Pool,
+        key: StepKey,
+        spec: &Step,
+    ) -> Vec<Candidate> {
         self.fitting(pool.vms().iter().cloned(), key, spec)
     }
 
     /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
     /// not last until they are cancelled.
-    pub(super) fn drained_candidates(
+    pub(in crate::core::workload::placer) fn drained_candidates(
         &self,
         pool: &Pool,
         key: StepKey,
--- a/src/core/workload/placer/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -3,17 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::PENDING_ROUND_INTERVAL;
-use super::Placer;
-use super::candidates::Candidate;
-use super::candidates::CandidateList;
-use super::fleet::VmKey;
-use super::job_registry::Placement;
-use super::job_registry::StepKey;
-use super::job_registry::StepProgress;
-use super::job_registry::TaskKey;
-use super::rank::Rank;
-use super::round::Round;
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
@@ -24,6 +13,17 @@
 use crate::core::workload::event::AdviceQuery;
 use crate::core::workload::event::AdvisedVm;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::PENDING_ROUND_INTERVAL;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::candidates::CandidateList;
+use crate::core::workload::placer::rounds::rank::Rank;
+use crate::core::workload::placer::rounds::round::Round;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::placer::state::job_registry::StepProgress;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::submission::Step;
 
 /// Number of task slots for which advice is requested per waiting task, as the advice service
@@ -42,13 +42,17 @@
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Index of a task in its step and the VM that it is to start on.
-pub(super) type PlannedStart = (TaskIndex, VmKey);
+pub(in crate::core::workload::placer) type PlannedStart = (TaskIndex, VmKey);
 
 impl Placer {
     /// Runs a placement round if one is due.
     ///
     /// Steps of teams that have used up their fair share are placed after all others.
-    pub(super) fn run_round(&mut self, cx: &mut Cx, heartbeats: &HeartbeatMonitor) {
+    pub(in crate::core::workload::placer) fn run_round(
+        &mut self,
+        cx: &mut Cx,
+        heartbeats: &HeartbeatMonitor,
+    ) {
         let due = self.next_round_at.is_some_and(|at| cx.now >= at);
         if !due || cx.now < self.earliest_round_at(cx) {
             return;
@@ -102,7 +106,7 @@
     }
 
     /// Handles the answer to an advice query.
-    pub(super) fn handle_advice(
+    pub(in crate::core::workload::placer) fn handle_advice(
         &mut self,
         cx: &mut Cx,
         query: &AdviceQuery,
@@ -271,7 +275,7 @@
     }
 
     /// Plans starts for as many waiting tasks of a step as the candidates and the team's cap allow.
-    pub(super) fn plan_tasks(
+    pub(in crate::core::workload::placer) fn plan_tasks(
         &self,
         cx: &Cx,
         key: StepKey,
@@ -301,7 +305,7 @@
     }
 
     /// Sends an advice query if the VMs with valid tickets have no room for all waiting tasks.
-    pub(super) fn query_advice(
+    pub(in crate::core::workload::placer) fn query_advice(
         &mut self,
         cx: &mut Cx,
         round: &mut Round,
--- a/src/core/workload/placer/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -7,24 +7,24 @@
 
 use std::cmp::Reverse;
 
-use super::Placer;
-use super::candidates::Candidate;
-use super::dispatch::PlannedStart;
-use super::fleet::VmKey;
-use super::job_registry::Placement;
-use super::job_registry::StepKey;
-use super::job_registry::TaskKey;
-use super::round::Pool;
-use super::round::Round;
 use crate::core::model::ServiceId;
 use crate::core::model::TaskIndex;
 use crate::core::workload::cx::Cx;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::dispatch::PlannedStart;
+use crate::core::workload::placer::rounds::round::Pool;
+use crate::core::workload::placer::rounds::round::Round;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::submission::Step;
 
 impl Placer {
     /// Starts a gang if the VMs have room for all its tasks; otherwise asks for the advice that it
     /// needs, and holds VMs for it.
-    pub(super) fn place_gang(
+    pub(in crate::core::workload::placer) fn place_gang(
         &mut self,
         cx: &mut Cx,
         round: &mut Round,
--- a/src/core/workload/placer/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -8,30 +8,17 @@
 
 use std::time::Duration;
 
-use super::job_registry::Job;
-use super::job_registry::JobKey;
-
-/// Multiple of its objective within which a job must be able to complete so as not to be overdue.
-const OVERDUE_FACTOR: u32 = 3;
-
-/// Whether a job can still meet its objective.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Timeliness {
-    /// The job can still complete within its objective.
-    OnTime,
-    /// The job can still complete within `OVERDUE_FACTOR` times its objective.
-    Late,
-    /// The job can no longer complete within `OVERDUE_FACTOR` times its objective.
-    Overdue,
-}
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::policy::timeliness::Timeliness;
 
 /// Sort key of a step in a placement round: priority of the queue, timeliness, deadline since the
 /// Unix epoch, and job. Lower ranks go first.
-pub(super) type Rank = (u32, Timeliness, Duration, JobKey);
+pub(in crate::core::workload::placer) type Rank = (u32, Timeliness, Duration, JobKey);
 
 impl Job {
     /// Returns the rank of the job's steps at a wall time since the Unix epoch.
-    pub(super) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
+    pub(in crate::core::workload::placer) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
         let objective = self.objective();
         let timeliness = if self.submission.is_long_running() {
             Timeliness::OnTime
@@ -46,15 +33,10 @@
         )
     }
 
+    /// Returns whether the job can still be of use to its caller, at a wall time since the Unix epoch.
     fn timeliness(&self, objective: Duration, unix_time: Duration) -> Timeliness {
-        let earliest_end = unix_time + self.remaining_time();
-        if earliest_end <= self.accepted_at + objective {
-            Timeliness::OnTime
-        } else if earliest_end <= self.accepted_at + objective * OVERDUE_FACTOR {
-            Timeliness::Late
-        } else {
-            Timeliness::Overdue
-        }
+        let age = unix_time.saturating_sub(self.accepted_at);
+        Timeliness::new(age, self.remaining_time(), objective)
     }
 
     /// Returns the estimated length of the critical path through the steps that are not done, in
--- a/src/core/workload/placer/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -4,11 +4,11 @@
 
 use rustc_hash::FxHashMap;
 
-use super::candidates::Candidate;
-use super::fleet::VmKey;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::Step;
 
 /// Multiple of the free capacity of a service for which steps may ask for advice at the same time,
@@ -23,7 +23,7 @@
 const HELD_DIVISOR: usize = 8;
 
 /// State of a placement round.
-pub(super) struct Round<'a> {
+pub(in crate::core::workload::placer) struct Round<'a> {
     /// Daemons through which advice queries can be sent.
     pub heartbeats: &'a HeartbeatMonitor,
     /// Whether a daemon may be free for an advice query.
@@ -35,7 +35,7 @@
 }
 
 /// VMs of a service that accept new tasks.
-pub(super) struct Pool {
+pub(in crate::core::workload::placer) struct Pool {
     /// VMs in ascending order of their keys, with the resources that the round has left so far.
     vms: Vec<Candidate>,
     /// Number of VMs held for gangs.
--- a/src/core/workload/placer/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -6,15 +6,6 @@
 
 use rustc_hash::FxHashMap;
 
-use super::job_registry::JobKey;
-use super::job_registry::StepKey;
-use super::job_registry::TaskKey;
-use super::roster::RosterState;
-use super::schedule::RenewalSchedule;
-use super::slowness::SlownessEstimate;
-use super::stops::StopRecord;
-use super::stops::UnexpectedRun;
-use super::throttle::FULL_SPEED_PERCENT;
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
@@ -23,11 +14,20 @@
 use crate::core::workload::cx::millis;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::VmRow;
+use crate::core::workload::placer::orders::stops::StopRecord;
+use crate::core::workload::placer::orders::stops::UnexpectedRun;
+use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
+use crate::core::workload::placer::state::slowness::SlownessEstimate;
+use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
 
 /// Key of a VM in the fleet.
-pub(super) type VmKey = u32;
+pub(in crate::core::workload::placer) type VmKey = u32;
 
 /// Lowest rate of a VM's clock relative to true time.
 const MIN_CLOCK_RATE: f64 = 0.98;
@@ -37,7 +37,7 @@
 
 /// VMs by key, with an index by id.
 #[derive(Debug, Default)]
-pub(super) struct Fleet {
+pub(in crate::core::workload::placer) struct Fleet {
     pub vms: BTreeMap<VmKey, Vm>,
     pub schedule: RenewalSchedule,
     ids: FxHashMap<VmId, VmKey>,
@@ -47,7 +47,7 @@
 
 /// State of one VM.
 #[derive(Debug)]
-pub(super) struct Vm {
+pub(in crate::core::workload::placer) struct Vm {
     pub id: VmId,
     pub address: Box<str>,
     pub service: ServiceId,
@@ -118,7 +118,7 @@
 
 /// State of a VM's lease renewals.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct RenewalState {
+pub(in crate::core::workload::placer) struct RenewalState {
     /// When the pending renewal was sent; `None` if none is pending.
     pub sent_at: Option<Now>,
     /// When the next renewal is due.
@@ -129,7 +129,7 @@
 
 /// A reading of a VM's clock.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ClockReading {
+pub(in crate::core::workload::placer) struct ClockReading {
     /// Time shown, in milliseconds.
     pub ms: u64,
     /// When the answer that carried the reading arrived.
@@ -138,7 +138,7 @@
 
 /// A run that executes, or may execute, on a VM.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Run {
+pub(in crate::core::workload::placer) struct Run {
     pub number: RunNumber,
     /// Resources reserved on the VM; no CPU for fillers.
     pub reservation: Resources,
@@ -163,7 +163,7 @@
 
 /// Lifecycle phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
+pub(in crate::core::workload::placer) enum Phase {
     /// The start request has not been answered yet.
     Starting,
     /// The VM confirmed the run.
--- a/src/core/workload/placer/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -7,8 +7,6 @@
 
 use rustc_hash::FxHashMap;
 
-use super::advice::StepAdvice;
-use super::fleet::VmKey;
 use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::Rev;
@@ -17,6 +15,8 @@
 use crate::core::model::TeamId;
 use crate::core::workload::catalog::Queue;
 use crate::core::workload::effect::JobState;
+use crate::core::workload::placer::rounds::advice::StepAdvice;
+use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::OccurrenceIndex;
 use crate::core::workload::submission::Step;
 use crate::core::workload::submission::StepIndex;
@@ -26,11 +26,11 @@
 use crate::core::workload::task::TaskName;
 
 /// Key of a job in the registry.
-pub(super) type JobKey = u32;
+pub(in crate::core::workload::placer) type JobKey = u32;
 
 /// Key of a step within one occurrence of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) struct StepKey {
+pub(in crate::core::workload::placer) struct StepKey {
     pub job: JobKey,
     pub occurrence: OccurrenceIndex,
     pub step: StepIndex,
@@ -38,14 +38,14 @@
 
 /// Key of a task in the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) struct TaskKey {
+pub(in crate::core::workload::placer) struct TaskKey {
     pub step: StepKey,
     pub index: TaskIndex,
 }
 
 /// All jobs known to the placer, indexed by id and by state.
 #[derive(Debug, Default)]
-pub(super) struct JobRegistry {
+pub(in crate::core::workload::placer) struct JobRegistry {
     pub jobs: BTreeMap<JobKey, Job>,
     /// Jobs that are neither cancelled nor ended.
     active: BTreeSet<JobKey>,
@@ -59,7 +59,7 @@
 
 /// A job and its progress.
 #[derive(Debug)]
-pub(super) struct Job {
+pub(in crate::core::workload::placer) struct Job {
     pub id: JobId,
     pub queue: Rc<Queue>,
     pub team: Option<TeamId>,
@@ -90,7 +90,7 @@
 
 /// Progress of one step in one occurrence.
 #[derive(Debug)]
-pub(super) struct StepProgress {
+pub(in crate::core::workload::placer) struct StepProgress {
     pub tasks: Vec<Task>,
     pub done: u32,
     /// Number of tasks that are neither assigned to a VM nor done.
@@ -104,7 +104,7 @@
 
 /// State of one task.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Task {
+pub(in crate::core::workload::placer) struct Task {
     pub placement: Placement,
     /// Highest known run number.
     pub run: RunNumber,
@@ -116,7 +116,7 @@
 
 /// Placement of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum Placement {
+pub(in crate::core::workload::placer) enum Placement {
     /// Not assigned to a VM.
     #[default]
     Waiting,
--- a/src/core/workload/placer/schedule.rs
+++ b/src/core/workload/placer/state/renewal_schedule.rs
@@ -3,13 +3,13 @@
 
 use std::collections::BTreeSet;
 
-use super::fleet::Fleet;
-use super::fleet::VmKey;
 use crate::core::model::Now;
+use crate::core::workload::placer::state::fleet::Fleet;
+use crate::core::workload::placer::state::fleet::VmKey;
 
 /// VMs without a pending renewal, by the time at which their next one is due.
 #[derive(Debug, Default)]
-pub(super) struct RenewalSchedule {
+pub(in crate::core::workload::placer) struct RenewalSchedule {
     due: BTreeSet<(Now, VmKey)>,
 }
 
--- a/src/core/workload/placer/slowness.rs
+++ b/src/core/workload/placer/state/slowness.rs
@@ -9,10 +9,10 @@
 
 use rustc_hash::FxHashMap;
 
-use super::Placer;
-use super::fleet::Vm;
-use super::fleet::VmKey;
-use super::job_registry::StepKey;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::fleet::Vm;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::StepKey;
 
 /// Least number of runs of a step for an update of the estimates.
 const MIN_RUNS: usize = 3;
@@ -29,14 +29,14 @@
 
 /// Moving mean of the natural logarithm of run times relative to other VMs.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct SlownessEstimate {
+pub(in crate::core::workload::placer) struct SlownessEstimate {
     mean: f64,
     runs: f64,
 }
 
 /// Slowness estimates by VM kind, which is the labels without the rack.
 #[derive(Debug, Default)]
-pub(super) struct SlownessByKind {
+pub(in crate::core::workload::placer) struct SlownessByKind {
     kinds: FxHashMap<Box<str>, SlownessEstimate>,
 }
 
@@ -65,7 +65,7 @@
 
 impl Placer {
     /// Updates the estimates from the runs of a step that is done.
-    pub(super) fn update_slowness(&mut self, step: StepKey) {
+    pub(in crate::core::workload::placer) fn update_slowness(&mut self, step: StepKey) {
         let runs = self.registry.step_mut(step).map(|step| &mut step.done_runs);
         let runs = runs.map(std::mem::take).unwrap_or_default();
         if runs.len() < MIN_RUNS {
--- a/src/core/workload/placer/usage.rs
+++ b/src/core/workload/placer/state/usage.rs
@@ -8,7 +8,7 @@
 
 /// Sum of the demands of each team's runs.
 #[derive(Debug, Default)]
-pub(super) struct Usage {
+pub(in crate::core::workload::placer) struct Usage {
     teams: FxHashMap<TeamId, Resources>,
     /// Demand of tasks that an earlier placer may have started on VMs that have not answered this
     /// placer yet.
--- a/src/core/workload/placer/archive.rs
+++ b/src/core/workload/placer/storage/archive.rs
@@ -11,15 +11,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::Placer;
-use super::job_registry::Job;
-use super::job_registry::JobKey;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::event::PlacerWrite;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::rows::JOB_PARTS;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::encode;
@@ -45,7 +45,7 @@
 
 /// State of the replacement.
 #[derive(Debug, Default)]
-pub(super) struct ArchiveState {
+pub(in crate::core::workload::placer) struct ArchiveState {
     next_at: Now,
     /// Part from which the next check begins, so that all parts get their turn.
     next_part: u8,
@@ -62,7 +62,7 @@
     ///
     /// To be called after the job's progress was stored or loaded. Progress that has changed since
     /// then is still to be written.
-    pub(super) fn archive_if_end_stored(&mut self, key: JobKey) {
+    pub(in crate::core::workload::placer) fn archive_if_end_stored(&mut self, key: JobKey) {
         if self.registry.dirty_jobs().contains(&key) {
             return;
         }
@@ -76,7 +76,7 @@
     }
 
     /// Sends the transactions that are due.
-    pub(super) fn archive_jobs(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn archive_jobs(&mut self, cx: &mut Cx) {
         if cx.now < self.archive.next_at {
             return;
         }
@@ -93,7 +93,13 @@
     /// progress.
     ///
     /// For a known job, such as one whose row this placer has replaced, only records the row.
-    pub(super) fn add_ended_job(&mut self, cx: &mut Cx, id: &str, version: Rev, row: JobRow) {
+    pub(in crate::core::workload::placer) fn add_ended_job(
+        &mut self,
+        cx: &mut Cx,
+        id: &str,
+        version: Rev,
+        row: JobRow,
+    ) {
         if let Some(key) = self.registry.key(id) {
             return self.record_small_row(key, version);
         }
@@ -107,7 +113,11 @@
 
     /// Loads the state of a job with a small row. A state that is not final is left out, as the job
     /// has no steps to run.
-    pub(super) fn load_final_state(&mut self, key: JobKey, state: JobState) {
+    pub(in crate::core::workload::placer) fn load_final_state(
+        &mut self,
+        key: JobKey,
+        state: JobState,
+    ) {
         if !is_final(state) {
             return;
         }
@@ -121,7 +131,12 @@
     ///
     /// After a conflict, the jobs whose rows have changed are left to the next load or to the end of
     /// their retention period.
-    pub(super) fn handle_archive_outcome(&mut self, cx: &Cx, part: u8, outcome: &CommitOutcome) {
+    pub(in crate::core::workload::placer) fn handle_archive_outcome(
+        &mut self,
+        cx: &Cx,
+        part: u8,
+        outcome: &CommitOutcome,
+    ) {
         let Some(jobs) = self.archive.in_flight.remove(&part) else {
             return;
         };
@@ -232,7 +247,7 @@
 }
 
 /// Returns whether a job in this state has ended.
-pub(super) fn is_final(state: JobState) -> bool {
+pub(in crate::core::workload::placer) fn is_final(state: JobState) -> bool {
     matches!(
         state,
         JobState::Completed | JobState::Failed | JobState::Cancelled
--- a/src/core/workload/placer/hand_over.rs
+++ b/src/core/workload/placer/storage/hand_over.rs
@@ -3,9 +3,6 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::Release;
-use super::RoleLoss;
 use crate::core::model::DaemonId;
 use crate::core::model::Epoch;
 use crate::core::model::Now;
@@ -14,6 +11,9 @@
 use crate::core::workload::event::ProbePurpose;
 use crate::core::workload::event::ProbeResult;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::Release;
+use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::table::CommitOutcome;
 
 /// Minimum time for which the role is held before it is handed over.
@@ -38,7 +38,7 @@
 
 /// State of handing the role over.
 #[derive(Debug)]
-pub(super) struct HandOver {
+pub(in crate::core::workload::placer) struct HandOver {
     /// Whether the former holder had released the role, so that each daemon could claim it.
     follows_release: bool,
     stage: Stage,
@@ -93,7 +93,7 @@
 impl Placer {
     /// Starts to hand the role over if that is due. Returns the reason of the loss of the role once
     /// the release is committed.
-    pub(super) fn poll_hand_over(
+    pub(in crate::core::workload::placer) fn poll_hand_over(
         &mut self,
         cx: &mut Cx,
         heartbeats: &HeartbeatMonitor,
@@ -107,7 +107,11 @@
     }
 
     /// Handles the result of a probe that the placer of an epoch has sent to a fit daemon.
-    pub(super) fn handle_fit_daemon_probed(&mut self, epoch: Epoch, result: &ProbeResult) {
+    pub(in crate::core::workload::placer) fn handle_fit_daemon_probed(
+        &mut self,
+        epoch: Epoch,
+        result: &ProbeResult,
+    ) {
         if epoch != self.epoch() {
             return;
         }
@@ -119,7 +123,10 @@
 
     /// Handles the outcome of a write of progress during a release. A hand-over that the table has
     /// refused is given up, so that the placer goes on renewing leases.
-    pub(super) fn handle_release_outcome(&mut self, outcome: &CommitOutcome) {
+    pub(in crate::core::workload::placer) fn handle_release_outcome(
+        &mut self,
+        outcome: &CommitOutcome,
+    ) {
         if self.hand_over.stage != Stage::Revocable {
             return;
         }
--- a/src/core/workload/placer/heartbeat.rs
+++ b/src/core/workload/placer/storage/heartbeat.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::Release;
-use super::RoleLoss;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::event::PlacerWrite;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::Release;
+use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::rows::HEARTBEAT_KEY;
 use crate::core::workload::rows::OWNER_KEY;
 use crate::core::workload::rows::encode;
@@ -23,7 +23,7 @@
 
 impl Placer {
     /// Writes a heartbeat of its own if one is due and the write of progress in flight is late.
-    pub(super) fn write_late_heartbeat(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn write_late_heartbeat(&mut self, cx: &mut Cx) {
         if self.late_heartbeat_at(cx).is_none_or(|at| cx.now < at) {
             return;
         }
@@ -41,7 +41,7 @@
 
     /// Returns the time at which [`Placer::write_late_heartbeat`] is next due; `None` while no write
     /// of progress is in flight.
-    pub(super) fn late_heartbeat_at(&self, cx: &Cx) -> Option<Now> {
+    pub(in crate::core::workload::placer) fn late_heartbeat_at(&self, cx: &Cx) -> Option<Now> {
         if self.release != Release::NotRequested {
             return None;
         }
@@ -51,7 +51,7 @@
 
     /// Handles the outcome of such a heartbeat. Returns a reason if another daemon has claimed the
     /// role, or if heartbeats are stored but progress is not.
-    pub(super) fn handle_heartbeat_outcome(
+    pub(in crate::core::workload::placer) fn handle_heartbeat_outcome(
         &mut self,
         cx: &Cx,
         outcome: &CommitOutcome,
--- a/src/core/workload/placer/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -4,22 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::Placer;
-use super::Release;
-use super::advice::AdviceForwarders;
-use super::archive::ArchiveState;
-use super::archive::is_final;
-use super::fleet::Fleet;
-use super::hand_over::HandOver;
-use super::job_registry::Job;
-use super::job_registry::JobKey;
-use super::job_registry::JobRegistry;
-use super::job_registry::Placement;
-use super::progress::ProgressWriter;
-use super::retire::RetireState;
-use super::roster::RosterState;
-use super::slowness::SlownessByKind;
-use super::usage::Usage;
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::Rev;
@@ -28,6 +12,22 @@
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::former::Former;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::Release;
+use crate::core::workload::placer::rounds::advice::AdviceForwarders;
+use crate::core::workload::placer::state::fleet::Fleet;
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::placer::state::job_registry::JobRegistry;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::slowness::SlownessByKind;
+use crate::core::workload::placer::state::usage::Usage;
+use crate::core::workload::placer::storage::archive::ArchiveState;
+use crate::core::workload::placer::storage::archive::is_final;
+use crate::core::workload::placer::storage::hand_over::HandOver;
+use crate::core::workload::placer::storage::progress::ProgressWriter;
+use crate::core::workload::placer::storage::retire::RetireState;
+use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -129,7 +129,11 @@
     }
 
     /// Registers a job or applies a cancellation. Logs and skips rows that cannot be decoded.
-    pub(super) fn register_job_row(&mut self, cx: &mut Cx, row: TableRow) {
+    pub(in crate::core::workload::placer) fn register_job_row(
+        &mut self,
+        cx: &mut Cx,
+        row: TableRow,
+    ) {
         let Some(value) = row.value else {
             return;
         };
@@ -159,7 +163,13 @@
     }
 
     /// Returns the job of a row, without steps if the row is the small one of an ended job.
-    pub(super) fn new_job(&self, cx: &Cx, id: &str, version: Rev, row: JobRow) -> Job {
+    pub(in crate::core::workload::placer) fn new_job(
+        &self,
+        cx: &Cx,
+        id: &str,
+        version: Rev,
+        row: JobRow,
+    ) -> Job {
         let configured = cx.catalog.and_then(|catalog| catalog.queue(&row.queue));
         let queue = configured
             .cloned()
@@ -196,7 +206,11 @@
     ///
     /// Does nothing before all VMs are known: within `VM_LISTING_GRACE` of the grant, while the
     /// placer is not settled, and while the capacity of a VM is unknown.
-    pub(super) fn fail_if_unplaceable(&mut self, cx: &mut Cx, key: JobKey) {
+    pub(in crate::core::workload::placer) fn fail_if_unplaceable(
+        &mut self,
+        cx: &mut Cx,
+        key: JobKey,
+    ) {
         let Some(job) = self
             .registry
             .jobs
@@ -222,7 +236,7 @@
     }
 
     /// Fails all unstarted jobs with a task that fits on no VM.
-    pub(super) fn fail_unplaceable_jobs(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn fail_unplaceable_jobs(&mut self, cx: &mut Cx) {
         let unstarted = self
             .registry
             .active_jobs()
--- /dev/null
+++ b/src/core/workload/placer/storage/mod.rs
@@ -0,0 +1,9 @@
+//! The placer's rows in the table: what it loads, writes, replaces and removes.
+
+pub(in crate::core::workload::placer) mod archive;
+pub(in crate::core::workload::placer) mod hand_over;
+pub(in crate::core::workload::placer) mod heartbeat;
+pub(in crate::core::workload::placer) mod load;
+pub(in crate::core::workload::placer) mod progress;
+pub(in crate::core::workload::placer) mod retire;
+pub(in crate::core::workload::placer) mod roster;
--- a/src/core/workload/placer/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -4,20 +4,20 @@
 //! the row itself. A delayed transaction can therefore take effect neither after its successor nor
 //! after another placer was granted the role, as the grant writes the row too.
 
-use super::Placer;
-use super::Release;
-use super::RoleLoss;
-use super::fleet::VmKey;
-use super::job_registry::Job;
-use super::job_registry::JobKey;
-use super::job_registry::JobRegistry;
-use super::job_registry::Placement;
-use super::job_registry::StepProgress;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::event::PlacerWrite;
 use crate::core::workload::event::ReadPurpose;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::Release;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::placer::state::job_registry::JobRegistry;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::rows::HEARTBEAT_KEY;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::ProgressRow;
@@ -43,7 +43,7 @@
 
 /// State of the progress writes.
 #[derive(Debug)]
-pub(super) struct ProgressWriter {
+pub(in crate::core::workload::placer) struct ProgressWriter {
     /// Version of the sequence row that the next write expects.
     sequence: Rev,
     /// Transaction in flight; an empty batch while the sequence row is being read.
@@ -133,7 +133,7 @@
     ///
     /// The transaction also carries the heartbeat and the VMs with runs being stopped, if due. If
     /// the outcome of the last write is unknown, reads the sequence row instead.
-    pub(super) fn write_progress(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn write_progress(&mut self, cx: &mut Cx) {
         if self.progress.in_flight.is_some() || cx.now < self.progress.next_at {
             return;
         }
@@ -206,7 +206,7 @@
     }
 
     /// Handles the outcome of a write. A write that was not committed is repeated.
-    pub(super) fn handle_progress_outcome(
+    pub(in crate::core::workload::placer) fn handle_progress_outcome(
         &mut self,
         cx: &mut Cx,
         outcome: &CommitOutcome,
@@ -275,7 +275,7 @@
     }
 
     /// Repeats an unanswered read of the sequence row once the table answers again.
-    pub(super) fn handle_table_recovered(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn handle_table_recovered(&mut self, cx: &mut Cx) {
         if self.progress.outcome_unknown {
             self.read_sequence(cx);
         }
--- a/src/core/workload/placer/retire.rs
+++ b/src/core/workload/placer/storage/retire.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use super::Placer;
-use super::job_registry::Job;
-use super::job_registry::JobKey;
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::event::PlacerWrite;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::job_registry::Job;
+use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::rows::cancel_key;
 use crate::core::workload::rows::job_part;
 use crate::core::workload::rows::job_row;
@@ -27,7 +27,7 @@
 
 /// State of the removal.
 #[derive(Debug, Default)]
-pub(super) struct RetireState {
+pub(in crate::core::workload::placer) struct RetireState {
     next_at: Now,
     stage: Stage,
 }
@@ -45,7 +45,7 @@
 
 impl Placer {
     /// Starts to remove jobs whose retention period has passed.
-    pub(super) fn retire_jobs(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn retire_jobs(&mut self, cx: &mut Cx) {
         if cx.now < self.retire.next_at || !matches!(self.retire.stage, Stage::Idle) {
             return;
         }
@@ -79,7 +79,11 @@
     }
 
     /// Handles the outcome of a removal. A failed removal is started again at a later check.
-    pub(super) fn handle_retire_outcome(&mut self, cx: &mut Cx, outcome: &CommitOutcome) {
+    pub(in crate::core::workload::placer) fn handle_retire_outcome(
+        &mut self,
+        cx: &mut Cx,
+        outcome: &CommitOutcome,
+    ) {
         let stage = std::mem::take(&mut self.retire.stage);
         if !matches!(outcome, CommitOutcome::Done(_)) {
             return;
--- a/src/core/workload/placer/roster.rs
+++ b/src/core/workload/placer/storage/roster.rs
@@ -3,15 +3,15 @@
 //! After a takeover the new placer loads the roster. Before it restarts a task that it does not
 //! find running, every VM in the roster must have answered, or its lease must have expired.
 
-use super::Placer;
-use super::RoleLoss;
-use super::fleet::Vm;
-use super::fleet::VmKey;
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::event::PlacerWrite;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::state::fleet::Vm;
+use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::rows::OWNER_KEY;
 use crate::core::workload::rows::RosterRow;
 use crate::core::workload::rows::encode;
@@ -31,7 +31,7 @@
 
 /// Whether the roster has a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RosterState {
+pub(in crate::core::workload::placer) enum RosterState {
     /// Not in the roster; no task may be started on the VM yet.
     Absent,
     /// Added by this placer, or restarted since an earlier placer added it; with the version of its
@@ -45,7 +45,7 @@
 
 /// A roster change whose transaction is pending.
 #[derive(Debug)]
-pub(super) struct RosterChange {
+pub(in crate::core::workload::placer) struct RosterChange {
     added: Vec<VmKey>,
     /// VMs to remove, with their state before the change.
     removed: Vec<(VmKey, RosterState)>,
@@ -78,7 +78,7 @@
 impl Placer {
     /// Adds VMs to the roster before they are used, and removes those on which no task can run any
     /// more, so that no later placer waits for them.
-    pub(super) fn update_roster(&mut self, cx: &mut Cx) {
+    pub(in crate::core::workload::placer) fn update_roster(&mut self, cx: &mut Cx) {
         if self.roster_change.is_some() {
             return;
         }
@@ -130,7 +130,7 @@
     }
 
     /// Handles the outcome of a roster transaction.
-    pub(super) fn handle_roster_outcome(
+    pub(in crate::core::workload::placer) fn handle_roster_outcome(
         &mut self,
         cx: &mut Cx,
         outcome: &CommitOutcome,
--- /dev/null
+++ b/tests/policy/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the workload reducer's decisions under load, each on plain values.
+
+mod shares;
+mod timeliness;
