Place no tasks on VMs that leave a start unanswered

A VM that was cut off or hung was noticed only with its overdue renewal, up to 2.5 s later in a large fleet. Until then it got tasks, and their jobs waited for its lease to expire. A VM is now passed over from 250 ms after an unanswered start until it answers again.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -443,5 +443,6 @@
         });
     }
     vm.renewal.failures = 0;
+    vm.unanswered_since = None;
     vm.last_answer_at = cx.now;
 }
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -76,6 +76,7 @@
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
         let free_cpu_milli = vm.free().cpu_milli;
         vm.add_run(task, new_run);
+        vm.unanswered_since.get_or_insert(cx.now);
         let order = vm.order_for(name.clone(), run, cx.now);
         let start = StartOrder {
             order,
@@ -108,7 +109,10 @@
         order: &OrderId,
         result: Result<u64, StartError>,
     ) -> RoleLoss {
-        let (vm_key, _) = self.fleet.by_id(&order.vm)?;
+        let (vm_key, vm) = self.fleet.by_id(&order.vm)?;
+        if is_answer(&result) {
+            vm.unanswered_since = None;
+        }
         let task = self.registry.find_task(&order.task)?;
         let vm = self.fleet.vms.get_mut(&vm_key)?;
         let run = vm
@@ -215,6 +219,16 @@
     }
 }
 
+/// Returns whether the VM itself has answered a start, if only to refuse it.
+fn is_answer(result: &Result<u64, StartError>) -> bool {
+    !matches!(
+        result,
+        Err(StartError::Order(
+            OrderError::NoAnswer(_) | OrderError::NotSent(_)
+        ))
+    )
+}
+
 impl Run {
     fn new(number: RunNumber, spec: &Step, now: Now) -> Self {
         Self {
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -35,6 +35,9 @@
 /// Time past the lease deadline, on the VM's clock, before the placer treats the lease as expired.
 const EXPIRY_MARGIN_MS: u64 = 60;
 
+/// Time within which a VM that works answers a start.
+const START_ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// VMs by key, with an index by id.
 #[derive(Debug, Default)]
 pub(in crate::core::workload::placer) struct Fleet {
@@ -108,6 +111,9 @@
     pub last_answer_at: Now,
     /// Time before which no tasks are placed, after a start failed or several jobs failed in a row.
     pub avoid_until: Now,
+    /// When the first start was sent since the VM last answered an order or a renewal; `None` if
+    /// none was.
+    pub unanswered_since: Option<Now>,
     /// Slowness estimate from runs on this VM.
     pub slowness: SlownessEstimate,
     /// Consecutive failures, counted once for successive failures of the same job.
@@ -262,6 +268,7 @@
             renewal: RenewalState::default(),
             last_answer_at: now,
             avoid_until: Now::ZERO,
+            unanswered_since: None,
             slowness: SlownessEstimate::default(),
             failure_streak: 0,
             last_failed_job: None,
@@ -303,9 +310,17 @@
             && self.draining_since.is_none()
             && self.renewal.failures == 0
             && now >= self.avoid_until
+            && !self.is_silent(now)
             && now >= self.capacity_uncertain_until
     }
 
+    /// Returns whether a start has gone unanswered for so long that the VM is likely to be cut off or
+    /// hung, although its renewal is not overdue yet.
+    pub fn is_silent(&self, now: Now) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now >= since + START_ANSWER_TIME)
+    }
+
     /// Returns the capacity that is not reserved by runs.
     pub fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
@@ -388,6 +403,7 @@
         self.inherits_stops = false;
         self.inherited_stops_until = Now::ZERO;
         self.unexpected_runs.clear();
+        self.unanswered_since = None;
         self.processed_seq = 0;
         self.stored_seq = 0;
     }
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -33,6 +33,9 @@
 use crate::catalog::catalog;
 use crate::vm::SimVm;
 
+/// Time beyond its wait after which a daemon gives up a renewal.
+const RENEWAL_MARGIN: Duration = Duration::from_millis(500);
+
 impl Harness {
     /// Handles a request of a daemon: answers it or keeps it until it can be answered.
     pub(super) fn handle_request(&mut self, daemon: usize, lifetime: u64, req: Request) {
@@ -41,6 +44,13 @@
         {
             return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
         }
+        if let Request::Start(start) = &req
+            && self.silent_vms.contains(&start.order.vm)
+        {
+            let err = StartError::Order(OrderError::NoAnswer("timed out".into()));
+            let answer = Answer::Started(start.order.clone(), Err(err));
+            return self.send_after(start.timeout, Message::Answer(daemon, lifetime, answer));
+        }
         let table_answers = self.table_up && self.daemons[daemon].table_reachable;
         let no_answer: Box<str> = "no answer".into();
         let limit = transfer_limit(&req);
@@ -96,7 +106,7 @@
             } => {
                 let until = self.now + wait;
                 let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
-                if vm.connected {
+                if vm.connected && !self.silent_vms.contains(&renewal.vm) {
                     vm.renew(self.now, epoch, deadline_ms);
                 }
                 return self.pending_renewals.push(PendingRenewal {
@@ -309,8 +319,14 @@
             else {
                 continue;
             };
+            let is_silent = self.silent_vms.contains(&renewal.vm);
+            if is_silent && now < pending.until + RENEWAL_MARGIN {
+                self.pending_renewals.push(pending);
+                continue;
+            }
             let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
             if vm.connected
+                && !is_silent
                 && !vm.has_unacknowledged_ends()
                 && now < pending.until
                 && vm.epoch == *epoch
@@ -320,7 +336,7 @@
             }
             // The report no longer lists the ends that the renewal acknowledges.
             let acknowledged = vm.completions_up_to(*ack);
-            let result = if vm.connected {
+            let result = if vm.connected && !is_silent {
                 vm.report(now, *epoch, *deadline_ms, *ack)
             } else {
                 Err(OrderError::NoAnswer("no answer".into()))
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -109,6 +109,8 @@
     pub vms: BTreeMap<Box<str>, SimVm>,
     /// Number of the next runs that fail, by task.
     pub remaining_failures: BTreeMap<TaskName, u32>,
+    /// VMs that neither carry out nor answer anything, as if they were cut off.
+    pub silent_vms: BTreeSet<Box<str>>,
     /// VMs whose answers to start orders are lost.
     pub lost_start_answers: BTreeSet<Box<str>>,
     /// Number of the next stop orders that are lost.
@@ -211,6 +213,7 @@
             now: Now::ZERO,
             vms: vms.collect(),
             remaining_failures: BTreeMap::new(),
+            silent_vms: BTreeSet::new(),
             lost_start_answers: BTreeSet::new(),
             lost_stops: 0,
             table_up: true,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod partial_outage;
 mod relay;
+mod silent_vms;
 mod slow_link;
 mod status;
 mod table;
