--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -9,6 +9,9 @@
 use crate::core::model::ServiceId;
 use crate::core::model::TeamId;
 
+/// Priority of the queues that go before all others.
+pub const HIGHEST_PRIORITY: u32 = 0;
+
 /// Name of a queue.
 pub type QueueId = Box<str>;
 
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -10,6 +10,7 @@
 use crate::core::model::Now;
 use crate::core::model::VmId;
 use crate::core::workload::catalog::AdviceTiming;
+use crate::core::workload::catalog::HIGHEST_PRIORITY;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::AdviceQuery;
@@ -17,6 +18,7 @@
 use crate::core::workload::placer::rounds::round::Pool;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::policy::forwarders::shared_forwarders;
 use crate::core::workload::submission::Step;
 
 /// Fraction of a ticket's validity period in which the ticket is used, so that the start order
@@ -116,12 +118,20 @@
 
 impl AdviceForwarders {
     /// Returns the daemon with the fewest queries in flight and its address, or `None` if all
-    /// daemons are at their limit or paused after a failure.
+    /// daemons are at their limit or paused after a failure. The last free ones are reserved for
+    /// queues of the highest priority.
     pub fn least_busy(
         &self,
         cx: &Cx,
         heartbeats: &HeartbeatMonitor,
+        priority: u32,
     ) -> Option<(Option<DaemonId>, Option<Box<str>>)> {
+        if priority > HIGHEST_PRIORITY && reserves_forwarders(cx) {
+            let forwarders = heartbeats.addresses.len().max(1);
+            if self.busy_count() >= shared_forwarders(forwarders) {
+                return None;
+            }
+        }
         let limit = cx.options.vms.advice_per_daemon;
         let paused = |id: &DaemonId| {
             self.paused_until
@@ -146,6 +156,11 @@
             .map(|(_, forwarder)| forwarder)
     }
 
+    /// Returns the number of daemons with a query in flight.
+    fn busy_count(&self) -> usize {
+        self.in_flight.values().filter(|&&busy| busy > 0).count()
+    }
+
     /// Sends an advice query for a step through a daemon.
     pub fn send(
         &mut self,
@@ -186,3 +201,9 @@
         }
     }
 }
+
+/// Returns whether a queue of the highest priority needs advice.
+fn reserves_forwarders(cx: &Cx) -> bool {
+    let mut queues = cx.catalog.iter().flat_map(|catalog| &catalog.queues);
+    queues.any(|queue| queue.priority == HIGHEST_PRIORITY && queue.advice.is_some())
+}
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -250,7 +250,8 @@
         spec: &Step,
         service: &ServiceId,
     ) -> bool {
-        let Some(step) = self.registry.step(key) else {
+        let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
+        else {
             return false;
         };
         let pool = round.pool(service, || self.open_vms(cx, service));
@@ -265,7 +266,7 @@
         }
         let needed = step.waiting.saturating_sub(approved);
         let has_claim = needed > 0 && pool.claim(spec, needed);
-        has_claim && round.advisor_available && step.advice.can_query(cx.now)
+        has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
     }
 
     /// Returns whether a step has a valid ticket for any VM.
@@ -324,8 +325,9 @@
         let Some(vms) = vms_to_query(cx, spec, step, candidates) else {
             return;
         };
-        let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats) else {
-            round.advisor_available = false;
+        let priority = job.queue.priority;
+        let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats, priority) else {
+            round.record_busy_forwarders(priority);
             return;
         };
         let pool = round.pool(&service, Vec::new);
--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -76,7 +76,8 @@
         open: &[Candidate],
         usable: &[Candidate],
     ) {
-        let Some(step) = self.registry.step(key) else {
+        let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
+        else {
             return;
         };
         let pool = round.pool(service, Vec::new);
@@ -95,7 +96,7 @@
         } else {
             return;
         };
-        if round.advisor_available && step.advice.can_query(cx.now) {
+        if round.may_query(job.queue.priority) && step.advice.can_query(cx.now) {
             self.query_advice(cx, round, key, spec, &asked);
         }
     }
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -6,6 +6,7 @@
 
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
+use crate::core::workload::catalog::HIGHEST_PRIORITY;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -26,14 +27,25 @@
 pub(in crate::core::workload::placer) struct Round<'a> {
     /// Daemons through which advice queries can be sent.
     pub heartbeats: &'a HeartbeatMonitor,
-    /// Whether a daemon may be free for an advice query.
-    pub advisor_available: bool,
+    /// Whether daemons may be free for advice queries.
+    forwarders: Forwarders,
     /// VMs that accept new tasks, by service.
     pools: FxHashMap<ServiceId, Pool>,
     /// Needs that no VM had room for.
     unmet: Vec<Need>,
 }
 
+/// Whether daemons may be free for advice queries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Forwarders {
+    /// For queries of any queue.
+    Free,
+    /// Only those reserved for queues of the highest priority.
+    Reserved,
+    /// None.
+    Busy,
+}
+
 /// VMs of a service that accept new tasks.
 pub(in crate::core::workload::placer) struct Pool {
     /// VMs in ascending order of their keys, with the resources that the round has left so far.
@@ -65,12 +77,31 @@
     pub fn new(heartbeats: &'a HeartbeatMonitor) -> Self {
         Self {
             heartbeats,
-            advisor_available: true,
+            forwarders: Forwarders::Free,
             pools: FxHashMap::default(),
             unmet: Vec::new(),
         }
     }
 
+    /// Returns whether a daemon may be free for a query of a queue of this priority.
+    pub fn may_query(&self, priority: u32) -> bool {
+        match self.forwarders {
+            Forwarders::Free => true,
+            Forwarders::Reserved => priority == HIGHEST_PRIORITY,
+            Forwarders::Busy => false,
+        }
+    }
+
+    /// Records that no daemon is free for a query of a queue of this priority.
+    pub fn record_busy_forwarders(&mut self, priority: u32) {
+        let left = if priority == HIGHEST_PRIORITY {
+            Forwarders::Busy
+        } else {
+            Forwarders::Reserved
+        };
+        self.forwarders = self.forwarders.max(left);
+    }
+
     /// Returns the pool of a service; lists its VMs by `list` if this is the first use of it.
     pub fn pool(
         &mut self,
