Preempt runs with checkpoints for tasks of urgent queues

Tasks of the queue with the highest priority wait behind running tasks of other queues, which are never stopped.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -36,8 +36,8 @@
     pub path_prefix: Box<str>,
     /// VM pool that runs the queue's tasks.
     pub service: ServiceId,
-    /// Priority; zero is the highest. It only orders the placement of waiting tasks: running tasks
-    /// are not preempted.
+    /// Priority; zero is the highest. It orders the placement of waiting tasks. Tasks of a queue of
+    /// priority zero may also preempt running tasks of other queues that resume from a checkpoint.
     pub priority: u32,
     /// Number of failed runs of a task after which its job fails.
     pub max_attempts: u32,
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -212,6 +212,20 @@
     CommitFailed { purpose: Box<str>, reason: Box<str> },
     /// A read for the placer role failed. It is retried, or the role is not acquired yet.
     ReadFailed { purpose: Box<str>, reason: Box<str> },
+    /// A run was chosen to be stopped to make room for the job `claimant` of an urgent queue.
+    /// `lost_core_ms` is the CPU time reserved since the start of the run.
+    Preempted {
+        id: JobId,
+        task: Box<str>,
+        run: RunNumber,
+        vm: VmId,
+        claimant: JobId,
+        queue: QueueId,
+        slack_ms: u64,
+        lost_core_ms: u64,
+    },
+    /// Runs of queues other than these may be preempted, or none if there are none here.
+    PreemptionChanged { urgent: Box<[QueueId]> },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -12,6 +12,7 @@
 pub(super) use storage::load::LoadedRows;
 pub(super) use storage::load::RoleGrant;
 
+use super::catalog::QueueId;
 use super::cx::Cx;
 use super::cx::earliest;
 use super::cx::millis;
@@ -84,6 +85,10 @@
     vm_scans: u64,
     /// Number of placement rounds.
     rounds: u64,
+    /// Number of runs that were stopped for urgent tasks.
+    preempted_runs: u64,
+    /// Urgent queues that may preempt runs of others.
+    preempting_queues: Box<[QueueId]>,
     release: Release,
     hand_over: storage::hand_over::HandOver,
 }
@@ -125,6 +130,7 @@
             vms: self.fleet.vms.len() as u64,
             vm_scans: self.vm_scans,
             rounds: self.rounds,
+            preempted_runs: self.preempted_runs,
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -310,11 +310,7 @@
 impl Vm {
     /// Returns whether the VM has or may have runs that are being stopped or are to be stopped.
     fn may_have_stopping_runs(&self, now: Now) -> bool {
-        let is_stopping = |run: &Run| {
-            let phase = run.phase;
-            matches!(phase, Phase::StopPending(_) | Phase::Stopping { .. })
-        };
         let may_be_unreported = self.inherits_stops || now < self.capacity_uncertain_until;
-        may_be_unreported || !self.unexpected_runs.is_empty() || self.runs.values().any(is_stopping)
+        may_be_unreported || !self.unexpected_runs.is_empty() || self.runs.values().any(Run::is_stopping)
     }
 }
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::cx::Cx;
@@ -37,6 +38,8 @@
     pub free: Resources,
     /// Resources that runs do not use that last until they are cancelled.
     pub drained: Resources,
+    /// Whether only urgent tasks may be placed, as runs are stopped for them.
+    pub preempted: bool,
     capacity: Resources,
     /// CPU demand of the fillers on the VM, in millicores.
     filler_cpu_milli: u32,
@@ -72,7 +75,7 @@
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
         let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
         let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
-        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm)))
+        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm), cx.now))
             .collect()
     }
 
@@ -83,7 +86,7 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        self.fitting(pool.vms().iter().cloned(), key, spec)
+        self.fitting(self.visible_vms(pool, key).cloned(), key, spec)
     }
 
     /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
@@ -94,14 +97,26 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let drained = pool.vms().iter().cloned().map(|mut vm| {
+        let drained = self.visible_vms(pool, key).cloned().map(|mut vm| {
             vm.free = vm.drained;
             vm
         });
         self.fitting(drained, key, spec)
     }
 
-    fn fitting(
+    /// Returns the VMs of a pool on which tasks of a step may be placed.
+    fn visible_vms<'a>(
+        &self,
+        pool: &'a Pool,
+        key: StepKey,
+    ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
+        let is_urgent = self.is_urgent(key);
+        let vms = pool.vms().iter();
+        vms.filter(move |vm| is_urgent || !vm.preempted)
+    }
+
+    /// Returns those VMs on which tasks of a step fit.
+    pub(in crate::core::workload::placer) fn fitting(
         &self,
         vms: impl Iterator<Item = Candidate>,
         key: StepKey,
@@ -139,11 +154,12 @@
 }
 
 impl Candidate {
-    fn new(key: VmKey, vm: &Vm, slowness: f64) -> Self {
+    fn new(key: VmKey, vm: &Vm, slowness: f64, now: Now) -> Self {
         Self {
             vm: key,
             free: vm.free(),
             drained: vm.capacity.minus(&vm.lasting),
+            preempted: now < vm.preempted_until,
             capacity: vm.capacity,
             filler_cpu_milli: vm.filler_cpu_milli,
             has_latency_tasks: vm.latency_tasks > 0,
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -67,18 +67,25 @@
             return;
         }
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
+        let preemption_enabled = self.is_preemption_enabled(cx);
         let mut round = Round::new(heartbeats);
         let mut over_share = Vec::new();
-        for (_, key) in steps {
+        for (rank, key) in steps {
             if self.is_over_share(&shares, key) {
                 over_share.push(key);
-            } else {
-                self.place_step(cx, &mut round, key);
+                continue;
+            }
+            let may_preempt = preemption_enabled && self.may_preempt(rank, key);
+            self.place_step(cx, &mut round, key, may_preempt);
+            if may_preempt {
+                self.claim_preemption(cx, &mut round, &shares, key);
             }
         }
         for key in over_share {
-            self.place_step(cx, &mut round, key);
+            self.place_step(cx, &mut round, key, false);
         }
+        self.preempt(cx, &round);
+        self.release_preempted_vms(cx);
         self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
     }
 
@@ -191,7 +198,9 @@
         list
     }
 
-    fn place_step(&mut self, cx: &mut Cx, round: &mut Round, key: StepKey) {
+    /// Starts waiting tasks of a step on the VMs that have room; asks for the advice that it needs,
+    /// also on VMs whose runs may be stopped for it if it may preempt.
+    fn place_step(&mut self, cx: &mut Cx, round: &mut Round, key: StepKey, may_preempt: bool) {
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return;
         };
@@ -205,11 +214,12 @@
         if spec.traits.gang {
             return self.place_gang(cx, round, key, spec, &service, is_advised);
         }
-        if round.is_unmet(&service, spec) {
+        let is_unmet = round.is_unmet(&service, spec);
+        if is_unmet && !(may_preempt && is_advised) {
             return;
         }
-        let asks = is_advised && self.may_ask(cx, round, key, spec, &service);
-        if is_advised && !asks && !self.has_ticket(cx, key) {
+        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, may_preempt);
+        if !asks && (is_unmet || is_advised && !self.has_ticket(cx, key)) {
             return;
         }
         self.vm_scans += 1;
@@ -218,7 +228,10 @@
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
         }
-        if asks {
+        if asks && may_preempt && self.lacks_room(key, spec, &candidates) {
+            let usable = self.preemptible_candidates(cx, round, key, spec, &service);
+            self.query_advice(cx, round, key, spec, &usable);
+        } else if asks {
             self.query_advice(cx, round, key, spec, &candidates);
         }
         if is_advised {
@@ -249,6 +262,7 @@
         key: StepKey,
         spec: &Step,
         service: &ServiceId,
+        may_preempt: bool,
     ) -> bool {
         let Some(step) = self.registry.step(key) else {
             return false;
@@ -264,10 +278,22 @@
             pool.record_asked(vms);
         }
         let needed = step.waiting.saturating_sub(approved);
-        let has_claim = needed > 0 && pool.claim(spec, needed);
+        let mut has_claim = needed > 0 && pool.claim(spec, needed);
+        if may_preempt && needed > 0 && !has_claim {
+            has_claim = self.claim_preemptible_room(cx, round, service, spec, needed);
+        }
         has_claim && round.advisor_available && step.advice.can_query(cx.now)
     }
 
+    /// Returns whether the candidates have too little room for all waiting tasks of a step.
+    fn lacks_room(&self, key: StepKey, spec: &Step, candidates: &[Candidate]) -> bool {
+        let room = candidates.iter().fold(0_u32, |sum, candidate| {
+            sum.saturating_add(candidate.max_tasks(spec))
+        });
+        let step = self.registry.step(key);
+        step.is_some_and(|step| room < step.waiting)
+    }
+
     /// Returns whether a step has a valid ticket for any VM.
     fn has_ticket(&self, cx: &Cx, key: StepKey) -> bool {
         let step = self.registry.step(key);
--- a/src/core/workload/placer/rounds/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -20,11 +20,7 @@
     /// Returns the rank of the job's steps at a wall time since the Unix epoch.
     pub(in crate::core::workload::placer) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
         let objective = self.objective();
-        let timeliness = if self.submission.is_long_running() {
-            Timeliness::OnTime
-        } else {
-            self.timeliness(objective, unix_time)
-        };
+        let timeliness = self.timeliness(unix_time);
         (
             self.queue.priority,
             timeliness,
@@ -34,9 +30,18 @@
     }
 
     /// Returns whether the job can still be of use to its caller, at a wall time since the Unix epoch.
-    fn timeliness(&self, objective: Duration, unix_time: Duration) -> Timeliness {
+    pub(in crate::core::workload::placer) fn timeliness(&self, unix_time: Duration) -> Timeliness {
+        if self.submission.is_long_running() {
+            return Timeliness::OnTime;
+        }
+        let age = unix_time.saturating_sub(self.accepted_at);
+        Timeliness::new(age, self.remaining_time(), self.objective())
+    }
+
+    /// Returns by how much the job can end before its objective, at a wall time since the Unix epoch.
+    pub(in crate::core::workload::placer) fn slack(&self, unix_time: Duration) -> Duration {
         let age = unix_time.saturating_sub(self.accepted_at);
-        Timeliness::new(age, self.remaining_time(), objective)
+        self.objective().saturating_sub(age + self.remaining_time())
     }
 
     /// Returns the estimated length of the critical path through the steps that are not done, in
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -3,11 +3,13 @@
 //! heartbeat is sent.
 
 use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::preempt::PreemptionRound;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::Step;
 
@@ -32,14 +34,16 @@
     pools: FxHashMap<ServiceId, Pool>,
     /// Needs that no VM had room for.
     unmet: Vec<Need>,
+    /// Urgent tasks that found no room, and the runs that may be stopped for them.
+    pub preemption: PreemptionRound,
 }
 
 /// VMs of a service that accept new tasks.
 pub(in crate::core::workload::placer) struct Pool {
     /// VMs in ascending order of their keys, with the resources that the round has left so far.
     vms: Vec<Candidate>,
-    /// Number of VMs held for gangs.
-    held: usize,
+    /// VMs held for gangs.
+    held: FxHashSet<VmKey>,
     /// Sum of the free resources at the start of the round, times [`CLAIM_FACTOR`], less what
     /// steps that wait for advice may use.
     unclaimed: Claimable,
@@ -47,7 +51,7 @@
 
 /// Resources that steps may claim, in the units of [`Resources`].
 #[derive(Clone, Copy, Debug, Default)]
-struct Claimable {
+pub(in crate::core::workload::placer) struct Claimable {
     cpu_milli: u64,
     mem_mib: u64,
     accel: u64,
@@ -68,6 +72,7 @@
             advisor_available: true,
             pools: FxHashMap::default(),
             unmet: Vec::new(),
+            preemption: PreemptionRound::default(),
         }
     }
 
@@ -82,6 +87,11 @@
             .or_insert_with(|| Pool::new(list()))
     }
 
+    /// Returns the pool of a service if it was used before.
+    pub fn known_pool(&self, service: &ServiceId) -> Option<&Pool> {
+        self.pools.get(service)
+    }
+
     /// Records that no VM has room for a task of a step. During a round, room only decreases.
     pub fn record_unmet(&mut self, service: &ServiceId, spec: &Step) {
         let need = Need {
@@ -109,11 +119,11 @@
     fn new(vms: Vec<Candidate>) -> Self {
         let mut unclaimed = Claimable::default();
         for vm in &vms {
-            unclaimed.add(&vm.free, CLAIM_FACTOR);
+            unclaimed.add_room(&vm.free);
         }
         Self {
             vms,
-            held: 0,
+            held: FxHashSet::default(),
             unclaimed,
         }
     }
@@ -129,6 +139,12 @@
         &self.vms
     }
 
+    /// Returns the VMs that are not held for a gang.
+    pub fn vms_without_gang(&self) -> impl Iterator<Item = &Candidate> {
+        let vms = self.vms.iter();
+        vms.filter(|candidate| !self.held.contains(&candidate.vm))
+    }
+
     /// Reserves the resources of a task that the round places on a VM.
     pub fn reserve(&mut self, vm: VmKey, spec: &Step) {
         if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
@@ -146,15 +162,15 @@
     /// Holds VMs for a gang: the round has no room left on them. Does nothing if too many VMs would
     /// be held.
     pub fn hold(&mut self, vms: &[VmKey]) {
-        let divisor = if self.held == 0 {
+        let divisor = if self.held.is_empty() {
             FIRST_HELD_DIVISOR
         } else {
             HELD_DIVISOR
         };
-        if (self.held + vms.len()) * divisor > self.vms.len() {
+        if (self.held.len() + vms.len()) * divisor > self.vms.len() {
             return;
         }
-        self.held += vms.len();
+        self.held.extend(vms);
         for vm in vms {
             if let Ok(ix) = self.vms.binary_search_by_key(vm, |candidate| candidate.vm) {
                 self.vms[ix].free = Resources::ZERO;
@@ -178,14 +194,24 @@
     /// Steps behind those that will use all room would ask in vain: their tickets would expire
     /// before the VMs have room again.
     pub fn claim(&mut self, spec: &Step, tasks: u32) -> bool {
-        let reservation = spec.reservation();
-        let is_left = self.unclaimed.holds(&reservation);
-        self.unclaimed.subtract(&reservation, tasks.into());
-        is_left
+        self.unclaimed.claim(spec, tasks)
     }
 }
 
 impl Claimable {
+    /// Adds what steps that wait for advice may claim of an amount of room.
+    pub fn add_room(&mut self, room: &Resources) {
+        self.add(room, CLAIM_FACTOR);
+    }
+
+    /// Claims room for `tasks` tasks of a step. Returns whether room was left for one.
+    pub fn claim(&mut self, spec: &Step, tasks: u32) -> bool {
+        let reservation = spec.reservation();
+        let is_left = self.holds(&reservation);
+        self.subtract(&reservation, tasks.into());
+        is_left
+    }
+
     fn add(&mut self, amount: &Resources, factor: u64) {
         self.cpu_milli += u64::from(amount.cpu_milli) * factor;
         self.mem_mib += u64::from(amount.mem_mib) * factor;
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -108,6 +108,8 @@
     pub last_answer_at: Now,
     /// Time before which no tasks are placed, after a start failed or several jobs failed in a row.
     pub avoid_until: Now,
+    /// Time until which only urgent tasks are placed, as runs are stopped for them.
+    pub preempted_until: Now,
     /// Slowness estimate from runs on this VM.
     pub slowness: SlownessEstimate,
     /// Consecutive failures, counted once for successive failures of the same job.
@@ -262,6 +264,7 @@
             renewal: RenewalState::default(),
             last_answer_at: now,
             avoid_until: Now::ZERO,
+            preempted_until: Now::ZERO,
             slowness: SlownessEstimate::default(),
             failure_streak: 0,
             last_failed_job: None,
@@ -332,6 +335,12 @@
         u32::try_from(runs.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the resources of the runs that are being stopped or are to be stopped.
+    pub fn freeing(&self) -> Resources {
+        let stopping = self.runs.values().filter(|run| run.is_stopping());
+        stopping.fold(Resources::ZERO, |sum, run| sum.plus(&run.reservation))
+    }
+
     /// Returns whether the VM has left: not listed, silent for longer than `silence`, and without
     /// runs.
     pub fn is_gone(&self, now: Now, silence: Duration) -> bool {
@@ -388,11 +397,22 @@
         self.inherits_stops = false;
         self.inherited_stops_until = Now::ZERO;
         self.unexpected_runs.clear();
+        self.preempted_until = Now::ZERO;
         self.processed_seq = 0;
         self.stored_seq = 0;
     }
 }
 
+impl Run {
+    /// Returns whether the run is being stopped or is to be stopped.
+    pub fn is_stopping(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::StopPending(_) | Phase::Stopping { .. }
+        )
+    }
+}
+
 impl ClockReading {
     /// Returns the lowest time that the clock can show at `now`, in milliseconds.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -113,6 +113,8 @@
             last_round_at: Now::ZERO,
             vm_scans: 0,
             rounds: 0,
+            preempted_runs: 0,
+            preempting_queues: Box::default(),
             release: Release::NotRequested,
             hand_over: HandOver::new(cx, former.released),
         };
--- a/src/core/workload/policy/shares.rs
+++ b/src/core/workload/policy/shares.rs
@@ -32,11 +32,12 @@
         }
     }
 
-    /// Returns whether `used` reaches or exceeds the team's share.
+    /// Returns whether `used` reaches or exceeds the team's share. A team that shares the capacity
+    /// with no other team never does.
     #[must_use]
     pub fn is_exhausted(&self, team: &TeamId, used: &Resources) -> bool {
         let fraction = self.fractions.get(team).copied().unwrap_or(1.0);
-        dominant_share(used, &self.capacity) >= fraction
+        fraction < 1.0 && dominant_share(used, &self.capacity) >= fraction
     }
 }
 
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -37,6 +37,8 @@
     pub vm_scans: u64,
     /// Number of placement rounds since the role was granted.
     pub rounds: u64,
+    /// Number of runs that were stopped for urgent tasks since the role was granted.
+    pub preempted_runs: u64,
     /// Number of VMs that accept new tasks.
     pub usable_vms: u64,
     /// Total capacity of the usable VMs.
