--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -311,6 +311,8 @@
     /// Returns whether the VM has or may have runs that are being stopped or are to be stopped.
     fn may_have_stopping_runs(&self, now: Now) -> bool {
         let may_be_unreported = self.inherits_stops || now < self.capacity_uncertain_until;
-        may_be_unreported || !self.unexpected_runs.is_empty() || self.runs.values().any(Run::is_stopping)
+        may_be_unreported
+            || !self.unexpected_runs.is_empty()
+            || self.runs.values().any(Run::is_stopping)
     }
 }
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -88,7 +88,10 @@
     /// Returns whether the configuration has an urgent queue and one with a lower priority. Logs a
     /// change of the queues that may preempt others.
     pub(in crate::core::workload::placer) fn is_preemption_enabled(&mut self, cx: &mut Cx) -> bool {
-        let queues = cx.catalog.map(|catalog| preempting_queues(catalog)).unwrap_or_default();
+        let queues = cx
+            .catalog
+            .map(|catalog| preempting_queues(catalog))
+            .unwrap_or_default();
         if queues != self.preempting_queues {
             self.preempting_queues = queues;
             cx.log(Decision::PreemptionChanged {
@@ -193,12 +196,17 @@
         if tasks == 0 || sites.is_empty() {
             return;
         }
-        round.preemption.add(&service, team, spec, StepClaim {
-            step: key,
-            reservation: spec.reservation(),
-            tasks,
-            sites,
-        });
+        round.preemption.add(
+            &service,
+            team,
+            spec,
+            StepClaim {
+                step: key,
+                reservation: spec.reservation(),
+                tasks,
+                sites,
+            },
+        );
     }
 
     /// Returns how many of the waiting tasks of a step the cap and the fair share of its team allow,
@@ -334,12 +342,13 @@
         jobs: &mut FxHashMap<JobKey, (Timeliness, Duration)>,
     ) -> PreemptibleVm {
         let views = vm.runs.iter();
-        let views = views.filter_map(|(&task, run)| Some((task, self.run_view(cx, task, run, jobs)?)));
+        let views =
+            views.filter_map(|(&task, run)| Some((task, self.run_view(cx, task, run, jobs)?)));
         let mut runs: Vec<(TaskKey, RunView)> = views.collect();
         runs.sort_unstable_by_key(|(task, _)| *task);
-        let stoppable = runs.iter().fold(Resources::ZERO, |sum, (_, run)| {
-            sum.plus(&run.reservation)
-        });
+        let stoppable = runs
+            .iter()
+            .fold(Resources::ZERO, |sum, (_, run)| sum.plus(&run.reservation));
         PreemptibleVm {
             runs,
             stoppable,
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -406,10 +406,7 @@
 impl Run {
     /// Returns whether the run is being stopped or is to be stopped.
     pub fn is_stopping(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::StopPending(_) | Phase::Stopping { .. }
-        )
+        matches!(self.phase, Phase::StopPending(_) | Phase::Stopping { .. })
     }
 }
 
--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -141,11 +141,7 @@
     let mut victims = Vec::new();
     for (ix, claim) in claims.iter().enumerate() {
         serve(claim, vms, &mut states, &mut budget, |vm, run| {
-            victims.push(Victim {
-                claim: ix,
-                vm,
-                run,
-            });
+            victims.push(Victim { claim: ix, vm, run });
         });
     }
     victims
@@ -243,12 +239,7 @@
 
 impl RunView {
     fn order(&self, ix: usize) -> RunOrder {
-        (
-            Reverse(self.timeliness),
-            Reverse(self.slack),
-            self.age,
-            ix,
-        )
+        (Reverse(self.timeliness), Reverse(self.slack), self.age, ix)
     }
 }
 
--- a/tests/workload/catalog.rs
+++ b/tests/workload/catalog.rs
@@ -1,4 +1,4 @@
-//! Configuration of the simulated cell: one queue and two teams.
+//! Configuration of the simulated cell: a queue, a batch queue for some tests, and two teams.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +15,25 @@
 /// API key of another team with the same weight.
 pub(crate) const OTHER_KEY: &str = "key-of-bakery";
 
+/// Path prefix of the batch queue.
+pub(crate) const BATCH_PATH: &str = "/batch/";
+
+/// Returns a queue on the same VMs, for work that nobody waits for within seconds.
+pub(crate) fn batch_queue(priority: u32) -> Queue {
+    Queue {
+        name: "batch".into(),
+        host: "labels.example".into(),
+        path_prefix: BATCH_PATH.into(),
+        service: "pool".into(),
+        priority,
+        max_attempts: 2,
+        stretch: 3.0,
+        target: Duration::from_secs(1),
+        advice: None,
+        public: false,
+    }
+}
+
 /// Returns the configuration; `cap` applies to each team, `advice` to the queue.
 pub(crate) fn catalog(cap: Resources, advice: Option<AdviceTiming>) -> Catalog {
     let queue = Queue {
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -1,5 +1,6 @@
 //! Handling of the daemons' requests by the simulated table and VMs, with injected faults.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
@@ -30,8 +31,10 @@
 use super::link::MAX_TRANSFER;
 use super::link::timed_out;
 use super::link::transfer_limit;
+use crate::catalog::batch_queue;
 use crate::catalog::catalog;
 use crate::vm::SimVm;
+use crate::vm::done_ms;
 
 impl Harness {
     /// Handles a request of a daemon: answers it or keeps it until it can be answered.
@@ -128,11 +131,12 @@
         }
     }
 
-    /// Answers an advice query after the time that the service takes; all VMs are approved.
+    /// Answers an advice query after the time that the service takes; rejects some VMs.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
         let count = u32::try_from(query.vms.len()).expect("few VMs");
-        let approved = query.vms.iter().map(|vm| AdvisedVm {
+        let is_approved = |vm: &&Box<str>| !self.unadvised_vms.contains(*vm);
+        let approved = query.vms.iter().filter(is_approved).map(|vm| AdvisedVm {
             vm: vm.clone(),
             ticket: "ticket".into(),
         });
@@ -206,7 +210,8 @@
                     return Answer::Started(start.order, Err(StartError::Order(no_answer())));
                 }
                 let step = self.submissions[&name.job].steps[usize::from(name.step)].clone();
-                let own_end = self.run_end(&name, &step, self.vms[&id].slowdown);
+                let slowdown = self.vms[&id].slowdown;
+                let own_end = self.run_end(&name, &step, &start.checkpoint, slowdown);
                 let vm = self.vms.get_mut(&id).expect("a known VM");
                 let result = vm.start(self.now, &start, &step, own_end);
                 if result.is_ok() {
@@ -245,9 +250,11 @@
         &mut self,
         name: &TaskName,
         step: &Step,
+        checkpoint: &str,
         slowdown: u32,
     ) -> Option<(Now, RunOutcome)> {
-        let ends_at = self.now + Duration::from_millis(step.estimate_ms) * slowdown;
+        let left_ms = step.estimate_ms.saturating_sub(done_ms(checkpoint));
+        let ends_at = self.now + Duration::from_millis(left_ms) * slowdown;
         if let Some(remaining) = self.remaining_failures.get_mut(name)
             && *remaining > 0
         {
@@ -343,6 +350,10 @@
             Feed::Config if after == 0 => {
                 let mut catalog = catalog(self.cap, self.advice);
                 catalog.version = self.config_version;
+                Rc::make_mut(&mut catalog.queues[0]).priority = self.priority;
+                if let Some(priority) = self.batch_priority {
+                    catalog.queues.push(Rc::new(batch_queue(priority)));
+                }
                 return vec![FeedRow::Config(Box::new(catalog))];
             }
             Feed::Vms if after == 0 => {
--- a/tests/workload/harness/callers.rs
+++ b/tests/workload/harness/callers.rs
@@ -12,6 +12,7 @@
 use ragwortstall::core::workload::submission::Submission;
 
 use super::Harness;
+use crate::catalog::BATCH_PATH;
 use crate::catalog::KEY;
 
 /// Call that a daemon has passed on to another one.
@@ -41,6 +42,13 @@
         self.call_as(key, daemon, id, Action::Submit(Ok(job)))
     }
 
+    /// Submits a job to the batch queue and returns the reply.
+    pub(crate) fn submit_batch(&mut self, daemon: usize, id: &str, job: Submission) -> Reply {
+        self.submissions.insert(id.into(), job.clone());
+        let path = format!("{BATCH_PATH}{id}");
+        self.call_path(KEY, daemon, &path, Action::Submit(Ok(job)))
+    }
+
     /// Returns the state of a job as reported by a daemon.
     pub(crate) fn state(&mut self, daemon: usize, id: &str) -> Option<JobState> {
         match self.call(daemon, id, Action::Get) {
@@ -56,11 +64,15 @@
 
     /// Sends a call with an API key and returns its reply.
     pub(crate) fn call_as(&mut self, key: &str, daemon: usize, id: &str, action: Action) -> Reply {
+        self.call_path(key, daemon, &format!("/jobs/{id}"), action)
+    }
+
+    fn call_path(&mut self, key: &str, daemon: usize, path: &str, action: Action) -> Reply {
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         let call = Call {
             host: "labels.example".into(),
-            path: format!("/jobs/{id}").into(),
+            path: path.into(),
             key: Some(key.into()),
             action,
             relayed_with: None,
@@ -72,7 +84,7 @@
             }
             self.run_for(1);
         }
-        panic!("no reply to a call for job {id} within 3 s");
+        panic!("no reply to a call of {path} within 3 s");
     }
 
     /// Sends a submission without waiting for its reply.
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -123,6 +123,12 @@
     pub config_version: u64,
     /// Advice on the queue, for daemons that start from now on.
     pub advice: Option<AdviceTiming>,
+    /// VMs that the advice service rejects.
+    pub unadvised_vms: BTreeSet<Box<str>>,
+    /// Priority of the queue, for daemons that start from now on.
+    pub priority: u32,
+    /// Priority of the batch queue, for daemons that start from now on; `None` without that queue.
+    pub batch_priority: Option<u32>,
     /// Additional latency of each read of the table.
     pub table_latency: Duration,
     /// Time until which the table refuses all commits.
@@ -218,6 +224,9 @@
             cap: Resources::ZERO,
             config_version: 1,
             advice: None,
+            unadvised_vms: BTreeSet::new(),
+            priority: 0,
+            batch_priority: None,
             table_latency: Duration::ZERO,
             commits_refused_until: Now::ZERO,
             table_silent_until: Now::ZERO,
@@ -275,14 +284,20 @@
     pub(crate) fn with_advice(daemons: usize, vms: usize, advice: Option<AdviceTiming>) -> Self {
         let mut harness = Self::new(daemons, vms);
         harness.advice = advice;
-        for daemon in 0..daemons {
-            harness.kill(daemon);
-            harness.restart(daemon);
-        }
-        harness.run_for(3_000);
+        harness.restart_all();
         harness
     }
 
+    /// Restarts all daemons' processes, so that they read a changed configuration, and runs the cell
+    /// until it has started.
+    pub(crate) fn restart_all(&mut self) {
+        for daemon in 0..self.daemons.len() {
+            self.kill(daemon);
+            self.restart(daemon);
+        }
+        self.run_for(3_000);
+    }
+
     /// Advances the simulation by `millis` milliseconds.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -11,6 +11,7 @@
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::event::VmRow;
 use ragwortstall::core::workload::submission::Step;
+use ragwortstall::core::workload::task::Checkpoint;
 use ragwortstall::core::workload::task::EndedTask;
 use ragwortstall::core::workload::task::RunNumber;
 use ragwortstall::core::workload::task::RunOutcome;
@@ -59,6 +60,10 @@
 pub(crate) struct SimRun {
     pub number: RunNumber,
     pub step: Step,
+    /// When the run started.
+    started_at: Now,
+    /// Part of the task that earlier runs have done, in milliseconds.
+    resumed_ms: u64,
     /// When and how the run ends by itself; `None` if it lasts until it is stopped.
     own_end: Option<(Now, RunOutcome)>,
     /// When a stop was requested.
@@ -127,7 +132,8 @@
                 (_, _, true) => RunOutcome::LeaseExpired,
                 _ => continue,
             };
-            self.finish(&name, run.number, outcome);
+            let checkpoint = run.checkpoint(now, outcome);
+            self.finish(&name, run.number, outcome, checkpoint);
         }
     }
 
@@ -212,6 +218,8 @@
         let run = SimRun {
             number,
             step: step.clone(),
+            started_at: now,
+            resumed_ms: done_ms(&order.checkpoint),
             own_end,
             stopped_at: None,
         };
@@ -251,7 +259,13 @@
         Ok(())
     }
 
-    fn finish(&mut self, name: &TaskName, run: RunNumber, outcome: RunOutcome) {
+    fn finish(
+        &mut self,
+        name: &TaskName,
+        run: RunNumber,
+        outcome: RunOutcome,
+        checkpoint: Checkpoint,
+    ) {
         self.runs.remove(name);
         let highest_runs = self.highest_runs.entry(name.clone()).or_default();
         *highest_runs = (*highest_runs).max(run);
@@ -261,7 +275,7 @@
             task: name.clone(),
             run,
             outcome,
-            checkpoint: "".into(),
+            checkpoint,
         });
     }
 
@@ -290,6 +304,23 @@
     }
 }
 
+impl SimRun {
+    /// Returns the checkpoint that the run saves while it is being stopped.
+    fn checkpoint(&self, now: Now, outcome: RunOutcome) -> Checkpoint {
+        if !self.step.traits.checkpointing || outcome != RunOutcome::Stopped {
+            return "".into();
+        }
+        let stopped_at = self.stopped_at.unwrap_or(now);
+        let done_ms = self.resumed_ms + ms(stopped_at.saturating_sub(self.started_at));
+        done_ms.to_string().into()
+    }
+}
+
+/// Returns the part of a task that its runs up to a checkpoint have done, in milliseconds.
+pub(crate) fn done_ms(checkpoint: &str) -> u64 {
+    checkpoint.parse().unwrap_or(0)
+}
+
 fn ms(now: Now) -> u64 {
     u64::try_from(now.as_millis()).expect("short runs")
 }
