Count room that only lacks advice against what urgent tasks claim

A step with tickets for full VMs had runs stopped there although other VMs with free room were only waiting for advice. Such room now counts first, without stops on these VMs. Steps whose tickets suffice no longer search for VMs to ask about.

--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -38,8 +38,7 @@
     pub free: Resources,
     /// Resources that runs do not use that last until they are cancelled.
     pub drained: Resources,
-    /// Whether only urgent tasks may be placed, as runs are stopped for them.
-    pub preempted: bool,
+    pub open_to: OpenTo,
     capacity: Resources,
     /// CPU demand of the fillers on the VM, in millicores.
     filler_cpu_milli: u32,
@@ -58,6 +57,14 @@
     pub rack: Rc<str>,
 }
 
+/// Tasks that may be placed on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum OpenTo {
+    AllTasks,
+    /// Tasks of urgent queues, as runs are stopped for them.
+    UrgentTasks,
+}
+
 /// VMs on which tasks of a step may be placed, with the placement cost of each.
 pub(in crate::core::workload::placer) struct CandidateList<'a> {
     spec: &'a Step,
@@ -112,7 +119,7 @@
     ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
         let is_urgent = self.is_urgent(key);
         let vms = pool.vms().iter();
-        vms.filter(move |vm| is_urgent || !vm.preempted)
+        vms.filter(move |vm| is_urgent || vm.open_to == OpenTo::AllTasks)
     }
 
     /// Returns those VMs on which tasks of a step fit.
@@ -153,13 +160,23 @@
     }
 }
 
+impl OpenTo {
+    fn new(vm: &Vm, now: Now) -> Self {
+        if now < vm.preempted_until {
+            Self::UrgentTasks
+        } else {
+            Self::AllTasks
+        }
+    }
+}
+
 impl Candidate {
     fn new(key: VmKey, vm: &Vm, slowness: f64, now: Now) -> Self {
         Self {
             vm: key,
             free: vm.free(),
             drained: vm.capacity.minus(&vm.lasting),
-            preempted: now < vm.preempted_until,
+            open_to: OpenTo::new(vm, now),
             capacity: vm.capacity,
             filler_cpu_milli: vm.filler_cpu_milli,
             has_latency_tasks: vm.latency_tasks > 0,
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -222,14 +222,18 @@
         if !asks && (is_unmet || is_advised && !self.has_ticket(cx, key)) {
             return;
         }
-        self.vm_scans += 1;
-        let pool = round.pool(&service, || self.open_vms(cx, &service));
-        let mut candidates = self.candidates(pool, key, spec);
+        let mut candidates = Vec::new();
+        if !is_unmet {
+            self.vm_scans += 1;
+            let pool = round.pool(&service, || self.open_vms(cx, &service));
+            candidates = self.candidates(pool, key, spec);
+        }
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
         }
         if asks && may_preempt && self.lacks_room(key, spec, &candidates) {
-            let usable = self.preemptible_candidates(cx, round, key, spec, &service);
+            let usable =
+                self.preemptible_candidates(cx, round, key, spec, &service, |_: &Candidate| true);
             self.query_advice(cx, round, key, spec, &usable);
         } else if asks {
             self.query_advice(cx, round, key, spec, &candidates);
@@ -280,7 +284,7 @@
         let needed = step.waiting.saturating_sub(approved);
         let mut has_claim = needed > 0 && pool.claim(spec, needed);
         if may_preempt && needed > 0 && !has_claim {
-            has_claim = self.claim_preemptible_room(cx, round, service, spec, needed);
+            has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
         }
         has_claim && round.advisor_available && step.advice.can_query(cx.now)
     }
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -28,6 +28,7 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::policy::preemption;
 use crate::core::workload::policy::preemption::Claim;
@@ -80,8 +81,8 @@
     step: StepKey,
     reservation: Resources,
     tasks: u32,
-    /// VMs that may run the step, and how many of its tasks each may run.
-    sites: Vec<(VmKey, u32)>,
+    /// VMs that may run the step.
+    sites: Vec<(VmKey, Site)>,
 }
 
 impl Placer {
@@ -116,18 +117,24 @@
         priority == URGENT_PRIORITY && timeliness != Timeliness::Overdue && !is_gang
     }
 
-    /// Claims room for which a step that may preempt asks for advice. Returns whether room was left
-    /// for a task.
+    /// Claims room for which a step that may preempt asks for advice, if the VMs for which it has
+    /// tickets have too little. Returns whether room was left for a task.
     pub(in crate::core::workload::placer) fn claim_preemptible_room(
         &self,
         cx: &Cx,
         round: &mut Round,
-        service: &ServiceId,
+        key: StepKey,
         spec: &Step,
-        tasks: u32,
+        service: &ServiceId,
     ) -> bool {
+        let Some(step) = self.registry.step(key) else {
+            return false;
+        };
+        self.preemptible(cx, round, service);
+        let approved = round.ticketed_room(step, spec, service, cx.now);
+        let needed = step.waiting.saturating_sub(approved);
         let preemptible = self.preemptible(cx, round, service);
-        preemptible.unclaimed.claim(spec, tasks)
+        needed > 0 && preemptible.unclaimed.claim(spec, needed)
     }
 
     /// Returns the VMs on which tasks of a step would fit once the runs there have ended that may be
@@ -139,25 +146,22 @@
         key: StepKey,
         spec: &Step,
         service: &ServiceId,
+        may_use: impl Fn(&Candidate) -> bool,
     ) -> Vec<Candidate> {
         self.preemptible(cx, round, service);
         let preemptible = &round.preemption.services[service];
         let Some(pool) = round.known_pool(service) else {
             return Vec::new();
         };
-        let vms = pool.vms_without_gang().map(|vm| {
-            let mut vm = vm.clone();
-            if let Some(other) = preemptible.vms.get(&vm.vm) {
-                vm.free = vm.free.plus(&other.stoppable).plus(&other.freeing);
-            }
+        let vms = pool.vms_without_gang().filter(|vm| may_use(vm));
+        let vms = vms.cloned().map(|mut vm| {
+            vm.free = vm.free.plus(&preemptible.room(vm.vm));
             vm
         });
         self.fitting(vms, key, spec)
     }
 
     /// Records the tasks of a step that found no room, as far as its team may still use resources.
-    ///
-    /// A step that needs advice claims only VMs for which it has a valid ticket.
     pub(in crate::core::workload::placer) fn claim_preemption(
         &mut self,
         cx: &Cx,
@@ -180,33 +184,60 @@
         if !preemptible.claimable.holds(&spec.reservation()) {
             return;
         }
-        let tasks = self.claimable_tasks(cx, round, shares, team.as_ref(), spec, waiting);
+        let allowed = self.claimable_tasks(cx, round, shares, team.as_ref(), spec, waiting);
         self.vm_scans += 1;
-        let candidates = self.preemptible_candidates(cx, round, key, spec, &service);
-        let has_ticket = |vm: VmKey| {
-            let step = self.registry.step(key);
-            step.is_some_and(|step| step.advice.ticket(vm, cx.now).is_some())
-        };
-        let sites = candidates
-            .iter()
-            .filter(|candidate| !is_advised || has_ticket(candidate.vm));
-        let sites: Vec<(VmKey, u32)> = sites
-            .map(|candidate| (candidate.vm, candidate.max_tasks(spec)))
-            .collect();
-        if tasks == 0 || sites.is_empty() {
+        let sites = self.claim_sites(cx, round, key, spec, &service, is_advised);
+        let slots = |sum: u32, (_, site): &(VmKey, Site)| sum.saturating_add(site.limit);
+        let tasks = allowed.min(sites.iter().fold(0, slots));
+        if tasks == 0 || !sites.iter().any(|(_, site)| site.may_stop) {
             return;
         }
-        round.preemption.add(
-            &service,
-            team,
-            spec,
-            StepClaim {
-                step: key,
-                reservation: spec.reservation(),
-                tasks,
-                sites,
-            },
-        );
+        let claim = StepClaim {
+            step: key,
+            reservation: spec.reservation(),
+            tasks,
+            sites,
+        };
+        round.preemption.add(&service, team, spec, claim);
+    }
+
+    /// Returns the VMs on which tasks of a step fit once runs there have ended.
+    ///
+    /// A step that needs advice has runs stopped only on VMs for which it has a valid ticket. Room
+    /// that is free now on others counts as well, as it may get tickets for them.
+    fn claim_sites(
+        &self,
+        cx: &Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+        is_advised: bool,
+    ) -> Vec<(VmKey, Site)> {
+        let Some(step) = self.registry.step(key) else {
+            return Vec::new();
+        };
+        let may_stop = |vm| !is_advised || step.advice.ticket(vm, cx.now).is_some();
+        let is_rejected = |vm: VmKey| step.advice.rejected.contains(&vm);
+        let may_use =
+            |vm: &Candidate| may_stop(vm.vm) || vm.has_room_for(spec) && !is_rejected(vm.vm);
+        let vms = self.preemptible_candidates(cx, round, key, spec, service, may_use);
+        let pool = round.pool(service, Vec::new);
+        let sites = vms.iter().enumerate().map(|(ix, vm)| {
+            let may_stop = may_stop(vm.vm);
+            let limit = if may_stop {
+                vm.max_tasks(spec)
+            } else {
+                pool.open_slots(vm.vm, spec)
+            };
+            let site = Site {
+                vm: ix,
+                limit,
+                may_stop,
+            };
+            (vm.vm, site)
+        });
+        sites.collect()
     }
 
     /// Returns how many of the waiting tasks of a step the cap and the fair share of its team allow,
@@ -247,7 +278,8 @@
                 continue;
             };
             let free = pool.vms_without_gang().map(|vm| (vm.vm, vm.free));
-            for (claim, vm, task, run) in preemptible.victims(free.collect()) {
+            let free: Vec<(VmKey, Resources)> = free.collect();
+            for (claim, vm, task, run) in preemptible.victims(&free) {
                 self.preempt_run(cx, claim, vm, task, &run);
             }
         }
@@ -306,7 +338,7 @@
     ) -> &'a mut Preemptible {
         if !round.preemption.services.contains_key(service) {
             let pool = round.pool(service, || self.open_vms(cx, service));
-            let vms: Vec<Candidate> = pool.vms().to_vec();
+            let vms: Vec<VmKey> = pool.vms().iter().map(|vm| vm.vm).collect();
             let preemptible = self.list_preemptible(cx, &vms);
             let services = &mut round.preemption.services;
             services.insert(service.clone(), preemptible);
@@ -315,11 +347,11 @@
         services.entry(service.clone()).or_default()
     }
 
-    fn list_preemptible(&self, cx: &Cx, pool: &[Candidate]) -> Preemptible {
+    fn list_preemptible(&self, cx: &Cx, vms: &[VmKey]) -> Preemptible {
         let mut list = Preemptible::default();
         let mut jobs = FxHashMap::default();
         let (mut capacity, mut freeing) = (Resources::ZERO, Resources::ZERO);
-        for key in pool.iter().map(|candidate| candidate.vm) {
+        for &key in vms {
             let Some(vm) = self.fleet.vms.get(&key) else {
                 continue;
             };
@@ -403,10 +435,40 @@
     }
 }
 
+impl Round<'_> {
+    /// Returns the number of tasks of a step for which the VMs with valid tickets have room without
+    /// the runs that may be stopped.
+    fn ticketed_room(
+        &self,
+        step: &StepProgress,
+        spec: &Step,
+        service: &ServiceId,
+        now: Now,
+    ) -> u32 {
+        let preemptible = self.preemption.services.get(service);
+        let (Some(pool), Some(preemptible)) = (self.known_pool(service), preemptible) else {
+            return 0;
+        };
+        let tickets = step.advice.tickets.iter();
+        let vms = tickets.filter(|(_, ticket)| now < ticket.until);
+        let room = vms.map(|(&vm, _)| {
+            let room = pool.free(vm).plus(&preemptible.room(vm));
+            room.count_of(&spec.reservation())
+        });
+        room.fold(0, u32::saturating_add)
+    }
+}
+
 impl Preemptible {
+    /// Returns the resources of the runs on a VM that may be stopped or are being stopped.
+    fn room(&self, vm: VmKey) -> Resources {
+        let vm = self.vms.get(&vm);
+        vm.map_or(Resources::ZERO, |vm| vm.stoppable.plus(&vm.freeing))
+    }
+
     /// Returns the runs to stop, each with the step that it is stopped for and its VM. `free` has the
     /// resources that the round has left on each VM, in ascending order of the VMs.
-    fn victims(&self, free: Vec<(VmKey, Resources)>) -> Vec<(StepKey, VmKey, TaskKey, RunView)> {
+    fn victims(&self, free: &[(VmKey, Resources)]) -> Vec<(StepKey, VmKey, TaskKey, RunView)> {
         if self.claims.is_empty() {
             return Vec::new();
         }
@@ -422,7 +484,7 @@
             priority: URGENT_PRIORITY,
             reservation: claim.reservation,
             tasks: claim.tasks,
-            sites: claim.sites(&free),
+            sites: claim.sites(free),
         });
         let claims: Vec<Claim> = claims.collect();
         let victims = preemption::choose_victims(&claims, &views, self.budget);
@@ -436,11 +498,11 @@
 }
 
 impl StepClaim {
-    /// Returns the sites by the position of their VM in `vms`.
+    /// Returns the sites with the positions of their VMs in `vms`.
     fn sites(&self, vms: &[(VmKey, Resources)]) -> Vec<Site> {
-        let sites = self.sites.iter().filter_map(|(key, limit)| {
+        let sites = self.sites.iter().filter_map(|(key, site)| {
             let vm = vms.binary_search_by_key(key, |(vm, _)| *vm).ok()?;
-            Some(Site { vm, limit: *limit })
+            Some(Site { vm, ..*site })
         });
         sites.collect()
     }
--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -44,6 +44,8 @@
     pub vm: VmIndex,
     /// Maximum number of tasks of the claim on it.
     pub limit: u32,
+    /// Whether runs there may be stopped for the claim; otherwise only free room is counted.
+    pub may_stop: bool,
 }
 
 /// Resources and runs of a VM.
@@ -206,8 +208,8 @@
         }
         let mut room = self.room;
         let mut chosen: Vec<(RunOrder, usize)> = Vec::new();
-        let lower = |ix: usize| runs[ix].priority > claim.priority;
-        for &(order, ix) in self.remaining.iter().filter(|(_, ix)| lower(*ix)) {
+        let may_stop = |ix: usize| site.may_stop && runs[ix].priority > claim.priority;
+        for &(order, ix) in self.remaining.iter().filter(|(_, ix)| may_stop(*ix)) {
             if room.holds(&claim.reservation) {
                 break;
             }
--- a/tests/policy/preemption.rs
+++ b/tests/policy/preemption.rs
@@ -37,6 +37,7 @@
     let sites = vms.iter().map(|&vm| Site {
         vm,
         limit: u32::MAX,
+        may_stop: true,
     });
     Claim {
         priority: URGENT_PRIORITY,
@@ -150,6 +151,22 @@
     assert_eq!(chosen(&[claim(8, 2, &[0, 1])], &vms).len(), 1);
 }
 
+/// Guards against stops while room is free for which the tasks only lack advice.
+#[test]
+fn free_room_counts_also_where_nothing_may_be_stopped() {
+    let free = VmView {
+        free: Resources {
+            tasks: u32::MAX,
+            ..cores(8)
+        },
+        ..full_vm(&[run(8, Timeliness::Overdue)])
+    };
+    let vms = [free, full_vm(&[run(8, Timeliness::Overdue)])];
+    let mut open = claim(8, 2, &[0, 1]);
+    open.sites[0].may_stop = false;
+    assert_eq!(chosen(&[open], &vms), [(1, 0)]);
+}
+
 /// Guards against room that two claims both count on.
 #[test]
 fn room_that_is_freed_for_one_claim_is_not_counted_for_the_next() {
@@ -229,7 +246,11 @@
 
 /// Returns claims on VMs with numbers below `vms`.
 fn any_claim(vms: usize) -> impl Strategy<Value = Claim> {
-    let site = (0..vms, 1..4_u32).prop_map(|(vm, limit)| Site { vm, limit });
+    let site = (0..vms, 1..4_u32, 0..4_u8).prop_map(|(vm, limit, kind)| Site {
+        vm,
+        limit,
+        may_stop: kind > 0,
+    });
     (0..3_u32, 1..8_u32, 1..6_u32, vec(site, 0..vms)).prop_map(
         |(priority, each, tasks, mut sites)| {
             sites.sort_unstable_by_key(|site| site.vm);
@@ -277,7 +298,8 @@
             let (claim, run) = (&claims[victim.claim], &vms[victim.vm].runs[victim.run]);
             prop_assert!(run.priority > claim.priority);
             prop_assert!(run.age >= MIN_RUN_TIME);
-            prop_assert!(claim.sites.iter().any(|site| site.vm == victim.vm));
+            let is_site = |site: &Site| site.vm == victim.vm && site.may_stop;
+            prop_assert!(claim.sites.iter().any(is_site));
             prop_assert!(seen.insert((victim.vm, victim.run)));
             freed = freed.plus(&run.reservation);
         }
@@ -305,7 +327,7 @@
     ) {
         let victims = choose_victims(std::slice::from_ref(&claim), &vms, Resources::MAX);
         let mut all = Vec::new();
-        for site in &claim.sites {
+        for site in claim.sites.iter().filter(|site| site.may_stop) {
             let runs = vms[site.vm].runs.iter().enumerate();
             let allowed = runs.filter(|(_, run)| {
                 run.priority > claim.priority && run.age >= MIN_RUN_TIME
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -135,8 +135,9 @@
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
         let count = u32::try_from(query.vms.len()).expect("few VMs");
-        let is_approved = |vm: &&Box<str>| !self.unadvised_vms.contains(*vm);
-        let approved = query.vms.iter().filter(is_approved).map(|vm| AdvisedVm {
+        let vms = query.vms.iter();
+        let approved = vms.filter(|vm| !self.unadvised_vms.contains(*vm));
+        let approved = approved.map(|vm| AdvisedVm {
             vm: vm.clone(),
             ticket: "ticket".into(),
         });
