--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -71,7 +71,7 @@
         let reason = format!("no line about {} in {} lines", args.id, lines.len());
         return Err(Error::Usage(reason.into()));
     }
-    let cause = cause(&selected);
+    let cause = cause(&selected, &args.id);
     if options.json {
         return output::json(&Explanation {
             lines: &selected,
@@ -138,7 +138,7 @@
 }
 
 /// Returns the cause of the job's current or final state, as far as the lines show it.
-fn cause(lines: &[LogLine]) -> String {
+fn cause(lines: &[LogLine], id: &str) -> String {
     let last = |kind: &str| lines.iter().rev().find(|line| &*line.kind == kind);
     let ended = lines.iter().rev().find(|line| {
         &*line.kind == "job_state"
@@ -146,7 +146,7 @@
     });
     if let Some(end) = ended {
         return match end.str_field_or_empty("state") {
-            "completed" => completion_cause(lines, end),
+            "completed" => completion_cause(lines, end, id),
             state => format!("{state}: {}", end.str_field_or_empty("reason")),
         };
     }
@@ -159,7 +159,7 @@
     if let (None, Some(line)) = (last("accepted"), last("refused")) {
         return format!("refused, never run: {}", line.str_field_or_empty("reason"));
     }
-    let delays = delays(lines);
+    let delays = delays(lines, id);
     if delays.is_empty() {
         "still in progress; these lines show no cause of delay".to_owned()
     } else {
@@ -168,12 +168,12 @@
 }
 
 /// Returns whether a completed job met its objective and, if not, what delayed it.
-fn completion_cause(lines: &[LogLine], end: &LogLine) -> String {
+fn completion_cause(lines: &[LogLine], end: &LogLine, id: &str) -> String {
     let (took, objective) = (end.u64_field("took_ms"), end.u64_field("objective_ms"));
     if took <= objective {
         return format!("completed in time, after {took} ms of {objective} ms");
     }
-    let mut reasons = delays(lines);
+    let mut reasons = delays(lines, id);
     if reasons.is_empty() {
         reasons.push("the lines show no other cause than the run time of its tasks".to_owned());
     }
@@ -184,7 +184,7 @@
 }
 
 /// Returns the causes of delay that the lines show, each with its number of occurrences.
-fn delays(lines: &[LogLine]) -> Vec<String> {
+fn delays(lines: &[LogLine], id: &str) -> Vec<String> {
     let count = |kind: &str| lines.iter().filter(|line| &*line.kind == kind).count();
     let runs_ended = |end: &str| {
         let ended = lines.iter().filter(|line| &*line.kind == "ended");
@@ -192,6 +192,12 @@
             .filter(|line| line.str_field_or_empty("end") == end)
             .count()
     };
+    let preempted = |for_it: bool| {
+        let preempted = lines.iter().filter(|line| &*line.kind == "preempted");
+        preempted
+            .filter(|line| line.has_claimant(id) == for_it)
+            .count()
+    };
     let placed = lines.iter().filter(|line| &*line.kind == "placed");
     let longest_wait_ms = placed
         .map(|line| line.u64_field("waited_ms"))
@@ -201,6 +207,8 @@
         (count("run_lost"), "runs lost with their VM or its lease"),
         (runs_ended("failed"), "runs failed"),
         (runs_ended("lapsed"), "runs killed when their lease lapsed"),
+        (preempted(false), "runs preempted for urgent jobs"),
+        (preempted(true), "runs of other jobs preempted for it"),
         (count("not_started"), "starts refused or unanswered"),
         (count("advice_failed"), "requests for advice failed"),
         (count("role_taken"), "changes of the placer"),
@@ -218,17 +226,23 @@
 
 impl LogLine {
     /// Returns whether the line is about the job or task `id`, which may be given without its team
-    /// prefix, or about a task of the job.
+    /// prefix, about a task of the job, or about a run that was preempted for the job.
     fn is_about(&self, id: &str) -> bool {
-        let matches = |name: &str| {
-            self.str_field(name).is_some_and(|text| {
-                text == id
-                    || text.ends_with(&format!("/{id}"))
-                    || text.starts_with(&format!("{id}."))
-            })
-        };
         let task = self.str_field("task");
-        matches("task") || (task.is_none() || !id.contains('.')) && matches("id")
+        let names_job = task.is_none() || !id.contains('.');
+        self.names("task", id) || names_job && self.names("id", id) || self.has_claimant(id)
+    }
+
+    /// Returns whether the line is about a run that was preempted for the job `id`.
+    fn has_claimant(&self, id: &str) -> bool {
+        self.names("claimant", id)
+    }
+
+    /// Returns whether a field names the job or task `id` or a task of the job.
+    fn names(&self, field: &str, id: &str) -> bool {
+        self.str_field(field).is_some_and(|text| {
+            text == id || text.ends_with(&format!("/{id}")) || text.starts_with(&format!("{id}."))
+        })
     }
 
     fn str_field(&self, name: &str) -> Option<&str> {
--- a/tests/tool/explain.rs
+++ b/tests/tool/explain.rs
@@ -1,4 +1,4 @@
-//! `ragwortstall explain`, on log lines of real runs.
+//! `ragwortstall explain`, on log lines of real runs, and on those of a preemption.
 
 use crate::tool::DONE;
 use crate::tool::USAGE;
@@ -37,6 +37,21 @@
     );
 }
 
+/// Guards against a preemption that is reported only to one side.
+#[test]
+fn both_sides_of_a_preemption_are_told_of_it() {
+    let victim = cause("2ab6e0f4d1839c57", "preempted.jsonl");
+    assert!(
+        victim.contains("1 runs preempted for urgent jobs"),
+        "{victim}"
+    );
+    let claimant = cause("91c4d7e35f08ba62", "preempted.jsonl");
+    assert!(
+        claimant.contains("1 runs of other jobs preempted for it"),
+        "{claimant}"
+    );
+}
+
 #[test]
 fn lines_are_sorted_by_time_and_prefixes_are_ignored() {
     let text = std::fs::read_to_string(log_path("late.jsonl")).expect("a log");
