--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -9,8 +9,8 @@
 use crate::core::model::ServiceId;
 use crate::core::model::TeamId;
 
-/// Priority of the queues that go before all others.
-pub const HIGHEST_PRIORITY: u32 = 0;
+/// Priority of the urgent queues, which go before all others and may preempt them.
+pub const URGENT_PRIORITY: u32 = 0;
 
 /// Name of a queue.
 pub type QueueId = Box<str>;
@@ -39,8 +39,8 @@
     pub path_prefix: Box<str>,
     /// VM pool that runs the queue's tasks.
     pub service: ServiceId,
-    /// Priority; zero is the highest. It only orders the placement of waiting tasks: running tasks
-    /// are not preempted.
+    /// Priority; zero is the highest. It orders the placement of waiting tasks. Tasks of a queue of
+    /// priority zero may also preempt running tasks of other queues that resume from a checkpoint.
     pub priority: u32,
     /// Number of failed runs of a task after which its job fails.
     pub max_attempts: u32,
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -10,7 +10,7 @@
 use crate::core::model::Now;
 use crate::core::model::VmId;
 use crate::core::workload::catalog::AdviceTiming;
-use crate::core::workload::catalog::HIGHEST_PRIORITY;
+use crate::core::workload::catalog::URGENT_PRIORITY;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::effect::Request;
 use crate::core::workload::event::AdviceQuery;
@@ -126,7 +126,7 @@
         heartbeats: &HeartbeatMonitor,
         priority: u32,
     ) -> Option<(Option<DaemonId>, Option<Box<str>>)> {
-        if priority > HIGHEST_PRIORITY && reserves_forwarders(cx) {
+        if priority > URGENT_PRIORITY && reserves_forwarders(cx) {
             let forwarders = heartbeats.addresses.len().max(1);
             if self.busy_count() >= shared_forwarders(forwarders) {
                 return None;
@@ -205,5 +205,5 @@
 /// Returns whether a queue of the highest priority needs advice.
 fn reserves_forwarders(cx: &Cx) -> bool {
     let mut queues = cx.catalog.iter().flat_map(|catalog| &catalog.queues);
-    queues.any(|queue| queue.priority == HIGHEST_PRIORITY && queue.advice.is_some())
+    queues.any(|queue| queue.priority == URGENT_PRIORITY && queue.advice.is_some())
 }
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::cx::Cx;
@@ -37,6 +38,7 @@
     pub free: Resources,
     /// Resources that runs do not use that last until they are cancelled.
     pub drained: Resources,
+    pub open_to: OpenTo,
     capacity: Resources,
     /// CPU demand of the fillers on the VM, in millicores.
     filler_cpu_milli: u32,
@@ -55,6 +57,14 @@
     pub rack: Rc<str>,
 }
 
+/// Tasks that may be placed on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum OpenTo {
+    AllTasks,
+    /// Tasks of urgent queues, as runs are stopped for them.
+    UrgentTasks,
+}
+
 /// VMs on which tasks of a step may be placed, with the placement cost of each.
 pub(in crate::core::workload::placer) struct CandidateList<'a> {
     spec: &'a Step,
@@ -72,7 +82,7 @@
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
         let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
         let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
-        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm)))
+        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm), cx.now))
             .collect()
     }
 
@@ -83,7 +93,7 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        self.fitting(pool.vms().iter().cloned(), key, spec)
+        self.fitting(self.visible_vms(pool, key).cloned(), key, spec)
     }
 
     /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
@@ -94,14 +104,26 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let drained = pool.vms().iter().cloned().map(|mut vm| {
+        let drained = self.visible_vms(pool, key).cloned().map(|mut vm| {
             vm.free = vm.drained;
             vm
         });
         self.fitting(drained, key, spec)
     }
 
-    fn fitting(
+    /// Returns the VMs of a pool on which tasks of a step may be placed.
+    fn visible_vms<'a>(
+        &self,
+        pool: &'a Pool,
+        key: StepKey,
+    ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
+        let is_urgent = self.is_urgent(key);
+        let vms = pool.vms().iter();
+        vms.filter(move |vm| is_urgent || vm.open_to == OpenTo::AllTasks)
+    }
+
+    /// Returns those VMs on which tasks of a step fit.
+    pub(in crate::core::workload::placer) fn fitting(
         &self,
         vms: impl Iterator<Item = Candidate>,
         key: StepKey,
@@ -138,12 +160,23 @@
     }
 }
 
+impl OpenTo {
+    fn new(vm: &Vm, now: Now) -> Self {
+        if now < vm.preempted_until {
+            Self::UrgentTasks
+        } else {
+            Self::AllTasks
+        }
+    }
+}
+
 impl Candidate {
-    fn new(key: VmKey, vm: &Vm, slowness: f64) -> Self {
+    fn new(key: VmKey, vm: &Vm, slowness: f64, now: Now) -> Self {
         Self {
             vm: key,
             free: vm.free(),
             drained: vm.capacity.minus(&vm.lasting),
+            open_to: OpenTo::new(vm, now),
             capacity: vm.capacity,
             filler_cpu_milli: vm.filler_cpu_milli,
             has_latency_tasks: vm.latency_tasks > 0,
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -2,5 +2,6 @@
 //! have no clock, table or effects.
 
 pub mod forwarders;
+pub mod preemption;
 pub mod shares;
 pub mod timeliness;
