Keep the room beside a victim for urgent tasks within the round

Steps of a lower priority were placed before runs were stopped, so they took free room that the urgent task needed together with that of the victim.

--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -75,16 +75,20 @@
                 over_share.push(key);
                 continue;
             }
+            // Otherwise steps with a lower priority take the room that is left beside the victims.
+            if !self.is_urgent(key) {
+                self.preempt(cx, &mut round);
+            }
             let may_preempt = preemption_enabled && self.may_preempt(rank, key);
             self.place_step(cx, &mut round, key, may_preempt);
             if may_preempt {
                 self.claim_preemption(cx, &mut round, &shares, key);
             }
         }
+        self.preempt(cx, &mut round);
         for key in over_share {
             self.place_step(cx, &mut round, key, false);
         }
-        self.preempt(cx, &round);
         self.release_preempted_vms(cx);
         self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
     }
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -2,6 +2,7 @@
 //!
 //! The VMs' runs are looked at once in a round, and only if an urgent step was left without room.
 
+use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
 use crate::core::workload::policy::preemption::Site;
 use crate::core::workload::policy::preemption::URGENT_PRIORITY;
 use crate::core::workload::policy::preemption::VmView;
+use crate::core::workload::policy::preemption::choose_victims;
 use crate::core::workload::policy::shares::FairShares;
 use crate::core::workload::policy::timeliness::Timeliness;
 use crate::core::workload::submission::Step;
@@ -267,20 +269,13 @@
         tasks
     }
 
-    /// Stops runs for the tasks that were claimed in the round, and keeps their VMs for urgent
-    /// tasks.
-    pub(in crate::core::workload::placer) fn preempt(&mut self, cx: &mut Cx, round: &Round) {
-        let mut services: Vec<(&ServiceId, &Preemptible)> =
-            round.preemption.services.iter().collect();
-        services.sort_unstable_by_key(|(service, _)| *service);
-        for (service, preemptible) in services {
-            let Some(pool) = round.known_pool(service) else {
-                continue;
-            };
-            let free = pool.vms_without_gang().map(|vm| (vm.vm, vm.free));
-            let free: Vec<(VmKey, Resources)> = free.collect();
-            for (claim, vm, task, run) in preemptible.victims(&free) {
+    /// Stops runs for the tasks that were claimed in the round so far, and keeps their VMs for
+    /// urgent tasks.
+    pub(in crate::core::workload::placer) fn preempt(&mut self, cx: &mut Cx, round: &mut Round) {
+        for (service, claims) in round.preemption.take_claims() {
+            for (claim, vm, task, run) in round.victims(&service, &claims) {
                 self.preempt_run(cx, claim, vm, task, &run);
+                round.pool(&service, Vec::new).keep_for_urgent(vm);
             }
         }
     }
@@ -421,6 +416,17 @@
 }
 
 impl PreemptionRound {
+    /// Removes and returns the claims, by service in ascending order.
+    fn take_claims(&mut self) -> Vec<(ServiceId, Vec<StepClaim>)> {
+        let services = self.services.iter_mut();
+        let claims = services
+            .filter(|(_, preemptible)| !preemptible.claims.is_empty())
+            .map(|(service, preemptible)| (service.clone(), mem::take(&mut preemptible.claims)));
+        let mut list: Vec<(ServiceId, Vec<StepClaim>)> = claims.collect();
+        list.sort_unstable_by(|(a, _), (b, _)| a.cmp(b));
+        list
+    }
+
     /// Adds a claim of a team.
     fn add(&mut self, service: &ServiceId, team: Option<TeamId>, spec: &Step, claim: StepClaim) {
         if let Some(team) = team {
@@ -457,51 +463,56 @@
         });
         room.fold(0, u32::saturating_add)
     }
-}
-
-impl Preemptible {
-    /// Returns the resources of the runs on a VM that may be stopped or are being stopped.
-    fn room(&self, vm: VmKey) -> Resources {
-        let vm = self.vms.get(&vm);
-        vm.map_or(Resources::ZERO, |vm| vm.stoppable.plus(&vm.freeing))
-    }
 
-    /// Returns the runs to stop, each with the step that it is stopped for and its VM. `free` has the
-    /// resources that the round has left on each VM, in ascending order of the VMs.
-    fn victims(&self, free: &[(VmKey, Resources)]) -> Vec<(StepKey, VmKey, TaskKey, RunView)> {
-        if self.claims.is_empty() {
+    /// Returns the runs to stop for claims, each with the step that it is stopped for and its VM.
+    fn victims(
+        &self,
+        service: &ServiceId,
+        claims: &[StepClaim],
+    ) -> Vec<(StepKey, VmKey, TaskKey, RunView)> {
+        let preemptible = self.preemption.services.get(service);
+        let (Some(pool), Some(preemptible)) = (self.known_pool(service), preemptible) else {
             return Vec::new();
-        }
+        };
         let nothing = PreemptibleVm::default();
-        let vm = |key: &VmKey| self.vms.get(key).unwrap_or(&nothing);
-        let views = free.iter().map(|(key, free)| VmView {
-            free: *free,
-            freeing: vm(key).freeing,
-            runs: vm(key).runs.iter().map(|(_, run)| *run).collect(),
+        let runs_on = |key: VmKey| preemptible.vms.get(&key).unwrap_or(&nothing);
+        let keys: Vec<VmKey> = pool.vms_without_gang().map(|vm| vm.vm).collect();
+        let views = pool.vms_without_gang().map(|vm| VmView {
+            free: vm.free,
+            freeing: runs_on(vm.vm).freeing,
+            runs: runs_on(vm.vm).runs.iter().map(|(_, run)| *run).collect(),
         });
         let views: Vec<VmView> = views.collect();
-        let claims = self.claims.iter().map(|claim| Claim {
+        let policy_claims = claims.iter().map(|claim| Claim {
             priority: URGENT_PRIORITY,
             reservation: claim.reservation,
             tasks: claim.tasks,
-            sites: claim.sites(free),
+            sites: claim.sites(&keys),
         });
-        let claims: Vec<Claim> = claims.collect();
-        let victims = preemption::choose_victims(&claims, &views, self.budget);
+        let policy_claims: Vec<Claim> = policy_claims.collect();
+        let victims = choose_victims(&policy_claims, &views, preemptible.budget);
         let victims = victims.into_iter().map(|victim| {
-            let (key, _) = free[victim.vm];
-            let (task, run) = vm(&key).runs[victim.run];
-            (self.claims[victim.claim].step, key, task, run)
+            let vm = keys[victim.vm];
+            let (task, run) = runs_on(vm).runs[victim.run];
+            (claims[victim.claim].step, vm, task, run)
         });
         victims.collect()
     }
 }
 
+impl Preemptible {
+    /// Returns the resources of the runs on a VM that may be stopped or are being stopped.
+    fn room(&self, vm: VmKey) -> Resources {
+        let vm = self.vms.get(&vm);
+        vm.map_or(Resources::ZERO, |vm| vm.stoppable.plus(&vm.freeing))
+    }
+}
+
 impl StepClaim {
     /// Returns the sites with the positions of their VMs in `vms`.
-    fn sites(&self, vms: &[(VmKey, Resources)]) -> Vec<Site> {
+    fn sites(&self, vms: &[VmKey]) -> Vec<Site> {
         let sites = self.sites.iter().filter_map(|(key, site)| {
-            let vm = vms.binary_search_by_key(key, |(vm, _)| *vm).ok()?;
+            let vm = vms.binary_search(key).ok()?;
             Some(Site { vm, ..*site })
         });
         sites.collect()
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -9,6 +9,7 @@
 use crate::core::model::ServiceId;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::candidates::OpenTo;
 use crate::core::workload::placer::rounds::preempt::PreemptionRound;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::Step;
@@ -179,6 +180,13 @@
         }
     }
 
+    /// Keeps the room of a VM for urgent tasks.
+    pub fn keep_for_urgent(&mut self, vm: VmKey) {
+        if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
+            self.vms[ix].open_to = OpenTo::UrgentTasks;
+        }
+    }
+
     /// Counts a step that waits for advice on these VMs.
     pub fn record_asked(&mut self, vms: &[VmKey]) {
         for vm in vms {
