--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -139,6 +139,10 @@
 /// Claims are served in their order. Room that is free or being freed counts first.
 #[must_use]
 pub fn choose_victims(claims: &[Claim], vms: &[VmView], mut budget: Resources) -> Vec<Victim> {
+    let mut runs = vms.iter().flat_map(|vm| &vm.runs);
+    if !runs.any(|run| budget.holds(&run.reservation)) {
+        return Vec::new();
+    }
     let mut states: Vec<SiteState> = vms.iter().map(SiteState::new).collect();
     let mut victims = Vec::new();
     for (ix, claim) in claims.iter().enumerate() {
