Start nothing in zones whose evacuation is requested, and move work out of them

An operator's row evacuate/ZONE of the op table now keeps the placer from starting tasks there. Each start, plan and advice query looks at the set of evacuated zones, and with bounds.evacMs no task starts anywhere while the view of the requests is too old.

--- a/src/core/workload/cx.rs
+++ b/src/core/workload/cx.rs
@@ -10,9 +10,11 @@
 use super::effect::Effects;
 use super::effect::Reply;
 use super::effect::Request;
+use super::evacuation::Evacuation;
 use super::event::CommitPurpose;
 use super::event::ReadPurpose;
 use super::options::Options;
+use super::policy::evacuation::ORDER_MARGIN;
 use super::table::Range;
 use super::table::Transaction;
 use crate::core::model::Now;
@@ -28,6 +30,8 @@
     pub options: &'a Options,
     /// Configuration in force.
     pub catalog: Option<&'a Rc<Catalog>>,
+    /// Evacuated zones.
+    pub evacuation: &'a Evacuation,
     /// Time of the last answer of the table to a daemon's watch; `None` before the first.
     pub table_answered_at: Option<Now>,
     /// Effects so far.
@@ -61,6 +65,20 @@
         Some(millis(self.now.saturating_sub(answered_at)))
     }
 
+    /// Returns whether the view of the evacuation requests is too old for starts anywhere.
+    pub fn is_evacuation_view_stale(&self) -> bool {
+        self.start_window()
+            .is_some_and(|window| window < self.options.vms.order_timeout)
+    }
+
+    /// Returns the time for which a start may still take effect, as a zone may have been evacuated
+    /// since the view of the requests was read; `None` for any time.
+    pub fn start_window(&self) -> Option<Duration> {
+        let bound = self.options.placer.evacuation_bound?;
+        let age = self.evacuation.age(self.now).unwrap_or(bound);
+        Some(bound.saturating_sub(ORDER_MARGIN + age))
+    }
+
     /// Replies to a caller.
     pub fn reply(&mut self, ticket: Ticket, reply: Reply) {
         self.effects.push(Effect::Reply(ticket, reply));
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -14,6 +14,7 @@
 use crate::core::model::Rev;
 use crate::core::model::TeamId;
 use crate::core::model::VmId;
+use crate::core::model::ZoneId;
 
 /// Decision together with the inputs that led to it.
 ///
@@ -212,6 +213,21 @@
     CommitFailed { purpose: Box<str>, reason: Box<str> },
     /// A read for the placer role failed. It is retried, or the role is not acquired yet.
     ReadFailed { purpose: Box<str>, reason: Box<str> },
+    /// The evacuation of a zone was requested or withdrawn.
+    ZoneEvacuation {
+        zone: ZoneId,
+        on: bool,
+        view_age_ms: u64,
+    },
+    /// The evacuation of a zone was requested and the placer knows no VM in it.
+    EvacuatedZoneEmpty { zone: ZoneId },
+    /// The placer stopped starting tasks, or started to do so again, as its view of the evacuation
+    /// requests is too old.
+    StartsSuspended {
+        suspended: bool,
+        view_age_ms: Option<u64>,
+        max_age_ms: u64,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -219,7 +219,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Feed {
-    /// The operator's table; only its configuration row is used.
+    /// The operator's table: the configuration and the evacuation requests.
     Config,
     /// VMs; followed by the placer only.
     Vms,
@@ -273,6 +273,8 @@
 pub enum FeedRow {
     /// Version of the configuration.
     Config(Box<Catalog>),
+    /// Request of an operator to evacuate a zone, or its withdrawal.
+    Evacuation(EvacuationRow),
     /// VM that was added or changed.
     Vm(VmRow),
     /// VM whose row was removed.
@@ -285,6 +287,17 @@
     Ignored,
 }
 
+/// Row with a request to evacuate a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationRow {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Whether the row exists; false once it was removed.
+    pub requested: bool,
+    /// Reason why the value could not be read, which does not matter to the request.
+    pub fault: Option<Box<str>>,
+}
+
 /// Row of a VM.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmRow {
@@ -309,6 +322,8 @@
     pub started_ms: u64,
     /// Host machine.
     pub machine: Box<str>,
+    /// Time for which the VM is still slow after its start.
+    pub cold_remaining: Duration,
 }
 
 /// Identifies a lease renewal.
--- a/src/core/workload/feeds.rs
+++ b/src/core/workload/feeds.rs
@@ -23,6 +23,10 @@
 /// is detected only at its timeout.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Number of waits of a watch within the maximum age of the view of the evacuation requests. Two
+/// pass between the sends of two answered watches; the others are left for slow and lost answers.
+const VIEW_WATCHES: u32 = 4;
+
 /// All followed tables.
 #[derive(Debug, Default)]
 pub(super) struct Feeds {
@@ -62,6 +66,9 @@
     pub recovered: bool,
     /// Time up to which the rows include all changes.
     pub as_of: Now,
+    /// Time at which the call was sent. The answer may have been in transfer since then, also if it
+    /// has no rows.
+    pub requested_at: Now,
     /// Rows.
     pub rows: Vec<FeedRow>,
 }
@@ -119,7 +126,7 @@
     pub fn poll(&mut self, cx: &mut Cx) {
         self.probe(cx);
         let options = &cx.options.table;
-        let (wait, margin) = (options.watch_wait, options.watch_margin);
+        let margin = options.watch_margin;
         let read_timeout = options.read_timeout;
         for table in &mut self.tables {
             if table.due_at().is_none_or(|at| cx.now < at) {
@@ -130,7 +137,11 @@
                 feed: table.feed,
                 sent: cx.now,
             };
-            let wait = if table.is_down { Duration::ZERO } else { wait };
+            let wait = if table.is_down {
+                Duration::ZERO
+            } else {
+                watch_wait(cx, table.feed)
+            };
             cx.send(match table.version {
                 None => Request::ReadAll {
                     call,
@@ -169,6 +180,7 @@
                     is_snapshot: true,
                     recovered: table.is_down,
                     as_of: call.sent,
+                    requested_at: call.sent,
                     rows,
                 }
             }
@@ -179,6 +191,7 @@
                     recovered: table.is_down,
                     // Rows may have been in transfer for some time.
                     as_of: if rows.is_empty() { cx.now } else { call.sent },
+                    requested_at: call.sent,
                     rows,
                 }
             }
@@ -248,6 +261,19 @@
     }
 }
 
+/// Returns the time that a watch waits for a change.
+///
+/// A view of the evacuation requests is known as of the send of the last answered watch, so its age
+/// reaches twice the wait.
+fn watch_wait(cx: &Cx, feed: Feed) -> Duration {
+    let wait = cx.options.table.watch_wait;
+    match cx.options.max_evacuation_view_age() {
+        Some(_) if feed == Feed::Config && cx.is_evacuation_view_stale() => Duration::ZERO,
+        Some(max_age) if feed == Feed::Config => wait.min(max_age / VIEW_WATCHES),
+        _ => wait,
+    }
+}
+
 impl FollowedTable {
     /// Returns the time at which the next call is due; `None` while a call is outstanding or a probe
     /// is awaited.
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -21,6 +21,7 @@
 mod address;
 mod callers;
 mod cx;
+mod evacuation;
 mod feeds;
 mod former;
 mod heartbeat;
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::capacity::HostCapacity;
+use super::policy::evacuation;
 use crate::core::model::DaemonId;
 use crate::core::model::ZoneId;
 
@@ -73,6 +74,9 @@
     pub retention: Duration,
     /// Time by which an occurrence may start before its scheduled time.
     pub early_start: Duration,
+    /// Maximum time after a request to evacuate a zone at which a task may start there; `None` if
+    /// there is no such bound.
+    pub evacuation_bound: Option<Duration>,
 }
 
 /// Timing and limits of requests to VMs and to the advice service.
@@ -128,6 +132,14 @@
             vms: VmOptions::default(),
         }
     }
+
+    /// Returns the age up to which the view of the evacuation requests may be relied on; `None` for
+    /// any age.
+    #[must_use]
+    pub fn max_evacuation_view_age(&self) -> Option<Duration> {
+        let bound = self.placer.evacuation_bound?;
+        Some(evacuation::max_view_age(bound, self.vms.order_timeout))
+    }
 }
 
 impl Default for TableOptions {
@@ -156,6 +168,7 @@
             dispatch_interval: Duration::from_millis(20),
             retention: Duration::from_secs(150),
             early_start: Duration::from_millis(50),
+            evacuation_bound: None,
         }
     }
 }
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -77,6 +77,8 @@
     settled: bool,
     /// Whether the VMs that delay `settled` have been logged.
     settling_logged: bool,
+    /// Whether no task is started, as the view of the evacuation requests is too old.
+    starts_suspended: bool,
     /// Time of the next placement round, if one is scheduled.
     next_round_at: Option<Now>,
     last_round_at: Now,
@@ -129,7 +131,7 @@
         };
         for vm in self.fleet.vms.values() {
             status.runs += vm.runs.len() as u64;
-            if vm.is_usable(cx.now, max_silence) {
+            if vm.is_usable(cx.now, max_silence) && !cx.evacuation.includes(&vm.zone) {
                 status.usable_vms += 1;
                 status.capacity = status.capacity.plus(&vm.capacity);
                 status.free = status.free.plus(&vm.free());
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -38,7 +38,8 @@
         last.max(floor) + 1
     }
 
-    /// Sends the start of a task to a VM. Does nothing if the VM's clock is not known yet.
+    /// Sends the start of a task to a VM. Does nothing if the VM's clock is not known yet, if its zone
+    /// is evacuated, or if the view of the evacuation requests is too old.
     pub(in crate::core::workload::placer) fn start_task(
         &mut self,
         cx: &mut Cx,
@@ -46,6 +47,9 @@
         vm_key: VmKey,
         run: RunNumber,
     ) {
+        if cx.is_evacuation_view_stale() {
+            return;
+        }
         let Some(name) = self.registry.task_name(task) else {
             return;
         };
@@ -55,7 +59,14 @@
         ) else {
             return;
         };
-        let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, cx.options.vms.lease) else {
+        if cx.evacuation.includes(&vm.zone) {
+            return;
+        }
+        // The VM rejects an order that arrives after its deadline, also if this process was paused
+        // before it sent the order.
+        let lease = cx.options.vms.lease;
+        let lease = cx.start_window().map_or(lease, |window| window.min(lease));
+        let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, lease) else {
             return;
         };
         let new_run = Run::new(run, job.spec(task.step.step), cx.now);
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::cx::Cx;
@@ -22,6 +23,10 @@
 /// Placement cost, for a task with a latency target, of a VM with fillers.
 const MIXING_COST: f64 = 1.0;
 
+/// Placement cost of a VM that is slow after its start. It exceeds the cost of unused capacity, so
+/// that other VMs are chosen first.
+const COLD_COST: f64 = 3.0;
+
 /// Placement cost, for a filler, of a VM that is not on the preferred rack, in millicores of
 /// idle CPU.
 const FILLER_OFF_RACK_COST: f64 = 10_000_000.0;
@@ -52,9 +57,15 @@
     /// Natural logarithm of the run time of tasks on this VM relative to other VMs.
     pub slowness: f64,
     on_preferred_rack: bool,
+    /// Whether the VM is slow after its start.
+    is_cold: bool,
     pub rack: Rc<str>,
 }
 
+/// Placement cost, for a filler, of a VM that is slow after its start, in millicores of idle CPU. It
+/// exceeds the idle CPU of a VM.
+const FILLER_COLD_COST: f64 = 1_000_000.0;
+
 /// VMs on which tasks of a step may be placed, with the placement cost of each.
 pub(in crate::core::workload::placer) struct CandidateList<'a> {
     spec: &'a Step,
@@ -70,9 +81,13 @@
         service: &ServiceId,
     ) -> Vec<Candidate> {
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
-        let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
+        let is_open = |vm: &Vm| {
+            vm.service == *service
+                && vm.is_usable(cx.now, max_silence)
+                && !cx.evacuation.includes(&vm.zone)
+        };
         let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
-        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm)))
+        vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm), cx.now))
             .collect()
     }
 
@@ -139,7 +154,7 @@
 }
 
 impl Candidate {
-    fn new(key: VmKey, vm: &Vm, slowness: f64) -> Self {
+    fn new(key: VmKey, vm: &Vm, slowness: f64, now: Now) -> Self {
         Self {
             vm: key,
             free: vm.free(),
@@ -152,6 +167,7 @@
             asked: 0,
             slowness,
             on_preferred_rack: true,
+            is_cold: now < vm.cold_until,
             rack: Rc::clone(&vm.rack),
         }
     }
@@ -189,9 +205,11 @@
             // Fillers are placed where most CPU is unused, away from tasks with a latency target.
             let idle = f64::from(self.free.cpu_milli) - f64::from(self.filler_cpu_milli);
             let rack_cost = cost_if(!self.on_preferred_rack, FILLER_OFF_RACK_COST);
+            let rack_cost = rack_cost + cost_if(self.is_cold, FILLER_COLD_COST);
             return rack_cost + cost_if(self.has_latency_tasks, FILLER_MIXING_COST) - idle;
         }
         let rack_cost = cost_if(!self.on_preferred_rack, OFF_RACK_COST);
+        let cold_cost = cost_if(self.is_cold, COLD_COST);
         let left = self.free.minus(&spec.reservation());
         let unused = share(left.cpu_milli, self.capacity.cpu_milli)
             + share(left.mem_mib, self.capacity.mem_mib);
@@ -201,7 +219,7 @@
         } else {
             self.slowness
         };
-        rack_cost + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
+        rack_cost + cold_cost + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
     }
 }
 
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -63,9 +63,13 @@
         self.retry_stops(cx);
         self.count_inherited_tasks();
         let steps = self.ready_steps(cx);
-        if steps.is_empty() {
+        if steps.is_empty() && cx.evacuation.is_empty() {
             return;
         }
+        if self.suspends_starts(cx) {
+            return self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        }
+        let has_waiting_tasks = !steps.is_empty();
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
         let mut round = Round::new(heartbeats);
         let mut over_share = Vec::new();
@@ -79,7 +83,10 @@
         for key in over_share {
             self.place_step(cx, &mut round, key);
         }
-        self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        let has_moves = self.move_out_of_zones(cx, &mut round);
+        if has_waiting_tasks || has_moves {
+            self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        }
     }
 
     /// Charges the caps of teams with the tasks that an earlier placer may have started, until the
--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -3,6 +3,7 @@
 pub(in crate::core::workload::placer) mod advice;
 pub(in crate::core::workload::placer) mod candidates;
 pub(in crate::core::workload::placer) mod dispatch;
+mod evacuation;
 pub(in crate::core::workload::placer) mod gang;
 pub(in crate::core::workload::placer) mod rank;
 pub(in crate::core::workload::placer) mod round;
--- a/src/core/workload/placer/rounds/shares.rs
+++ b/src/core/workload/placer/rounds/shares.rs
@@ -6,6 +6,7 @@
 use crate::core::model::TeamId;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::policy::shares::FairShares;
 
@@ -13,7 +14,7 @@
 const DEFAULT_WEIGHT: f64 = 1.0;
 
 impl Placer {
-    /// Divides the capacity of the listed VMs by weight among the teams that have running tasks or
+    /// Divides the capacity of the listed VMs outside evacuated zones by weight among the teams that have running tasks or
     /// own one of the waiting `steps`.
     pub(in crate::core::workload::placer) fn fair_shares<'a>(
         &self,
@@ -27,7 +28,8 @@
                 weights.insert(team.clone(), weight(cx, team));
             }
         }
-        let vms = self.fleet.vms.values().filter(|vm| vm.listed);
+        let counts = |vm: &&Vm| vm.listed && !cx.evacuation.includes(&vm.zone);
+        let vms = self.fleet.vms.values().filter(counts);
         let capacity = vms.fold(Resources::ZERO, |sum, vm| sum.plus(&vm.capacity));
         FairShares::new(capacity, weights)
     }
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -59,6 +59,11 @@
     pub capacity: Resources,
     /// Whether the VM table has a row for this VM.
     pub listed: bool,
+    /// End of the time for which the VM is slow after its start.
+    pub cold_until: Now,
+    /// Remaining time and start of the lifetime in the row that set `cold_until`. The row is read
+    /// again with each snapshot, which does not extend that time.
+    cold_row: (Duration, u64),
     /// When the placer first read that the VM is draining; `None` while it is not.
     pub draining_since: Option<Now>,
     /// Whether the roster, which the next placer loads, has this VM.
@@ -239,6 +244,8 @@
             rack: "".into(),
             capacity: Resources::ZERO,
             listed: false,
+            cold_until: Now::ZERO,
+            cold_row: (Duration::ZERO, 0),
             draining_since: None,
             roster_state: RosterState::Absent,
             started_ms: 0,
@@ -283,6 +290,11 @@
         self.labels = row.labels;
         self.rack = row.rack.into();
         self.capacity = row.capacity;
+        let cold_row = (row.cold_remaining, row.started_ms);
+        if cold_row != self.cold_row {
+            self.cold_row = cold_row;
+            self.cold_until = now + row.cold_remaining;
+        }
         if row.draining {
             self.draining_since.get_or_insert(now);
         } else {
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -109,6 +109,7 @@
             roster_change: None,
             settled: false,
             settling_logged: false,
+            starts_suspended: false,
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
             vm_scans: 0,
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -12,12 +12,15 @@
 use super::catalog::Catalog;
 use super::cx::Cx;
 use super::cx::earliest;
+use super::cx::millis;
 use super::decision::Decision;
 use super::effect::Effect;
 use super::effect::Effects;
+use super::evacuation::Evacuation;
 use super::event::Answer;
 use super::event::Call;
 use super::event::CommitPurpose;
+use super::event::EvacuationRow;
 use super::event::Event;
 use super::event::Feed;
 use super::event::FeedAnswer;
@@ -44,6 +47,7 @@
             unix_time: $state.offset + $now,
             options: &$state.options,
             catalog: $state.catalog.as_ref(),
+            evacuation: &$state.evacuation,
             table_answered_at: $state.feeds.last_answer_at(),
             effects: $out,
         }
@@ -57,6 +61,7 @@
     /// Wall time since the Unix epoch minus monotonic time.
     offset: Duration,
     catalog: Option<Rc<Catalog>>,
+    evacuation: Evacuation,
     /// Time at which the configuration in force was applied.
     config_applied_at: Now,
     feeds: Feeds,
@@ -82,6 +87,7 @@
             options,
             offset: Duration::ZERO,
             catalog: None,
+            evacuation: Evacuation::default(),
             config_applied_at: Now::ZERO,
             feeds,
             heartbeats: HeartbeatMonitor::default(),
@@ -156,6 +162,8 @@
         Status {
             config_version: self.config_version(),
             config_age: age(self.config_applied_at),
+            evacuated_zones: self.evacuation.zone_count(),
+            evacuation_view_age: self.evacuation.age(now),
             table_age: self.feeds.last_answer_at().map(age),
             feed_ages: self.feeds.ages(now),
             heartbeat: last.map(|last| (last.row.owner.epoch, age(last.received_at))),
@@ -309,7 +317,7 @@
         };
         let lost_reason = match call.feed {
             Feed::Config => {
-                self.apply_config(now, out, update);
+                self.apply_operator_rows(now, out, update);
                 None
             }
             Feed::Heartbeats => {
@@ -326,9 +334,12 @@
         }
     }
 
-    fn apply_config(&mut self, now: Now, out: &mut Effects, update: Update) {
+    /// Applies rows of the operator's table: the configuration and the evacuation requests.
+    fn apply_operator_rows(&mut self, now: Now, out: &mut Effects, update: Update) {
+        let mut requests = Vec::new();
         for row in update.rows {
             match row {
+                FeedRow::Evacuation(request) => requests.push(request),
                 FeedRow::Config(catalog) if catalog.version > self.config_version() => {
                     out.push(Effect::Log(Decision::ConfigTaken {
                         version: catalog.version,
@@ -348,6 +359,40 @@
                 _ => {}
             }
         }
+        let known_at = update.requested_at;
+        self.apply_evacuation(now, out, &requests, update.is_snapshot, known_at);
+    }
+
+    fn apply_evacuation(
+        &mut self,
+        now: Now,
+        out: &mut Effects,
+        rows: &[EvacuationRow],
+        is_snapshot: bool,
+        known_at: Now,
+    ) {
+        for row in rows {
+            if let Some(reason) = &row.fault {
+                out.push(Effect::Log(Decision::RowUnreadable {
+                    key: format!("evacuation of {}", row.zone).into(),
+                    reason: reason.clone(),
+                }));
+            }
+        }
+        let changes = self.evacuation.apply(rows, is_snapshot, known_at);
+        let mut cx = context!(self, now, out);
+        for (zone, on) in &changes {
+            cx.log(Decision::ZoneEvacuation {
+                zone: zone.clone(),
+                on: *on,
+                view_age_ms: millis(now.saturating_sub(known_at)),
+            });
+        }
+        if let Some(placer) = self.role.placer()
+            && !changes.is_empty()
+        {
+            placer.apply_evacuation(&mut cx, &changes);
+        }
     }
 
     /// Steps down from the placer role.
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -16,6 +16,10 @@
     pub config_version: u64,
     /// Time since the configuration became active.
     pub config_age: Duration,
+    /// Number of evacuated zones.
+    pub evacuated_zones: usize,
+    /// Age of the view of the evacuation requests; `None` before the first read.
+    pub evacuation_view_age: Option<Duration>,
     /// Time since the last answer of the table; `None` before the first.
     pub table_age: Option<Duration>,
     /// Time since the last answer on each followed table; `None` before the first.
--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -88,6 +88,13 @@
         /// Address that serves callers.
         address: Box<str>,
     },
+    /// Starts in evacuated zones are bounded by the settings.
+    EvacuationBound {
+        /// Longest time from a request to the last start in its zone, in milliseconds.
+        bound_ms: u64,
+        /// Age of the view of the requests beyond which no task is started, in milliseconds.
+        max_view_age_ms: u64,
+    },
     /// The process is about to exit.
     Stopped,
     /// The settings file was read again.
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -85,6 +85,10 @@
         if let Some(age) = status.table_age {
             gauge!("ragwortstall_table_age_seconds").set(age.as_secs_f64());
         }
+        gauge!("ragwortstall_evacuated_zones").set(status.evacuated_zones as f64);
+        let view_age = status.evacuation_view_age;
+        let view_age = view_age.map_or(f64::NAN, |age| age.as_secs_f64());
+        gauge!("ragwortstall_evacuation_view_age_seconds").set(view_age);
         report_feed_ages(status);
         if let Some((epoch, age)) = status.heartbeat {
             gauge!("ragwortstall_holder_epoch").set(epoch as f64);
--- a/tests/meters.rs
+++ b/tests/meters.rs
@@ -78,3 +78,18 @@
     assert!(second.contains(&format!("{waiting} 0")), "{second}");
     assert!(second.contains("ragwortstall_placer_epoch 0"));
 }
+
+#[test]
+fn the_view_of_the_evacuation_requests_has_no_age_before_the_first_read() {
+    let report = |status: &Status| page(|| StatusGauges::default().report(status));
+    let unread = report(&Status::default());
+    assert!(unread.contains("ragwortstall_evacuated_zones 0"));
+    assert!(unread.contains("ragwortstall_evacuation_view_age_seconds NaN"));
+    let read = report(&Status {
+        evacuated_zones: 2,
+        evacuation_view_age: Some(Duration::from_millis(1_500)),
+        ..Status::default()
+    });
+    assert!(read.contains("ragwortstall_evacuated_zones 2"));
+    assert!(read.contains("ragwortstall_evacuation_view_age_seconds 1.5"));
+}
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -30,7 +30,6 @@
 use super::link::MAX_TRANSFER;
 use super::link::timed_out;
 use super::link::transfer_limit;
-use crate::catalog::catalog;
 use crate::vm::SimVm;
 
 impl Harness {
@@ -68,6 +67,11 @@
                 call,
                 FeedAnswer::Snapshot(self.rows(call.feed, 0), self.table.version),
             ),
+            Request::Watch { call, .. }
+                if table_answers && self.expired_histories.remove(&(daemon, call.feed)) =>
+            {
+                Answer::Feed(call, FeedAnswer::HistoryGone)
+            }
             Request::Watch {
                 call,
                 after,
@@ -131,6 +135,8 @@
     /// Answers an advice query after the time that the service takes; all VMs are approved.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
+        let asked = query.vms.iter().map(|vm| (self.now, vm.clone()));
+        self.asked.extend(asked);
         let count = u32::try_from(query.vms.len()).expect("few VMs");
         let approved = query.vms.iter().map(|vm| AdvisedVm {
             vm: vm.clone(),
@@ -340,16 +346,11 @@
     /// Returns the rows of a followed table that have changed after a version; zero for all rows.
     fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
-            Feed::Config if after == 0 => {
-                let mut catalog = catalog(self.cap, self.advice);
-                catalog.version = self.config_version;
-                return vec![FeedRow::Config(Box::new(catalog))];
-            }
+            Feed::Config => return self.operator_rows(after),
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
             }
             Feed::Vms => return self.vm_row_changes(after),
-            Feed::Config => return Vec::new(),
             Feed::Jobs => JOBS,
             Feed::Heartbeats => HEARTBEATS,
         };
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod feed_calls;
 mod link;
+mod operator;
 mod options;
 mod processor;
 
@@ -123,6 +124,10 @@
     pub config_version: u64,
     /// Advice on the queue, for daemons that start from now on.
     pub advice: Option<AdviceTiming>,
+    /// Bound on starts in evacuated zones, for daemons that start from now on.
+    pub evacuation_bound: Option<Duration>,
+    /// VMs named in advice queries, with the time of the query.
+    pub asked: Vec<(Now, Box<str>)>,
     /// Additional latency of each read of the table.
     pub table_latency: Duration,
     /// Time until which the table refuses all commits.
@@ -133,6 +138,8 @@
     pub commit_answers_lost_until: Now,
     /// Daemons and followed tables whose watches get no answer; all other calls work.
     pub lost_watch_answers: BTreeSet<(usize, Feed)>,
+    /// Daemons and followed tables whose next watch finds its history expired.
+    pub expired_histories: BTreeSet<(usize, Feed)>,
     /// Numbers of calls for the rows of followed tables.
     pub feed_calls: FeedCalls,
     /// Parts of the jobs' table that cannot be read.
@@ -218,11 +225,14 @@
             cap: Resources::ZERO,
             config_version: 1,
             advice: None,
+            evacuation_bound: None,
+            asked: Vec::new(),
             table_latency: Duration::ZERO,
             commits_refused_until: Now::ZERO,
             table_silent_until: Now::ZERO,
             commit_answers_lost_until: Now::ZERO,
             lost_watch_answers: BTreeSet::new(),
+            expired_histories: BTreeSet::new(),
             feed_calls: FeedCalls::default(),
             unreadable_parts: BTreeSet::new(),
             reads: Vec::new(),
@@ -271,18 +281,6 @@
         harness
     }
 
-    /// Creates a cell of `daemons` daemons and `vms` VMs whose queue has this advice.
-    pub(crate) fn with_advice(daemons: usize, vms: usize, advice: Option<AdviceTiming>) -> Self {
-        let mut harness = Self::new(daemons, vms);
-        harness.advice = advice;
-        for daemon in 0..daemons {
-            harness.kill(daemon);
-            harness.restart(daemon);
-        }
-        harness.run_for(3_000);
-        harness
-    }
-
     /// Advances the simulation by `millis` milliseconds.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -345,12 +343,13 @@
         let daemon = &mut self.daemons[daemon];
         daemon.up = true;
         daemon.host_down = false;
-        let options = options(
+        let mut options = options(
             &daemon.name,
             daemon.capacity,
             daemon.lifetime,
             self.stop_time,
         );
+        options.placer.evacuation_bound = self.evacuation_bound;
         daemon.state = Workload::new(options);
         daemon.wake_at = Some(self.now);
     }
--- a/tests/workload/harness/processor.rs
+++ b/tests/workload/harness/processor.rs
@@ -4,6 +4,8 @@
 
 use ragwortstall::core::model::Now;
 
+use super::Harness;
+
 /// Processor time that the work of a daemon takes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Costs {
@@ -29,6 +31,11 @@
         (self.busy_until >= end).then_some(self.busy_until)
     }
 
+    /// Handles no event until a time.
+    fn pause(&mut self, until: Now) {
+        self.busy_until = self.busy_until.max(until);
+    }
+
     /// Accounts for an event. `searches` is their number since the start of the process.
     pub(super) fn handle(&mut self, now: Now, requests: u32, searches: u64) {
         let Some(costs) = self.costs else {
@@ -40,3 +47,11 @@
         self.busy_until = self.busy_until.max(now) + work;
     }
 }
+
+impl Harness {
+    /// Pauses a daemon's process for `millis` milliseconds.
+    pub(crate) fn pause(&mut self, daemon: usize, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        self.daemons[daemon].processor.pause(until);
+    }
+}
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -32,11 +32,14 @@
     pub draining: bool,
     /// Whether the VM rejects starts with [`StartError::NoRoom`].
     pub full: bool,
+    pub zone: &'static str,
     pub rack: &'static str,
     /// Label other than the rack.
     pub kind: &'static str,
     /// Time that the VM takes to stop a run.
     pub stop_time: Duration,
+    /// Time for which the VM's row says that it is slow after its start.
+    pub cold_remaining: Duration,
     /// Factor by which tasks take longer than estimated.
     pub slowdown: u32,
     /// Tail latency reported for tasks with a latency target.
@@ -74,9 +77,11 @@
             connected: true,
             draining: false,
             full: false,
+            zone: "zone-a",
             rack: "r1",
             kind: "a",
             stop_time: STOP_TIME,
+            cold_remaining: Duration::ZERO,
             slowdown: 1,
             tail_latency_ms: 0,
             epoch: 0,
@@ -94,13 +99,14 @@
             id: self.id.clone(),
             service: "pool".into(),
             address: "127.0.0.1:1".into(),
-            zone: "zone-a".into(),
+            zone: self.zone.into(),
             draining: self.draining,
             capacity: self.capacity,
             labels: vec![self.kind.into(), self.rack.into()],
             rack: self.rack.into(),
             started_ms: self.started_ms,
             machine: self.id.clone(),
+            cold_remaining: self.cold_remaining,
         }
     }
 
@@ -108,7 +114,9 @@
     pub(crate) fn restart(&mut self) {
         let id = self.id.clone();
         let started_ms = self.started_ms + 1;
+        let zone = self.zone;
         *self = Self::new(&id, self.capacity);
+        self.zone = zone;
         self.started_ms = started_ms;
     }
 
@@ -178,6 +186,12 @@
         completions.map(|ended| ended.task.clone()).collect()
     }
 
+    /// Returns the number of runs that are not being stopped.
+    pub(crate) fn live_runs(&self) -> usize {
+        let live = self.runs.values().filter(|run| run.stopped_at.is_none());
+        live.count()
+    }
+
     /// Returns whether a renewal is to be answered at once.
     pub(crate) fn has_unacknowledged_ends(&self) -> bool {
         !self.ended.is_empty()
