--- a/tests/workload/evacuation_view.rs
+++ b/tests/workload/evacuation_view.rs
@@ -74,6 +74,20 @@
     assert_eq!(starts_in(&harness, ZONE, requested + BOUND), 0);
 }
 
+/// Guards against an order that a paused process sends late, after it decided on the start in time:
+/// the VM rejects it by its deadline.
+#[test]
+fn vms_reject_starts_that_arrive_after_the_bound() {
+    let mut harness = busy_cell(2, Some(BOUND), 20_000);
+    let requested = request_unseen(&mut harness);
+    let bound_ms = u64::try_from((requested + BOUND).as_millis()).expect("a short run");
+    for _ in 0..6_000 {
+        harness.run_for(1);
+        let runs = harness.vms.values().flat_map(|vm| vm.runs.values());
+        assert!(runs.into_iter().all(|run| run.deadline_ms < bound_ms));
+    }
+}
+
 /// Guards against suspended starts where no bound is set.
 #[test]
 fn the_age_of_the_view_does_not_matter_without_a_bound() {
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -62,6 +62,8 @@
 pub(crate) struct SimRun {
     pub number: RunNumber,
     pub step: Step,
+    /// Deadline of the order to start it, in milliseconds of the VM's clock.
+    pub deadline_ms: u64,
     /// When and how the run ends by itself; `None` if it lasts until it is stopped.
     own_end: Option<(Now, RunOutcome)>,
     /// When a stop was requested.
@@ -226,6 +228,7 @@
         let run = SimRun {
             number,
             step: step.clone(),
+            deadline_ms: order.deadline_ms,
             own_end,
             stopped_at: None,
         };
