Bound the work of a round for moves out of a zone

A round counted the unavailable tasks of a step once for each of its runs, and searched the VMs for each step that fits nowhere. It now does so once. Rounds that only look for room for moves are 250 ms apart.

--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -57,8 +57,8 @@
     /// Natural logarithm of the run time of tasks on this VM relative to other VMs.
     pub slowness: f64,
     on_preferred_rack: bool,
-    /// Whether the VM is slow after its start.
-    is_cold: bool,
+    /// One while the VM is slow after its start, otherwise zero.
+    cold: f64,
     pub rack: Rc<str>,
 }
 
@@ -167,7 +167,7 @@
             asked: 0,
             slowness,
             on_preferred_rack: true,
-            is_cold: now < vm.cold_until,
+            cold: f64::from(u8::from(now < vm.cold_until)),
             rack: Rc::clone(&vm.rack),
         }
     }
@@ -205,11 +205,10 @@
             // Fillers are placed where most CPU is unused, away from tasks with a latency target.
             let idle = f64::from(self.free.cpu_milli) - f64::from(self.filler_cpu_milli);
             let rack_cost = cost_if(!self.on_preferred_rack, FILLER_OFF_RACK_COST);
-            let rack_cost = rack_cost + cost_if(self.is_cold, FILLER_COLD_COST);
-            return rack_cost + cost_if(self.has_latency_tasks, FILLER_MIXING_COST) - idle;
+            let mixing_cost = cost_if(self.has_latency_tasks, FILLER_MIXING_COST);
+            return rack_cost + self.cold * FILLER_COLD_COST + mixing_cost - idle;
         }
         let rack_cost = cost_if(!self.on_preferred_rack, OFF_RACK_COST);
-        let cold_cost = cost_if(self.is_cold, COLD_COST);
         let left = self.free.minus(&spec.reservation());
         let unused = share(left.cpu_milli, self.capacity.cpu_milli)
             + share(left.mem_mib, self.capacity.mem_mib);
@@ -219,7 +218,7 @@
         } else {
             self.slowness
         };
-        rack_cost + cold_cost + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
+        rack_cost + self.cold * COLD_COST + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
     }
 }
 
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::CandidateList;
+use crate::core::workload::placer::rounds::evacuation::MOVE_ROUND_INTERVAL;
 use crate::core::workload::placer::rounds::rank::Rank;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -84,8 +85,10 @@
             self.place_step(cx, &mut round, key);
         }
         let has_moves = self.move_out_of_zones(cx, &mut round);
-        if has_waiting_tasks || has_moves {
+        if has_waiting_tasks {
             self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        } else if has_moves {
+            self.schedule_round(cx.now + MOVE_ROUND_INTERVAL);
         }
     }
 
--- a/src/core/workload/placer/rounds/evacuation.rs
+++ b/src/core/workload/placer/rounds/evacuation.rs
@@ -1,6 +1,10 @@
 //! Evacuation of zones: suspends starts while the view of the requests is too old, and moves runs
 //! out of evacuated zones as far as other VMs have free capacity.
 
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
 use crate::core::model::ZoneId;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
@@ -12,6 +16,7 @@
 use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
@@ -20,6 +25,10 @@
 use crate::core::workload::policy::evacuation::choose_moves;
 use crate::core::workload::policy::evacuation::is_movable;
 
+/// Interval of placement rounds while only runs in evacuated zones wait for capacity elsewhere.
+pub(in crate::core::workload::placer) const MOVE_ROUND_INTERVAL: Duration =
+    Duration::from_millis(250);
+
 impl Placer {
     /// Applies changes of the set of evacuated zones: zones, with `true` for those whose evacuation
     /// began.
@@ -95,6 +104,7 @@
         let is_running = |run: &Run| matches!(run.phase, Phase::Running { .. });
         let runs = self.runs_in_zones(cx).filter(|(_, run)| is_running(run));
         let stop_timeout = cx.options.vms.stop_timeout;
+        let mut unavailable: FxHashMap<StepKey, u32> = FxHashMap::default();
         let movable = runs.filter_map(|(task, run)| {
             let job = self.registry.jobs.get(&task.step.job)?;
             let spec = job.spec(task.step.step);
@@ -102,12 +112,16 @@
             if waiting > 0 || !is_movable(spec, stop_timeout) || !self.is_assigned(task) {
                 return None;
             }
-            let budget = spec.max_unavailable;
+            let spare = spec.max_unavailable.map(|max| {
+                let count = unavailable.entry(task.step);
+                let count = count.or_insert_with(|| self.unavailable_tasks(task.step));
+                max.saturating_sub(*count)
+            });
             Some(MovableRun {
                 task,
                 step: task.step,
                 long_running: run.long_running,
-                spare: budget.map(|max| max.saturating_sub(self.unavailable_tasks(task.step))),
+                spare,
             })
         });
         movable.collect()
@@ -124,7 +138,7 @@
     /// Returns whether a task of an active job is assigned to a VM.
     fn is_assigned(&self, task: TaskKey) -> bool {
         let job = self.registry.jobs.get(&task.step.job);
-        job.is_some_and(|job| job.is_active()) && self.assigned_vm(task).is_some()
+        job.is_some_and(Job::is_active) && self.assigned_vm(task).is_some()
     }
 
     fn assigned_vm(&self, task: TaskKey) -> Option<VmKey> {
@@ -177,10 +191,14 @@
         }
         let pool = round.pool(service, || self.open_vms(cx, service));
         let mut candidates = self.candidates(pool, task.step, spec);
+        if candidates.is_empty() && spec.max_per_vm == 0 {
+            round.record_unmet(service, spec);
+            return false;
+        }
         candidates.retain(|candidate| !step.advice.rejected.contains(&candidate.vm));
         let best = CandidateList::new(candidates.into_iter(), spec).reserve_best();
         if let Some(vm) = best {
-            pool.reserve(vm, spec);
+            round.pool(service, Vec::new).reserve(vm, spec);
         }
         best.is_some()
     }
--- a/tests/workload/evacuation_view.rs
+++ b/tests/workload/evacuation_view.rs
@@ -115,6 +115,9 @@
 fn a_daemon_paused_over_the_request_starts_nothing_in_the_zone_too_late() {
     for paused_ms in (200..9_000).step_by(400) {
         let mut harness = busy_cell(1, Some(BOUND), 20_000);
+        // Rounds take place before the first watch after the pause is answered.
+        harness.table_latency = Duration::from_millis(150);
+        harness.run_for(500);
         harness.pause(0, paused_ms + 1_300);
         harness.run_for(1_300);
         harness.request_evacuation(ZONE);
