--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -14,6 +14,7 @@
 use crate::core::model::Rev;
 use crate::core::model::TeamId;
 use crate::core::model::VmId;
+use crate::core::model::ZoneId;
 
 /// Decision together with the inputs that led to it.
 ///
@@ -226,6 +227,21 @@
     },
     /// Runs of queues other than these may be preempted, or none if there are none here.
     PreemptionChanged { urgent: Box<[QueueId]> },
+    /// The evacuation of a zone was requested or withdrawn.
+    ZoneEvacuation {
+        zone: ZoneId,
+        on: bool,
+        view_age_ms: u64,
+    },
+    /// The evacuation of a zone was requested and the placer knows no VM in it.
+    EvacuatedZoneEmpty { zone: ZoneId },
+    /// The placer stopped starting tasks, or started to do so again, as its view of the evacuation
+    /// requests is too old.
+    StartsSuspended {
+        suspended: bool,
+        view_age_ms: Option<u64>,
+        max_age_ms: u64,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -23,6 +23,10 @@
 /// Placement cost, for a task with a latency target, of a VM with fillers.
 const MIXING_COST: f64 = 1.0;
 
+/// Placement cost of a VM that is slow after its start. It exceeds the cost of unused capacity, so
+/// that other VMs are chosen first.
+const COLD_COST: f64 = 3.0;
+
 /// Placement cost, for a filler, of a VM that is not on the preferred rack, in millicores of
 /// idle CPU.
 const FILLER_OFF_RACK_COST: f64 = 10_000_000.0;
@@ -31,6 +35,10 @@
 /// of idle CPU.
 const FILLER_MIXING_COST: f64 = 100_000.0;
 
+/// Placement cost, for a filler, of a VM that is slow after its start, in millicores of idle CPU. It
+/// exceeds the idle CPU of a VM.
+const FILLER_COLD_COST: f64 = 1_000_000.0;
+
 /// A VM on which tasks of a step may be placed, with the resources left by the plan so far.
 #[derive(Clone, Debug)]
 pub(in crate::core::workload::placer) struct Candidate {
@@ -54,6 +62,8 @@
     /// Natural logarithm of the run time of tasks on this VM relative to other VMs.
     pub slowness: f64,
     on_preferred_rack: bool,
+    /// One while the VM is slow after its start, otherwise zero.
+    cold: f64,
     pub rack: Rc<str>,
 }
 
@@ -80,7 +90,11 @@
         service: &ServiceId,
     ) -> Vec<Candidate> {
         let max_silence = self.renewal_wait(cx) + cx.options.vms.unresponsive_after;
-        let is_open = |vm: &Vm| vm.service == *service && vm.is_usable(cx.now, max_silence);
+        let is_open = |vm: &Vm| {
+            vm.service == *service
+                && vm.is_usable(cx.now, max_silence)
+                && !cx.evacuation.includes(&vm.zone)
+        };
         let vms = self.fleet.vms.iter().filter(|(_, vm)| is_open(vm));
         vms.map(|(&key, vm)| Candidate::new(key, vm, self.slowness.estimate(vm), cx.now))
             .collect()
@@ -185,6 +199,7 @@
             asked: 0,
             slowness,
             on_preferred_rack: true,
+            cold: f64::from(u8::from(now < vm.cold_until)),
             rack: Rc::clone(&vm.rack),
         }
     }
@@ -222,7 +237,8 @@
             // Fillers are placed where most CPU is unused, away from tasks with a latency target.
             let idle = f64::from(self.free.cpu_milli) - f64::from(self.filler_cpu_milli);
             let rack_cost = cost_if(!self.on_preferred_rack, FILLER_OFF_RACK_COST);
-            return rack_cost + cost_if(self.has_latency_tasks, FILLER_MIXING_COST) - idle;
+            let mixing_cost = cost_if(self.has_latency_tasks, FILLER_MIXING_COST);
+            return rack_cost + self.cold * FILLER_COLD_COST + mixing_cost - idle;
         }
         let rack_cost = cost_if(!self.on_preferred_rack, OFF_RACK_COST);
         let left = self.free.minus(&spec.reservation());
@@ -234,7 +250,7 @@
         } else {
             self.slowness
         };
-        rack_cost + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
+        rack_cost + self.cold * COLD_COST + mixing_cost + unused + slowness * SLOWNESS_WEIGHT
     }
 }
 
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::CandidateList;
+use crate::core::workload::placer::rounds::evacuation::MOVE_ROUND_INTERVAL;
 use crate::core::workload::placer::rounds::rank::Rank;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -63,9 +64,13 @@
         self.retry_stops(cx);
         self.count_inherited_tasks();
         let steps = self.ready_steps(cx);
-        if steps.is_empty() {
+        if steps.is_empty() && cx.evacuation.is_empty() {
             return;
         }
+        if self.suspends_starts(cx) {
+            return self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        }
+        let has_waiting_tasks = !steps.is_empty();
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
         let preemption_enabled = self.is_preemption_enabled(cx);
         let mut round = Round::new(heartbeats);
@@ -90,7 +95,12 @@
             self.place_step(cx, &mut round, key, false);
         }
         self.release_preempted_vms(cx);
-        self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        let has_moves = self.move_out_of_zones(cx, &mut round);
+        if has_waiting_tasks {
+            self.schedule_round(cx.now + PENDING_ROUND_INTERVAL);
+        } else if has_moves {
+            self.schedule_round(cx.now + MOVE_ROUND_INTERVAL);
+        }
     }
 
     /// Charges the caps of teams with the tasks that an earlier placer may have started, until the
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions under load, as plain functions and types: they read values that they are given, and
 //! have no clock, table or effects.
 
+pub mod evacuation;
 pub mod forwarders;
 pub mod preemption;
 pub mod shares;
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -1,6 +1,5 @@
 //! Handling of the daemons' requests by the simulated table and VMs, with injected faults.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
@@ -31,8 +30,6 @@
 use super::link::MAX_TRANSFER;
 use super::link::timed_out;
 use super::link::transfer_limit;
-use crate::catalog::batch_queue;
-use crate::catalog::catalog;
 use crate::vm::SimVm;
 use crate::vm::done_ms;
 
@@ -47,12 +44,8 @@
         {
             return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
         }
-        if let Request::Start(start) = &req
-            && self.silent_vms.contains(&start.order.vm)
-        {
-            let err = StartError::Order(OrderError::NoAnswer("timed out".into()));
-            let answer = Answer::Started(start.order.clone(), Err(err));
-            return self.send_after(start.timeout, Message::Answer(daemon, lifetime, answer));
+        if let Some((timeout, answer)) = self.silent_start(&req) {
+            return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
         }
         let table_answers = self.table_up && self.daemons[daemon].table_reachable;
         let no_answer: Box<str> = "no answer".into();
@@ -81,6 +74,11 @@
                 call,
                 FeedAnswer::Snapshot(self.rows(call.feed, 0), self.table.version),
             ),
+            Request::Watch { call, .. }
+                if table_answers && self.expired_histories.remove(&(daemon, call.feed)) =>
+            {
+                Answer::Feed(call, FeedAnswer::HistoryGone)
+            }
             Request::Watch {
                 call,
                 after,
@@ -141,9 +139,23 @@
         }
     }
 
+    /// Returns the answer to a start on a VM that does not answer, and the time after which it is
+    /// given.
+    fn silent_start(&self, req: &Request) -> Option<(Duration, Answer)> {
+        let Request::Start(start) = req else {
+            return None;
+        };
+        let is_silent = self.silent_vms.contains(&start.order.vm);
+        let err = StartError::Order(OrderError::NoAnswer("timed out".into()));
+        let answer = Answer::Started(start.order.clone(), Err(err));
+        is_silent.then_some((start.timeout, answer))
+    }
+
     /// Answers an advice query after the time that the service takes; rejects some VMs.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
+        let asked = query.vms.iter().map(|vm| (self.now, vm.clone()));
+        self.asked.extend(asked);
         let count = u32::try_from(query.vms.len()).expect("few VMs");
         let vms = query.vms.iter();
         let approved = vms.filter(|vm| !self.unadvised_vms.contains(*vm));
@@ -364,20 +376,11 @@
     /// Returns the rows of a followed table that have changed after a version; zero for all rows.
     fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
-            Feed::Config if after == 0 => {
-                let mut catalog = catalog(self.cap, self.advice);
-                catalog.version = self.config_version;
-                Rc::make_mut(&mut catalog.queues[0]).priority = self.priority;
-                if let Some(priority) = self.batch_priority {
-                    catalog.queues.push(Rc::new(batch_queue(priority)));
-                }
-                return vec![FeedRow::Config(Box::new(catalog))];
-            }
+            Feed::Config => return self.operator_rows(after),
             Feed::Vms if after == 0 => {
                 return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
             }
             Feed::Vms => return self.vm_row_changes(after),
-            Feed::Config => return Vec::new(),
             Feed::Jobs => JOBS,
             Feed::Heartbeats => HEARTBEATS,
         };
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod feed_calls;
 mod link;
+mod operator;
 mod options;
 mod processor;
 
@@ -131,6 +132,10 @@
     pub priority: u32,
     /// Priority of the batch queue, for daemons that start from now on; `None` without that queue.
     pub batch_priority: Option<u32>,
+    /// Bound on starts in evacuated zones, for daemons that start from now on.
+    pub evacuation_bound: Option<Duration>,
+    /// VMs named in advice queries, with the time of the query.
+    pub asked: Vec<(Now, Box<str>)>,
     /// Additional latency of each read of the table.
     pub table_latency: Duration,
     /// Time until which the table refuses all commits.
@@ -141,6 +146,8 @@
     pub commit_answers_lost_until: Now,
     /// Daemons and followed tables whose watches get no answer; all other calls work.
     pub lost_watch_answers: BTreeSet<(usize, Feed)>,
+    /// Daemons and followed tables whose next watch finds its history expired.
+    pub expired_histories: BTreeSet<(usize, Feed)>,
     /// Numbers of calls for the rows of followed tables.
     pub feed_calls: FeedCalls,
     /// Parts of the jobs' table that cannot be read.
@@ -230,11 +237,14 @@
             unadvised_vms: BTreeSet::new(),
             priority: 0,
             batch_priority: None,
+            evacuation_bound: None,
+            asked: Vec::new(),
             table_latency: Duration::ZERO,
             commits_refused_until: Now::ZERO,
             table_silent_until: Now::ZERO,
             commit_answers_lost_until: Now::ZERO,
             lost_watch_answers: BTreeSet::new(),
+            expired_histories: BTreeSet::new(),
             feed_calls: FeedCalls::default(),
             unreadable_parts: BTreeSet::new(),
             reads: Vec::new(),
@@ -283,24 +293,6 @@
         harness
     }
 
-    /// Creates a cell of `daemons` daemons and `vms` VMs whose queue has this advice.
-    pub(crate) fn with_advice(daemons: usize, vms: usize, advice: Option<AdviceTiming>) -> Self {
-        let mut harness = Self::new(daemons, vms);
-        harness.advice = advice;
-        harness.restart_all();
-        harness
-    }
-
-    /// Restarts all daemons' processes, so that they read a changed configuration, and runs the cell
-    /// until it has started.
-    pub(crate) fn restart_all(&mut self) {
-        for daemon in 0..self.daemons.len() {
-            self.kill(daemon);
-            self.restart(daemon);
-        }
-        self.run_for(3_000);
-    }
-
     /// Advances the simulation by `millis` milliseconds.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -363,12 +355,13 @@
         let daemon = &mut self.daemons[daemon];
         daemon.up = true;
         daemon.host_down = false;
-        let options = options(
+        let mut options = options(
             &daemon.name,
             daemon.capacity,
             daemon.lifetime,
             self.stop_time,
         );
+        options.placer.evacuation_bound = self.evacuation_bound;
         daemon.state = Workload::new(options);
         daemon.wake_at = Some(self.now);
     }
