Ignore requests to evacuate a zone without a name

VMs whose row is not read yet have an empty zone, for example after a takeover. A row with the key evacuate/ would have moved their work. It is logged and has no effect.

--- a/src/core/workload/evacuation.rs
+++ b/src/core/workload/evacuation.rs
@@ -42,9 +42,10 @@
             .collect()
     }
 
-    /// Returns whether a zone is evacuated.
+    /// Returns whether a zone is evacuated. The empty name is that of VMs whose zone is not known, so
+    /// that a request for it has no effect.
     pub fn includes(&self, zone: &str) -> bool {
-        self.zones.contains(zone)
+        !zone.is_empty() && self.zones.contains(zone)
     }
 
     /// Returns whether no zone is evacuated.
--- a/src/core/workload/placer/rounds/evacuation.rs
+++ b/src/core/workload/placer/rounds/evacuation.rs
@@ -34,7 +34,7 @@
     /// began.
     pub fn apply_evacuation(&mut self, cx: &mut Cx, changes: &[(ZoneId, bool)]) {
         for (zone, _) in changes.iter().filter(|(_, on)| *on) {
-            if !self.fleet.vms.values().any(|vm| vm.zone == *zone) {
+            if zone.is_empty() || !self.fleet.vms.values().any(|vm| vm.zone == *zone) {
                 cx.log(Decision::EvacuatedZoneEmpty { zone: zone.clone() });
             }
         }
--- a/tests/workload/evacuation.rs
+++ b/tests/workload/evacuation.rs
@@ -288,6 +288,26 @@
     assert_eq!(harness.state(1, OTHER), Some(JobState::Completed));
 }
 
+/// Guards against a request that stops all work after a takeover, when no zone is known yet.
+#[test]
+fn a_request_that_names_no_zone_has_no_effect() {
+    let mut harness = two_zones(2);
+    harness.request_evacuation("");
+    harness.run_for(NOTICE_MS);
+    let is_empty = |line: &Decision| matches!(line, Decision::EvacuatedZoneEmpty { .. });
+    assert_eq!(count(&harness, is_empty), 1);
+    let mut lasting = step(64, 60_000, &[]);
+    lasting.traits.long_running = true;
+    accept(&mut harness, vec![lasting]);
+    harness.run_for(300);
+    assert_eq!(harness.starts.len(), 64);
+    let placer = harness.placer().expect("a placer");
+    harness.kill(placer);
+    harness.run_for(5_000);
+    let is_stop = |line: &Decision| matches!(line, Decision::StopOrdered { .. });
+    assert_eq!(count(&harness, is_stop), 0);
+}
+
 #[test]
 fn a_request_whose_value_cannot_be_read_counts() {
     let mut harness = two_zones(1);
@@ -359,3 +379,20 @@
     harness.run_for(300);
     assert_eq!(starts_in(&harness, HOME, Now::ZERO), 4);
 }
+
+/// Guards against a VM that stays cold because its row is read again.
+#[test]
+fn reading_a_row_again_does_not_extend_the_cold_time() {
+    let mut harness = two_zones(2);
+    for vm in ["vm-0", "vm-1"] {
+        let vm = harness.vms.get_mut(vm).expect("a VM");
+        vm.cold_remaining = Duration::from_secs(2);
+    }
+    harness.write_vm_rows();
+    harness.run_for(1_900);
+    harness.write_vm_rows();
+    harness.run_for(200);
+    accept(&mut harness, vec![step(4, 300, &[])]);
+    harness.run_for(300);
+    assert_eq!(starts_in(&harness, HOME, Now::ZERO), 4);
+}
