Split the list of preemptible runs from the placement of preemption

Also test urgent and batch work over time, the share of a team alone, and the log line of the queues that may preempt; move the harness's daemon processes to their own file.

--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -5,6 +5,7 @@
 pub(in crate::core::workload::placer) mod dispatch;
 pub(in crate::core::workload::placer) mod gang;
 pub(in crate::core::workload::placer) mod preempt;
+pub(in crate::core::workload::placer) mod preemptible;
 pub(in crate::core::workload::placer) mod rank;
 pub(in crate::core::workload::placer) mod round;
 pub(in crate::core::workload::placer) mod shares;
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -10,7 +10,7 @@
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::OpenTo;
-use crate::core::workload::placer::rounds::preempt::PreemptionRound;
+use crate::core::workload::placer::rounds::preemptible::PreemptionRound;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::Step;
 
--- a/tests/policy/preemption.rs
+++ b/tests/policy/preemption.rs
@@ -6,7 +6,11 @@
 use proptest::collection::vec;
 use proptest::prelude::Strategy;
 use proptest::prop_assert;
-use proptest::proptest;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 
 use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::policy::preemption::Claim;
@@ -26,6 +30,9 @@
 
 const BATCH_PRIORITY: u32 = 2;
 
+/// Number of random cases of each check.
+const CASES: u32 = 2_000;
+
 /// Time since the confirmation of a run that may be stopped.
 const OLD: Duration = Duration::from_secs(10);
 
@@ -280,16 +287,31 @@
 
 const VMS: usize = 6;
 
-proptest! {
-    /// Guards, for any VMs and claims, against victims of equal or higher priority, runs that have
-    /// not made progress, runs that are stopped twice or on VMs that the claim may not use, and
-    /// against more than the budget.
-    #[test]
-    fn victims_are_allowed_ones_within_the_budget(
-        vms in vec(any_vm(), VMS),
-        claims in vec(any_claim(VMS), 0..5),
-        limit in 0..60_u32,
-    ) {
+/// Runs a check on random values, the same ones each time.
+fn check<S: Strategy>(
+    strategy: S,
+    test: impl Fn(S::Value) -> std::result::Result<(), TestCaseError>,
+) {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    if let Err(err) = runner.run(&strategy, test) {
+        panic!("{err}");
+    }
+}
+
+/// Guards, for any VMs and claims, against victims of equal or higher priority, runs that have
+/// not made progress, runs that are stopped twice or on VMs that the claim may not use, and
+/// against more than the budget.
+#[test]
+fn victims_are_allowed_ones_within_the_budget() {
+    let claims = vec(any_claim(VMS), 0..5);
+    let values = (vec(any_vm(), VMS), claims, 0..60_u32);
+    check(values, |(vms, claims, limit)| {
         let limit = Resources::new(limit * 1_000, limit * 1_000, 0, limit);
         let victims = choose_victims(&claims, &vms, limit);
         let mut freed = Resources::ZERO;
@@ -304,37 +326,42 @@
             freed = freed.plus(&run.reservation);
         }
         prop_assert!(limit.holds(&freed));
-    }
+        Ok(())
+    });
+}
 
-    /// Guards, for any VMs, against stops beyond the need: without the last one, the tasks do not
-    /// all fit.
-    #[test]
-    fn no_run_is_stopped_once_all_tasks_fit(
-        vms in vec(any_vm(), VMS),
-        claim in any_claim(VMS),
-    ) {
+/// Guards, for any VMs, against stops beyond the need: without the last one, the tasks do not all
+/// fit.
+#[test]
+fn no_run_is_stopped_once_all_tasks_fit() {
+    check((vec(any_vm(), VMS), any_claim(VMS)), |(vms, claim)| {
         let victims = choose_victims(std::slice::from_ref(&claim), &vms, Resources::MAX);
         if let Some((_, others)) = victims.split_last() {
             prop_assert!(slots(&claim, &vms, others) < claim.tasks);
         }
-    }
+        Ok(())
+    });
+}
 
-    /// Guards, for any VMs, against tasks that wait although allowed stops would make room.
-    #[test]
-    fn all_tasks_fit_if_stops_of_all_allowed_runs_make_room(
-        vms in vec(any_vm(), VMS),
-        claim in any_claim(VMS),
-    ) {
+/// Guards, for any VMs, against tasks that wait although allowed stops would make room.
+#[test]
+fn all_tasks_fit_if_stops_of_all_allowed_runs_make_room() {
+    check((vec(any_vm(), VMS), any_claim(VMS)), |(vms, claim)| {
         let victims = choose_victims(std::slice::from_ref(&claim), &vms, Resources::MAX);
         let mut all = Vec::new();
         for site in claim.sites.iter().filter(|site| site.may_stop) {
             let runs = vms[site.vm].runs.iter().enumerate();
-            let allowed = runs.filter(|(_, run)| {
-                run.priority > claim.priority && run.age >= MIN_RUN_TIME
-            });
-            all.extend(allowed.map(|(run, _)| Victim { claim: 0, vm: site.vm, run }));
+            let is_allowed =
+                |run: &RunView| run.priority > claim.priority && run.age >= MIN_RUN_TIME;
+            let allowed = runs.filter(|(_, run)| is_allowed(run));
+            all.extend(allowed.map(|(run, _)| Victim {
+                claim: 0,
+                vm: site.vm,
+                run,
+            }));
         }
         let possible = slots(&claim, &vms, &all).min(claim.tasks);
         prop_assert!(slots(&claim, &vms, &victims) >= possible);
-    }
+        Ok(())
+    });
 }
--- a/tests/policy/shares.rs
+++ b/tests/policy/shares.rs
@@ -27,3 +27,11 @@
     let used = Resources::new(1_000, 300_000, 0, 5);
     assert!(shares.is_exhausted(&"memory-heavy".into(), &used));
 }
+
+/// Guards against a team that is treated as beyond its share although no other team has work.
+#[test]
+fn a_team_alone_is_never_at_its_share() {
+    let shares = shares(&[("busy", 2.0)]);
+    let used = Resources::new(100_000, 400_000, 0, 50);
+    assert!(!shares.is_exhausted(&"busy".into(), &used));
+}
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -5,6 +5,7 @@
 mod feed_calls;
 mod link;
 mod options;
+mod processes;
 mod processor;
 
 use std::collections::BTreeMap;
@@ -288,16 +289,6 @@
         harness
     }
 
-    /// Restarts all daemons' processes, so that they read a changed configuration, and runs the cell
-    /// until it has started.
-    pub(crate) fn restart_all(&mut self) {
-        for daemon in 0..self.daemons.len() {
-            self.kill(daemon);
-            self.restart(daemon);
-        }
-        self.run_for(3_000);
-    }
-
     /// Advances the simulation by `millis` milliseconds.
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -331,45 +322,6 @@
         self.daemons[daemon].state.status(self.now)
     }
 
-    /// Kills a daemon's process.
-    pub(crate) fn kill(&mut self, daemon: usize) {
-        self.daemons[daemon].up = false;
-        self.daemons[daemon].lifetime += 1;
-        self.daemons[daemon].link.clear();
-        self.feed_calls.forget(daemon);
-    }
-
-    /// Kills a daemon's process and shuts down its host.
-    pub(crate) fn kill_host(&mut self, daemon: usize) {
-        self.kill(daemon);
-        self.daemons[daemon].host_down = true;
-    }
-
-    /// Drains a daemon, which exits afterwards.
-    pub(crate) fn drain(&mut self, daemon: usize) {
-        self.apply(daemon, Event::Drain);
-    }
-
-    /// Returns whether a daemon's process runs.
-    pub(crate) fn is_up(&self, daemon: usize) -> bool {
-        self.daemons[daemon].up
-    }
-
-    /// Restarts a daemon's process.
-    pub(crate) fn restart(&mut self, daemon: usize) {
-        let daemon = &mut self.daemons[daemon];
-        daemon.up = true;
-        daemon.host_down = false;
-        let options = options(
-            &daemon.name,
-            daemon.capacity,
-            daemon.lifetime,
-            self.stop_time,
-        );
-        daemon.state = Workload::new(options);
-        daemon.wake_at = Some(self.now);
-    }
-
     /// Sets whether a daemon can reach the table.
     pub(crate) fn set_table_reachable(&mut self, daemon: usize, reachable: bool) {
         self.daemons[daemon].table_reachable = reachable;
--- a/tests/workload/preemption.rs
+++ b/tests/workload/preemption.rs
@@ -4,6 +4,7 @@
 
 use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::catalog::AdviceTiming;
+use ragwortstall::core::workload::catalog::QueueId;
 use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
@@ -355,6 +356,45 @@
     assert_eq!(preemptions(&harness), 1);
 }
 
+/// Guards against urgent jobs that wait longer and longer while batch work refills the VMs, and
+/// against batch work that makes no progress because its runs are stopped again and again.
+#[test]
+fn urgent_and_batch_work_both_progress_while_urgent_jobs_keep_coming() {
+    let mut harness = cell(Some(ADVICE), 0, 2);
+    harness.unadvised_vms = ["vm-0".into()].into();
+    let mut batch = batch_step();
+    batch.count = 4 * BATCH_TASKS;
+    batch.estimate_ms = 4_000;
+    let reply = harness.submit_batch(0, BATCH, job(vec![batch]));
+    assert_eq!(reply, Reply::Accepted);
+    harness.run_for(MIN_RUN_MILLIS);
+    let ids: Vec<String> = (0..20).map(|ix| format!("00000000000001{ix:02}")).collect();
+    for id in &ids {
+        submit_urgent(&mut harness, id, 2);
+        harness.run_for(400);
+    }
+    harness.run_for(3_000);
+    // At worst, all runs have just started, and advice is needed.
+    let longest_wait = MIN_RUN_MILLIS + start_millis() + ROUNDS_MILLIS;
+    let waits = harness
+        .decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::Placed { id, waited_ms, .. } => Some((id, *waited_ms)),
+            _ => None,
+        });
+    for (id, waited_ms) in waits.filter(|(id, _)| ids.iter().any(|other| **other == ***id)) {
+        assert!(waited_ms < longest_wait, "{id} waited {waited_ms} ms");
+    }
+    let done = ids.iter().filter(|id| {
+        let reply = harness.call_as(OTHER_KEY, 0, id, Action::Get);
+        reply == Reply::State(JobState::Completed)
+    });
+    assert_eq!(done.count(), ids.len());
+    harness.run_for(15_000);
+    assert_eq!(harness.state(0, BATCH), Some(JobState::Completed));
+}
+
 /// Guards against stops on VMs that may not run the urgent tasks.
 #[test]
 fn nothing_is_stopped_where_advice_allows_no_vm() {
@@ -392,6 +432,27 @@
     assert_eq!(preemptions(&harness), 0);
 }
 
+/// Guards against preemption that a configuration switches on unnoticed, and against a line in each
+/// round.
+#[test]
+fn the_log_names_the_queues_that_may_preempt_others_once() {
+    let mut harness = cell(None, 0, 2);
+    harness.decisions.clear();
+    harness.restart_all();
+    fill(&mut harness, batch_step());
+    submit_urgent(&mut harness, ID, 2);
+    harness.run_for(2_000);
+    let urgent = harness
+        .decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::PreemptionChanged { urgent } => Some(urgent.clone()),
+            _ => None,
+        });
+    let urgent: Vec<Box<[QueueId]>> = urgent.collect();
+    assert_eq!(urgent, [vec!["labels".into()].into()]);
+}
+
 /// Guards against operators who cannot see who stopped a run, for whom, and at what loss.
 #[test]
 fn the_log_names_both_sides_of_a_preemption() {
