--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 pub(in crate::core::workload::placer) mod gang;
 pub(in crate::core::workload::placer) mod preempt;
+pub(in crate::core::workload::placer) mod preemptible;
 pub(in crate::core::workload::placer) mod rank;
 pub(in crate::core::workload::placer) mod round;
 pub(in crate::core::workload::placer) mod shares;
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -11,7 +11,7 @@
 use crate::core::workload::heartbeat::HeartbeatMonitor;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::OpenTo;
-use crate::core::workload::placer::rounds::preempt::PreemptionRound;
+use crate::core::workload::placer::rounds::preemptible::PreemptionRound;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::submission::Step;
 
--- a/tests/workload/harness/operator.rs
+++ b/tests/workload/harness/operator.rs
@@ -35,16 +35,6 @@
         self.restart_all();
     }
 
-    /// Restarts all daemons' processes, so that they read a changed configuration, and runs the cell
-    /// until it has started.
-    pub(crate) fn restart_all(&mut self) {
-        for daemon in 0..self.daemons.len() {
-            self.kill(daemon);
-            self.restart(daemon);
-        }
-        self.run_for(3_000);
-    }
-
     /// Moves VMs, by number, to a zone.
     pub(crate) fn move_to_zone(
         &mut self,
