Detect stalled VMs and start their overdue tasks elsewhere

Tasks on a VM that hangs make no progress, but the VM answers renewals, so its lease does not expire and wide jobs with one task there are late.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -212,6 +212,20 @@
     CommitFailed { purpose: Box<str>, reason: Box<str> },
     /// A read for the placer role failed. It is retried, or the role is not acquired yet.
     ReadFailed { purpose: Box<str>, reason: Box<str> },
+    /// A VM became suspect of being stalled: it answers, but its runs make no progress. It gets no
+    /// new tasks for a while.
+    VmStalled {
+        vm: VmId,
+        overdue: usize,
+        oldest_ms: u64,
+        expected_ms: u64,
+    },
+    /// A VM is no longer suspect of being stalled.
+    VmRecovered {
+        vm: VmId,
+        suspect_ms: u64,
+        reason: &'static str,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -24,6 +24,7 @@
 use super::event::ProbePurpose;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
+use super::policy::estimates::RunTimeEstimates;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
@@ -64,6 +65,8 @@
     fleet: Fleet,
     usage: state::usage::Usage,
     slowness: state::slowness::SlownessByKind,
+    estimates: RunTimeEstimates,
+    stall_checks: state::stall::StallChecks,
     forwarders: rounds::advice::AdviceForwarders,
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
@@ -129,6 +132,7 @@
         };
         for vm in self.fleet.vms.values() {
             status.runs += vm.runs.len() as u64;
+            status.stalled_vms += u64::from(vm.stall.suspect_since.is_some());
             if vm.is_usable(cx.now, max_silence) {
                 status.usable_vms += 1;
                 status.capacity = status.capacity.plus(&vm.capacity);
@@ -166,6 +170,7 @@
         self.write_late_heartbeat(cx);
         self.archive_jobs(cx);
         if !self.is_partitioned(cx) {
+            self.check_stalls(cx);
             self.send_renewals(cx);
             self.run_round(cx, heartbeats);
         }
@@ -197,6 +202,7 @@
             self.next_round_at
                 .map(|at| self.earliest_round_at(cx).max(at)),
         );
+        at = earliest(at, Some(self.stall_checks.next_at()));
         earliest(at, self.fleet.next_renewal_at())
     }
 
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -36,6 +36,7 @@
     }
 
     fn process_ended_task(&mut self, cx: &mut Cx, vm_key: VmKey, ended: &EndedTask) {
+        self.record_end(cx, vm_key, ended.outcome);
         let Some(task) = self.registry.find_task(&ended.task) else {
             return self.release_surplus_run(vm_key, ended);
         };
@@ -78,7 +79,7 @@
         }
     }
 
-    /// Records the duration of a run for the speed estimate of its VM.
+    /// Records the duration of a run for the speed estimate of its VM and the run times of its queue.
     ///
     /// Only runs that this placer started and that completed without a checkpoint count.
     fn record_duration(
@@ -98,10 +99,17 @@
         if end != RunOutcome::Done || resumed || !start_observed {
             return;
         }
+        let took = cx.now.saturating_sub(run.sent_at);
         if let Some(step) = self.registry.step_mut(task.step) {
-            let took = cx.now.saturating_sub(run.sent_at);
             step.done_runs.push((vm_key, took));
         }
+        if let Some(job) = self.registry.jobs.get(&task.step.job)
+            && job.is_active()
+            && job.spec(task.step.step).has_expected_run_time()
+        {
+            let declared = Duration::from_millis(job.spec(task.step.step).estimate_ms);
+            self.estimates.record(&job.queue.name, declared, took);
+        }
     }
 
     fn record_history(&mut self, task: TaskKey, ended: &EndedTask) {
--- a/src/core/workload/placer/orders/mod.rs
+++ b/src/core/workload/placer/orders/mod.rs
@@ -2,6 +2,7 @@
 
 pub(in crate::core::workload::placer) mod completion;
 pub(in crate::core::workload::placer) mod renewal;
+pub(in crate::core::workload::placer) mod stalls;
 pub(in crate::core::workload::placer) mod starts;
 pub(in crate::core::workload::placer) mod stops;
 pub(in crate::core::workload::placer) mod throttle;
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -244,6 +244,7 @@
             received_at: cx.now,
         });
         record_contact(cx, vm);
+        vm.stall.reported_to = sent;
         for ended in report
             .ended
             .iter()
@@ -288,6 +289,7 @@
     /// executes.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         self.drop_runs(cx, key, "VM restarted");
+        self.clear_suspicion(cx, key, "VM restarted");
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
         }
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -22,6 +22,7 @@
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
 use crate::core::workload::placer::state::slowness::SlownessEstimate;
+use crate::core::workload::placer::state::stall::StallState;
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
@@ -114,6 +115,8 @@
     pub failure_streak: u32,
     /// Job of the last failed run.
     pub last_failed_job: Option<JobKey>,
+    /// Progress of the runs.
+    pub stall: StallState,
 }
 
 /// State of a VM's lease renewals.
@@ -265,6 +268,7 @@
             slowness: SlownessEstimate::default(),
             failure_streak: 0,
             last_failed_job: None,
+            stall: StallState::default(),
         }
     }
 
@@ -303,6 +307,7 @@
             && self.draining_since.is_none()
             && self.renewal.failures == 0
             && now >= self.avoid_until
+            && self.stall.suspect_since.is_none()
             && now >= self.capacity_uncertain_until
     }
 
@@ -390,6 +395,7 @@
         self.unexpected_runs.clear();
         self.processed_seq = 0;
         self.stored_seq = 0;
+        self.stall = StallState::default();
     }
 }
 
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -112,6 +112,8 @@
     pub failed: Vec<RunNumber>,
     pub checkpoint: Checkpoint,
     pub waiting_since: Now,
+    /// Number of runs that were stopped because their VM seemed stalled.
+    pub stall_stops: u32,
 }
 
 /// Placement of a task.
--- /dev/null
+++ b/src/core/workload/placer/state/stall.rs
@@ -0,0 +1,64 @@
+//! What is known of the progress of the runs on each VM.
+
+use std::time::Duration;
+
+use crate::core::model::Now;
+
+/// Interval of checks for stalled VMs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Delay of a check from which on reports may have waited unread, so that runs seem older than they
+/// are.
+const MAX_CHECK_DELAY: Duration = Duration::from_secs(1);
+
+/// Schedule of the checks for stalled VMs.
+#[derive(Debug)]
+pub(in crate::core::workload::placer) struct StallChecks {
+    next_at: Now,
+    /// Reports to renewals that were sent before this time are no evidence.
+    evidence_since: Now,
+}
+
+/// Progress of the runs on a VM.
+#[derive(Debug, Default)]
+pub(in crate::core::workload::placer) struct StallState {
+    /// When a run last completed or failed.
+    pub last_end_at: Option<Now>,
+    /// When the renewal was sent that the VM answered last.
+    pub reported_to: Now,
+    /// Since when the VM is suspect; `None` if it is not.
+    pub suspect_since: Option<Now>,
+    /// Time before which no further run can be overdue.
+    pub next_look_at: Now,
+}
+
+impl StallChecks {
+    pub fn new(now: Now) -> Self {
+        Self {
+            next_at: now + CHECK_INTERVAL,
+            evidence_since: now,
+        }
+    }
+
+    /// Returns whether a check is due, and schedules the next one if so.
+    pub fn begin(&mut self, now: Now) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        if now > self.next_at + MAX_CHECK_DELAY {
+            self.evidence_since = now;
+        }
+        self.next_at = now + CHECK_INTERVAL;
+        true
+    }
+
+    /// Returns the time of the next check.
+    pub fn next_at(&self) -> Now {
+        self.next_at
+    }
+
+    /// Returns whether the last report of a VM is evidence.
+    pub fn is_evidence(&self, vm: &StallState) -> bool {
+        vm.reported_to >= self.evidence_since
+    }
+}
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -21,6 +21,7 @@
 use crate::core::workload::placer::state::job_registry::JobRegistry;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::slowness::SlownessByKind;
+use crate::core::workload::placer::state::stall::StallChecks;
 use crate::core::workload::placer::state::usage::Usage;
 use crate::core::workload::placer::storage::archive::ArchiveState;
 use crate::core::workload::placer::storage::archive::is_final;
@@ -28,6 +29,7 @@
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
+use crate::core::workload::policy::estimates::RunTimeEstimates;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -99,6 +101,8 @@
             fleet: Fleet::default(),
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
+            estimates: RunTimeEstimates::default(),
+            stall_checks: StallChecks::new(cx.now),
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions under load, as plain functions and types: they read values that they are given, and
 //! have no clock, table or effects.
 
+pub mod estimates;
 pub mod shares;
+pub mod stall;
 pub mod timeliness;
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -39,6 +39,8 @@
     pub rounds: u64,
     /// Number of VMs that accept new tasks.
     pub usable_vms: u64,
+    /// Number of VMs that are suspect of being stalled.
+    pub stalled_vms: u64,
     /// Total capacity of the usable VMs.
     pub capacity: Resources,
     /// Unreserved capacity of the usable VMs.
--- a/src/core/workload/submission.rs
+++ b/src/core/workload/submission.rs
@@ -174,6 +174,14 @@
         }
     }
 
+    /// Returns whether the declared run time says how long a run takes. The CPU time of fillers is
+    /// limited, and the tasks of a gang wait for each other.
+    #[must_use]
+    pub fn has_expected_run_time(&self) -> bool {
+        let traits = self.traits;
+        self.estimate_ms > 0 && !(traits.filler || traits.gang || traits.long_running)
+    }
+
     fn validate(&self, ix: usize) -> Result<()> {
         if self.count == 0 || self.count > MAX_STEP_TASKS {
             return Err(format!("step {ix}: a step has 1 to {MAX_STEP_TASKS} tasks").into());
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -96,6 +96,7 @@
         gauge!("ragwortstall_vm_scans").set(placer.vm_scans as f64);
         gauge!("ragwortstall_rounds").set(placer.rounds as f64);
         gauge!("ragwortstall_vms_usable").set(placer.usable_vms as f64);
+        gauge!("ragwortstall_vms_stalled").set(placer.stalled_vms as f64);
         gauge!("ragwortstall_runs").set(placer.runs as f64);
         gauge!("ragwortstall_room_milli_cores").set(f64::from(placer.capacity.cpu_milli));
         gauge!("ragwortstall_free_milli_cores").set(f64::from(placer.free.cpu_milli));
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -18,6 +18,7 @@
 mod partial_outage;
 mod relay;
 mod slow_link;
+mod stall;
 mod status;
 mod table;
 mod takeover;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -22,6 +22,7 @@
 
 /// Simulated VM.
 #[derive(Debug)]
+#[allow(clippy::struct_excessive_bools)]
 pub(crate) struct SimVm {
     pub id: Box<str>,
     pub capacity: Resources,
@@ -39,6 +40,10 @@
     pub stop_time: Duration,
     /// Factor by which tasks take longer than estimated.
     pub slowdown: u32,
+    /// Whether runs make no progress, while the VM answers renewals and orders.
+    pub hung: bool,
+    /// Time to which the VM was advanced last.
+    advanced_to: Now,
     /// Tail latency reported for tasks with a latency target.
     pub tail_latency_ms: u64,
     /// Highest epoch seen; orders with a lower one are rejected.
@@ -78,6 +83,8 @@
             kind: "a",
             stop_time: STOP_TIME,
             slowdown: 1,
+            hung: false,
+            advanced_to: Now::ZERO,
             tail_latency_ms: 0,
             epoch: 0,
             lease_end_ms: 0,
@@ -115,6 +122,7 @@
     /// Advances the VM to `now`: ends runs that are done or stopped, and all runs once the lease
     /// has expired.
     pub(crate) fn advance(&mut self, now: Now) {
+        self.delay_hung_runs(now);
         let expired = ms(now) > self.lease_end_ms;
         let names: Vec<TaskName> = self.runs.keys().cloned().collect();
         for name in names {
@@ -131,6 +139,20 @@
         }
     }
 
+    /// Postpones the ends of the runs by the time for which the VM hangs.
+    fn delay_hung_runs(&mut self, now: Now) {
+        let passed = now.saturating_sub(self.advanced_to);
+        self.advanced_to = now;
+        if !self.hung {
+            return;
+        }
+        for run in self.runs.values_mut() {
+            if let Some((at, _)) = &mut run.own_end {
+                *at += passed;
+            }
+        }
+    }
+
     /// Applies a renewal on arrival; the answer may be delayed until a run ends.
     pub(crate) fn renew(&mut self, now: Now, epoch: u64, deadline_ms: Option<u64>) {
         self.advance(now);
