End the wait of a renewal when a run becomes overdue

A run is overdue only by its VM's report. In a large fleet a VM without ends answers every 2 s, so a hang was noticed up to 2 s late. The placer now requests a shorter wait from VMs with a run that may become overdue meanwhile.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -106,7 +106,11 @@
             let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let waits = vm.fenced && vm.stored_seq == vm.processed_seq && vm.renewal.failures == 0;
-            let wait = if waits { renewal_wait } else { Duration::ZERO };
+            let wait = if waits {
+                vm.stall.limit_wait(cx.now, renewal_wait)
+            } else {
+                Duration::ZERO
+            };
             let renewal = RenewalId {
                 vm: vm.id.clone(),
                 sent: cx.now,
--- a/src/core/workload/placer/orders/stalls.rs
+++ b/src/core/workload/placer/orders/stalls.rs
@@ -5,6 +5,7 @@
 
 use crate::core::model::Now;
 use crate::core::workload::cx::Cx;
+use crate::core::workload::cx::earliest;
 use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::placer::Placer;
@@ -142,24 +143,31 @@
             if vm.runs.is_empty() || now < vm.stall.next_look_at || vm.renewal.failures > 0 {
                 continue;
             }
-            let (overdue, next_look_at) = self.overdue_runs_of(key, vm, now);
-            looks.push((key, next_look_at));
+            let (overdue, next_overdue_at) = self.overdue_runs_of(key, vm);
+            let next_look_at = if overdue.tasks.is_empty() {
+                let latest = now + MAX_LOOK_INTERVAL;
+                next_overdue_at.map_or(latest, |at| at.min(latest))
+            } else {
+                now
+            };
+            looks.push((key, next_look_at, next_overdue_at));
             if !overdue.tasks.is_empty() {
                 list.push(overdue);
             }
         }
-        for (key, next_look_at) in looks {
+        for (key, next_look_at, next_overdue_at) in looks {
             if let Some(vm) = self.fleet.vms.get_mut(&key) {
                 vm.stall.next_look_at = next_look_at;
+                vm.stall.next_overdue_at = next_overdue_at;
             }
         }
         list
     }
 
-    /// Returns the overdue runs of a VM and the time of the next look at it.
-    fn overdue_runs_of(&self, key: VmKey, vm: &Vm, now: Now) -> (Overdue, Now) {
+    /// Returns the overdue runs of a VM, and the time at which the next run becomes overdue.
+    fn overdue_runs_of(&self, key: VmKey, vm: &Vm) -> (Overdue, Option<Now>) {
         let mut runs: Vec<(TaskKey, OverdueRun)> = Vec::new();
-        let mut next_look_at = now + MAX_LOOK_INTERVAL;
+        let mut next_overdue_at = None;
         for (&task, run) in &vm.runs {
             let Phase::Running { since } = run.phase else {
                 continue;
@@ -167,12 +175,14 @@
             let Some(expected) = self.expected_run_time(task, run) else {
                 continue;
             };
-            next_look_at = next_look_at.min(since + overdue_age(expected));
             // A report that has not arrived yet may list the run as ended.
             let age = vm.last_answer_at.saturating_sub(since);
             if age > overdue_age(expected) {
                 let job = task.step.job;
                 runs.push((task, OverdueRun { job, age, expected }));
+            } else {
+                let overdue_at = since + overdue_age(expected);
+                next_overdue_at = earliest(next_overdue_at, Some(overdue_at));
             }
         }
         runs.sort_unstable_by_key(|(task, _)| *task);
@@ -186,7 +196,7 @@
             suspect: vm.stall.suspect_since.is_some(),
         };
         let tasks = runs.into_iter().map(|(task, _)| task).collect();
-        (Overdue { view, tasks }, next_look_at)
+        (Overdue { view, tasks }, next_overdue_at)
     }
 
     /// Returns the expected run time of a run; `None` if it is not known.
--- a/src/core/workload/placer/state/stall.rs
+++ b/src/core/workload/placer/state/stall.rs
@@ -11,6 +11,9 @@
 /// are.
 const MAX_CHECK_DELAY: Duration = Duration::from_secs(1);
 
+/// Time beyond the next overdue time of a run after which a VM answers a renewal.
+const REPORT_MARGIN: Duration = Duration::from_millis(20);
+
 /// Schedule of the checks for stalled VMs.
 #[derive(Debug)]
 pub(in crate::core::workload::placer) struct StallChecks {
@@ -30,6 +33,8 @@
     pub suspect_since: Option<Now>,
     /// Time before which no further run can be overdue.
     pub next_look_at: Now,
+    /// When a run that is not overdue yet becomes overdue, as of the last look.
+    pub next_overdue_at: Option<Now>,
 }
 
 impl StallChecks {
@@ -62,3 +67,14 @@
         vm.reported_to >= self.evidence_since
     }
 }
+
+impl StallState {
+    /// Returns the time for which the VM may delay its answer to a renewal. A run is overdue only by
+    /// a report, so the VM must not delay it beyond the time at which a run becomes overdue.
+    pub fn limit_wait(&mut self, now: Now, wait: Duration) -> Duration {
+        match self.next_overdue_at.take() {
+            Some(at) => wait.min(at.saturating_sub(now) + REPORT_MARGIN),
+            None => wait,
+        }
+    }
+}
--- a/src/core/workload/policy/estimates.rs
+++ b/src/core/workload/policy/estimates.rs
@@ -89,10 +89,11 @@
         Some((end / BUCKETS_PER_OCTAVE + MIN_LOG2).exp2())
     }
 
-    /// Returns the median ratio; `None` without runs.
+    /// Returns the median ratio, in the middle of its bucket; `None` without runs.
     #[must_use]
     pub fn median(&self) -> Option<f64> {
-        self.quantile(0.5)
+        let bound = self.quantile(0.5)?;
+        Some(bound / (0.5 / BUCKETS_PER_OCTAVE).exp2())
     }
 }
 
--- a/tests/workload/stall.rs
+++ b/tests/workload/stall.rs
@@ -208,3 +208,17 @@
         assert_eq!(harness.state(0, id), Some(JobState::Completed));
     }
 }
+
+/// Guards against a hang that is noticed only when the long poll of a renewal ends, which takes two
+/// seconds in a large fleet.
+#[test]
+fn a_stall_is_noticed_before_the_wait_of_a_renewal_ends() {
+    let mut harness = Harness::new(2, 200);
+    let warm_up = job(vec![step(20, 300, &[])]);
+    let reply = harness.submit(0, "00000000000000c0", warm_up);
+    assert_eq!(reply, Reply::Accepted);
+    harness.run_for(1_500);
+    hang_vm(&mut harness, &job(vec![step(5, 500, &[])]));
+    harness.run_for(1_900);
+    assert_eq!(stalls(&harness).len(), 1);
+}
