Explain runs that were stopped on stalled VMs

The lines of a stalled VM were not shown with the jobs that it ran, and a job late for that reason had no cause. Show both lines and count the stops.

--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -22,7 +22,7 @@
   cat *.log | ragwortstall explain 4455f4f6e9907e81.0.1.3 -";
 
 /// Kinds of log lines that are shown for the VMs on which the job ran.
-const VM_KINDS: [&str; 2] = ["vm_contact", "vm_gone"];
+const VM_KINDS: [&str; 4] = ["vm_contact", "vm_gone", "vm_recovered", "vm_stalled"];
 
 /// Kinds of log lines about the whole cell that are shown for the duration of the job.
 const CELL_KINDS: [&str; 6] = [
@@ -192,6 +192,12 @@
             .filter(|line| line.str_field_or_empty("end") == end)
             .count()
     };
+    let stopped = |reason: &str| {
+        let stops = lines.iter().filter(|line| &*line.kind == "stop_ordered");
+        stops
+            .filter(|line| line.str_field_or_empty("reason") == reason)
+            .count()
+    };
     let placed = lines.iter().filter(|line| &*line.kind == "placed");
     let longest_wait_ms = placed
         .map(|line| line.u64_field("waited_ms"))
@@ -201,6 +207,7 @@
         (count("run_lost"), "runs lost with their VM or its lease"),
         (runs_ended("failed"), "runs failed"),
         (runs_ended("lapsed"), "runs killed when their lease lapsed"),
+        (stopped("VM is stalled"), "runs stopped on stalled VMs"),
         (count("not_started"), "starts refused or unanswered"),
         (count("advice_failed"), "requests for advice failed"),
         (count("role_taken"), "changes of the placer"),
--- a/tests/tool/explain.rs
+++ b/tests/tool/explain.rs
@@ -37,6 +37,34 @@
     );
 }
 
+/// Guards against a late job whose log does not tell that its VM hung.
+#[test]
+fn cause_of_moved_task_is_the_stalled_vm() {
+    let id = "4455f4f6e9907e81";
+    let task = format!(r#""node":"n","id":"{id}","task":"{id}.0.0.1","vm":"v""#);
+    let lines = [
+        format!(r#"{{"time_ms":10,"kind":"placed",{task},"run":1,"waited_ms":5}}"#),
+        r#"{"time_ms":20,"kind":"vm_stalled","node":"n","vm":"v","overdue":2}"#.to_owned(),
+        format!(
+            r#"{{"time_ms":21,"kind":"stop_ordered",{task},"run":1,"reason":"VM is stalled"}}"#
+        ),
+        r#"{"time_ms":25,"kind":"vm_recovered","node":"n","vm":"v"}"#.to_owned(),
+        format!(r#"{{"time_ms":30,"kind":"ended",{task},"run":2,"end":"done"}}"#),
+    ];
+    let path = std::env::temp_dir().join(format!("explain-stall-{}.log", std::process::id()));
+    std::fs::write(&path, lines.join("\n")).expect("write a log");
+    let arg = path.to_string_lossy();
+    let output = run_tool(&[], &["explain", id, &arg]).expect(DONE);
+    std::fs::remove_file(&path).expect("remove the log");
+    for text in [
+        "vm_stalled",
+        "vm_recovered",
+        "1 runs stopped on stalled VMs",
+    ] {
+        assert!(output.out.contains(text), "{}", output.out);
+    }
+}
+
 #[test]
 fn lines_are_sorted_by_time_and_prefixes_are_ignored() {
     let text = std::fs::read_to_string(log_path("late.jsonl")).expect("a log");
