Count the ages of runs from the VM's last silence

A VM that was paused as a whole answers again with runs that are old but go on. They made it suspect, and were stopped for nothing. Their ages now count from the time at which the VM answered again.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -441,6 +441,7 @@
 /// Records that a VM has answered, and logs it if renewals had failed before.
 fn record_contact(cx: &mut Cx, vm: &mut Vm) {
     if vm.renewal.failures > 0 {
+        vm.stall.contact_since = cx.now;
         cx.log(Decision::VmContact {
             vm: vm.id.clone(),
             reachable: true,
--- a/src/core/workload/placer/orders/stalls.rs
+++ b/src/core/workload/placer/orders/stalls.rs
@@ -175,6 +175,7 @@
             let Some(expected) = self.expected_run_time(task, run) else {
                 continue;
             };
+            let since = since.max(vm.stall.contact_since);
             // A report that has not arrived yet may list the run as ended.
             let age = vm.last_answer_at.saturating_sub(since);
             if age > overdue_age(expected) {
--- a/src/core/workload/placer/state/stall.rs
+++ b/src/core/workload/placer/state/stall.rs
@@ -29,6 +29,8 @@
     pub last_end_at: Option<Now>,
     /// When the renewal was sent that the VM answered last.
     pub reported_to: Now,
+    /// When the VM last answered after it had been silent. Its runs may have paused before.
+    pub contact_since: Now,
     /// Since when the VM is suspect; `None` if it is not.
     pub suspect_since: Option<Now>,
     /// Time before which no further run can be overdue.
