Keep the estimates of run times across takeovers

What a placer had learned about run times was lost with its role, so that its successor found no stalled VM and placed tasks on slow VM kinds.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -66,6 +66,7 @@
     usage: state::usage::Usage,
     slowness: state::slowness::SlownessByKind,
     estimates: RunTimeEstimates,
+    estimates_writer: storage::estimates::EstimatesWriter,
     stall_checks: state::stall::StallChecks,
     forwarders: rounds::advice::AdviceForwarders,
     progress: storage::progress::ProgressWriter,
@@ -216,6 +217,8 @@
                 job.queue = queue.clone();
             }
         }
+        self.estimates
+            .retain(|queue| catalog.queue(queue).is_some());
         self.schedule_round(cx.now);
     }
 
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -109,6 +109,7 @@
         {
             let declared = Duration::from_millis(job.spec(task.step.step).estimate_ms);
             self.estimates.record(&job.queue.name, declared, took);
+            self.estimates_writer.mark_changed();
         }
     }
 
--- a/src/core/workload/placer/state/slowness.rs
+++ b/src/core/workload/placer/state/slowness.rs
@@ -5,6 +5,7 @@
 //! job is late although it did not wait. Tasks that end are therefore placed on faster VMs, and
 //! tasks that run until cancelled on slower ones.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -27,6 +28,12 @@
 /// than this, the VM's own mean outweighs that of its kind.
 const KIND_WEIGHT_RUNS: f64 = 8.0;
 
+/// Largest logarithm that is restored from the table, which stands for a factor of 1,000.
+const MAX_RESTORED_MEAN: f64 = 6.9;
+
+/// Mean and number of runs of each VM kind, as stored in the table.
+pub(in crate::core::workload::placer) type StoredKinds = BTreeMap<Box<str>, (f64, f64)>;
+
 /// Moving mean of the natural logarithm of run times relative to other VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::core::workload::placer) struct SlownessEstimate {
@@ -48,6 +55,26 @@
 }
 
 impl SlownessByKind {
+    /// Restores the estimates of the VM kinds. Values beyond what can be learned are limited.
+    pub fn from_stored(stored: StoredKinds) -> Self {
+        let restore = |(kind, (mean, runs)): (Box<str>, (f64, f64))| {
+            let mean = mean.clamp(-MAX_RESTORED_MEAN, MAX_RESTORED_MEAN);
+            let runs = runs.clamp(0.0, KIND_WINDOW_RUNS);
+            (kind, SlownessEstimate { mean, runs })
+        };
+        Self {
+            kinds: stored.into_iter().map(restore).collect(),
+        }
+    }
+
+    /// Returns the estimates of those kinds that `is_stored` selects, to store them.
+    pub fn to_stored(&self, is_stored: impl Fn(&str) -> bool) -> StoredKinds {
+        let kinds = self.kinds.iter().filter(|(kind, _)| is_stored(kind));
+        kinds
+            .map(|(kind, estimate)| (kind.clone(), (estimate.mean, estimate.runs)))
+            .collect()
+    }
+
     /// Returns the natural logarithm of the run time on a VM relative to other VMs; positive for a
     /// slow VM.
     pub fn estimate(&self, vm: &Vm) -> f64 {
@@ -71,6 +98,7 @@
         if runs.len() < MIN_RUNS {
             return;
         }
+        self.estimates_writer.mark_changed();
         let log = |took: Duration| took.as_secs_f64().max(f64::MIN_POSITIVE).ln();
         let expected = |key: VmKey| {
             let vm = self.fleet.vms.get(&key);
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -25,11 +25,13 @@
 use crate::core::workload::placer::state::usage::Usage;
 use crate::core::workload::placer::storage::archive::ArchiveState;
 use crate::core::workload::placer::storage::archive::is_final;
+use crate::core::workload::placer::storage::estimates::EstimatesWriter;
 use crate::core::workload::placer::storage::hand_over::HandOver;
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::policy::estimates::RunTimeEstimates;
+use crate::core::workload::rows::ESTIMATES_KEY;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -102,6 +104,7 @@
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
             estimates: RunTimeEstimates::default(),
+            estimates_writer: EstimatesWriter::default(),
             stall_checks: StallChecks::new(cx.now),
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
@@ -274,6 +277,9 @@
             return;
         }
         let value = row.value.as_deref().unwrap_or_default();
+        if &*row.key == ESTIMATES_KEY {
+            return self.load_estimates(cx, row);
+        }
         if &*row.key == STOPS_KEY {
             return match decode(value) {
                 Ok(stops) => self.load_stops_row(&stops),
--- a/src/core/workload/placer/storage/mod.rs
+++ b/src/core/workload/placer/storage/mod.rs
@@ -1,6 +1,7 @@
 //! The placer's rows in the table: what it loads, writes, replaces and removes.
 
 pub(in crate::core::workload::placer) mod archive;
+pub(in crate::core::workload::placer) mod estimates;
 pub(in crate::core::workload::placer) mod hand_over;
 pub(in crate::core::workload::placer) mod heartbeat;
 pub(in crate::core::workload::placer) mod load;
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -73,6 +73,8 @@
     ack_cursors: Vec<(VmKey, u64, u64)>,
     /// VMs with runs being stopped, if the transaction changes them.
     stopping_vms: Option<Vec<VmKey>>,
+    /// Whether the transaction writes the estimates.
+    has_estimates: bool,
 }
 
 impl ProgressWriter {
@@ -187,6 +189,9 @@
             self.progress.stopping_vms = Some(keys.clone());
         }
         self.progress.stops_pending = false;
+        let estimates = self.estimates_row_if_due(cx);
+        let has_estimates = estimates.is_some();
+        txn.put.extend(estimates);
         let all_included = included == jobs.len();
         jobs.truncate(included);
         self.progress.in_flight = Some(Batch {
@@ -200,6 +205,7 @@
                 Vec::new()
             },
             stopping_vms,
+            has_estimates,
         });
         self.progress.next_at = cx.now + cx.options.placer.progress_interval;
         cx.commit(self.purpose(PlacerWrite::Progress), txn);
@@ -239,6 +245,9 @@
         for key in batch.jobs {
             self.registry.mark_dirty(key);
         }
+        if batch.has_estimates {
+            self.estimates_writer.mark_changed();
+        }
         if batch.stopping_vms.is_some() {
             self.progress.stopping_vms = None;
             self.progress.stops_pending = true;
--- a/src/core/workload/policy/estimates.rs
+++ b/src/core/workload/policy/estimates.rs
@@ -3,6 +3,7 @@
 //! Submitters declare how long a task runs. Declared times are often wrong by the same factor for a
 //! whole queue, so the ratio is learned from the runs that complete.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -30,6 +31,15 @@
 /// Longest declared run time that is taken into account.
 const MAX_DECLARED: Duration = Duration::from_secs(30 * 24 * 3_600);
 
+/// Counts of the buckets of each queue, as stored in the table.
+pub type BucketCounts = BTreeMap<QueueId, Vec<u32>>;
+
+/// Reason why stored counts are invalid.
+pub type Error = Box<str>;
+
+/// Result of restoring stored counts.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
 /// Ratios of actual to declared run times, as a decaying histogram of their logarithms.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunTimeRatios {
@@ -53,6 +63,16 @@
 }
 
 impl RunTimeRatios {
+    /// Restores ratios from the counts of their buckets.
+    fn from_counts(counts: &[u32]) -> Option<Self> {
+        let counts: [u32; BUCKETS] = counts.try_into().ok()?;
+        let mut runs: u32 = 0;
+        for count in counts {
+            runs = runs.checked_add(count)?;
+        }
+        (runs <= WINDOW_RUNS).then_some(Self { counts, runs })
+    }
+
     /// Adds a completed run.
     pub fn record(&mut self, ratio: f64) {
         if self.runs >= WINDOW_RUNS {
@@ -98,6 +118,31 @@
 }
 
 impl RunTimeEstimates {
+    /// Restores the ratios from stored counts. Returns an error if those of a queue are invalid.
+    pub fn from_counts(stored: &BucketCounts) -> Result<Self> {
+        let mut queues = FxHashMap::default();
+        for (queue, counts) in stored {
+            let ratios = RunTimeRatios::from_counts(counts)
+                .ok_or_else(|| format!("invalid counts of queue {queue}"))?;
+            queues.insert(queue.clone(), ratios);
+        }
+        Ok(Self { queues })
+    }
+
+    /// Returns the counts to store.
+    #[must_use]
+    pub fn counts(&self) -> BucketCounts {
+        let queues = self.queues.iter();
+        queues
+            .map(|(queue, ratios)| (queue.clone(), ratios.counts.to_vec()))
+            .collect()
+    }
+
+    /// Drops the queues that do not match.
+    pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
+        self.queues.retain(|queue, _| is_kept(queue));
+    }
+
     /// Adds a run of a queue that took `took`. A run without a declared time is ignored.
     pub fn record(&mut self, queue: &QueueId, declared: Duration, took: Duration) {
         if declared.is_zero() {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -48,6 +48,9 @@
 /// Key of the row that lists the VMs on which the placer may be stopping runs.
 pub(super) const STOPS_KEY: &str = "stops";
 
+/// Key of the row with the placer's estimates of run times.
+pub(super) const ESTIMATES_KEY: &str = "estimates";
+
 /// Key of the placer's heartbeat.
 pub(super) const HEARTBEAT_KEY: &str = "beat";
 
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -7,6 +7,7 @@
 mod constraints;
 mod contention;
 mod cut_off;
+mod estimates;
 mod faults;
 mod harness;
 mod jobs;
--- a/tests/workload/stall.rs
+++ b/tests/workload/stall.rs
@@ -15,19 +15,22 @@
 /// Creates a cell of 4 VMs in which the placer has learned the run times of the queue.
 fn harness() -> Harness {
     let mut harness = Harness::new(2, 4);
-    let warm_up = job(vec![step(20, 300, &[])]);
-    assert_eq!(
-        harness.submit(0, "00000000000000c0", warm_up),
-        Reply::Accepted
-    );
+    learn_run_times(&mut harness);
+    harness
+}
+
+/// Runs enough tasks for the placer to learn the run times of the queue.
+pub(crate) fn learn_run_times(harness: &mut Harness) {
+    let submission = job(vec![step(20, 300, &[])]);
+    let reply = harness.submit(0, "00000000000000c0", submission);
+    assert_eq!(reply, Reply::Accepted);
     harness.run_for(1_500);
     assert_eq!(harness.starts.len(), 20);
-    harness
 }
 
 /// Submits a job of this kind under each of two ids, and hangs a VM with tasks of both. Returns the
 /// VM.
-fn hang_vm(harness: &mut Harness, submission: &Submission) -> Box<str> {
+pub(crate) fn hang_vm(harness: &mut Harness, submission: &Submission) -> Box<str> {
     for id in JOBS {
         let reply = harness.submit(0, id, submission.clone());
         assert_eq!(reply, Reply::Accepted);
@@ -43,7 +46,8 @@
     hung.id.clone()
 }
 
-fn stalls(harness: &Harness) -> Vec<Box<str>> {
+/// Returns the VMs that were found to be stalled.
+pub(crate) fn stalls(harness: &Harness) -> Vec<Box<str>> {
     let stalled = harness
         .decisions
         .iter()
@@ -214,11 +218,26 @@
 #[test]
 fn a_stall_is_noticed_before_the_wait_of_a_renewal_ends() {
     let mut harness = Harness::new(2, 200);
-    let warm_up = job(vec![step(20, 300, &[])]);
-    let reply = harness.submit(0, "00000000000000c0", warm_up);
-    assert_eq!(reply, Reply::Accepted);
-    harness.run_for(1_500);
+    learn_run_times(&mut harness);
     hang_vm(&mut harness, &job(vec![step(5, 500, &[])]));
     harness.run_for(1_900);
     assert_eq!(stalls(&harness).len(), 1);
 }
+
+/// Guards against runs that are stopped because their VM was paused as a whole: its runs are old when
+/// it answers again, but they go on.
+#[test]
+fn a_vm_that_was_silent_is_not_suspect_when_it_answers_again() {
+    let mut harness = harness();
+    let paused = hang_vm(&mut harness, &job(vec![step(5, 500, &[])]));
+    harness.vms.get_mut(&paused).expect("a VM").connected = false;
+    harness.run_for(2_200);
+    let vm = harness.vms.get_mut(&paused).expect("a VM");
+    vm.connected = true;
+    vm.hung = false;
+    harness.run_for(3_000);
+    assert!(stalls(&harness).is_empty());
+    for id in JOBS {
+        assert_eq!(harness.state(0, id), Some(JobState::Completed));
+    }
+}
