--- a/src/core/workload/policy/estimates.rs
+++ b/src/core/workload/policy/estimates.rs
@@ -41,10 +41,12 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Ratios of actual to declared run times, as a decaying histogram of their logarithms.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RunTimeRatios {
     counts: [u32; BUCKETS],
     runs: u32,
+    /// [`EXPECTED_QUANTILE`] of the ratios, which is read for each run; `None` after too few runs.
+    expected: Option<f64>,
 }
 
 /// Ratios of actual to declared run times of each queue.
@@ -58,6 +60,7 @@
         Self {
             counts: [0; BUCKETS],
             runs: 0,
+            expected: None,
         }
     }
 }
@@ -70,7 +73,16 @@
         for count in counts {
             runs = runs.checked_add(count)?;
         }
-        (runs <= WINDOW_RUNS).then_some(Self { counts, runs })
+        if runs > WINDOW_RUNS {
+            return None;
+        }
+        let mut ratios = Self {
+            counts,
+            runs,
+            expected: None,
+        };
+        ratios.update_expected();
+        Some(ratios)
     }
 
     /// Adds a completed run.
@@ -83,6 +95,12 @@
         }
         self.counts[bucket(ratio)] += 1;
         self.runs += 1;
+        self.update_expected();
+    }
+
+    fn update_expected(&mut self) {
+        let is_known = self.runs >= MIN_RUNS;
+        self.expected = self.quantile(EXPECTED_QUANTILE).filter(|_| is_known);
     }
 
     /// Returns the number of runs, of which older ones count less.
@@ -163,12 +181,9 @@
     /// `None` if no time is declared or too few runs have completed.
     #[must_use]
     pub fn expected(&self, queue: &str, declared: Duration) -> Option<Duration> {
-        let ratios = self.queues.get(queue)?;
-        if declared.is_zero() || ratios.runs < MIN_RUNS {
-            return None;
-        }
-        let ratio = ratios.quantile(EXPECTED_QUANTILE)?;
-        Some(declared.min(MAX_DECLARED).mul_f64(ratio))
+        let ratio = self.queues.get(queue)?.expected?;
+        let declared = declared.min(MAX_DECLARED);
+        (!declared.is_zero()).then(|| declared.mul_f64(ratio))
     }
 }
 
--- a/tests/policy/estimates.rs
+++ b/tests/policy/estimates.rs
@@ -69,3 +69,19 @@
     estimates.record(&queue, SECOND, SECOND);
     assert!(estimates.expected(&queue, SECOND).is_some());
 }
+
+/// Guards against estimates that change when they are stored and loaded at a takeover.
+#[test]
+fn stored_counts_restore_the_same_ratios() {
+    let queue = "batch".into();
+    let mut estimates = RunTimeEstimates::default();
+    for ix in 1..2_000 {
+        estimates.record(&queue, SECOND, SECOND * ix / 500);
+    }
+    let restored = RunTimeEstimates::from_counts(&estimates.counts()).expect("valid counts");
+    assert_eq!(restored.ratios(&queue), estimates.ratios(&queue));
+    assert_eq!(
+        restored.expected(&queue, SECOND),
+        estimates.expected(&queue, SECOND)
+    );
+}
