--- a/src/core/workload/placer/orders/stalls.rs
+++ b/src/core/workload/placer/orders/stalls.rs
@@ -24,6 +24,9 @@
 /// Longest time between two looks at the runs of a VM.
 const MAX_LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of groups of VMs that are looked at in turn, so that no check looks at all of them.
+const LOOK_GROUPS: u32 = 4;
+
 /// Largest number of doublings of the expected run time of a task.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -145,7 +148,7 @@
             }
             let (overdue, next_overdue_at) = self.overdue_runs_of(key, vm);
             let next_look_at = if overdue.tasks.is_empty() {
-                let latest = now + MAX_LOOK_INTERVAL;
+                let latest = latest_look(key, vm, now);
                 next_overdue_at.map_or(latest, |at| at.min(latest))
             } else {
                 now
@@ -222,3 +225,14 @@
         Some(expected * 2_u32.pow(stops.min(MAX_DOUBLINGS)))
     }
 }
+
+/// Returns the latest time of the next look at a VM. The first one depends on the group of the VM.
+fn latest_look(key: VmKey, vm: &Vm, now: Now) -> Now {
+    let is_first = vm.stall.next_look_at == Now::ZERO;
+    let groups = if is_first {
+        key % LOOK_GROUPS + 1
+    } else {
+        LOOK_GROUPS
+    };
+    now + MAX_LOOK_INTERVAL * groups / LOOK_GROUPS
+}
