--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -242,6 +242,20 @@
         view_age_ms: Option<u64>,
         max_age_ms: u64,
     },
+    /// A VM became suspect of being stalled: it answers, but its runs make no progress. It gets no
+    /// new tasks for a while.
+    VmStalled {
+        vm: VmId,
+        overdue: usize,
+        oldest_ms: u64,
+        expected_ms: u64,
+    },
+    /// A VM is no longer suspect of being stalled.
+    VmRecovered {
+        vm: VmId,
+        suspect_ms: u64,
+        reason: &'static str,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -106,7 +106,11 @@
             let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let waits = vm.fenced && vm.stored_seq == vm.processed_seq && vm.renewal.failures == 0;
-            let wait = if waits { renewal_wait } else { Duration::ZERO };
+            let wait = if waits {
+                vm.stall.limit_wait(cx.now, renewal_wait)
+            } else {
+                Duration::ZERO
+            };
             let renewal = RenewalId {
                 vm: vm.id.clone(),
                 sent: cx.now,
@@ -244,6 +248,7 @@
             received_at: cx.now,
         });
         record_contact(cx, vm);
+        vm.stall.reported_to = sent;
         for ended in report
             .ended
             .iter()
@@ -288,6 +293,7 @@
     /// executes.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         self.drop_runs(cx, key, "VM restarted");
+        self.clear_suspicion(cx, key, "VM restarted");
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
         }
@@ -435,6 +441,7 @@
 /// Records that a VM has answered, and logs it if renewals had failed before.
 fn record_contact(cx: &mut Cx, vm: &mut Vm) {
     if vm.renewal.failures > 0 {
+        vm.stall.contact_since = cx.now;
         cx.log(Decision::VmContact {
             vm: vm.id.clone(),
             reachable: true,
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -22,6 +22,7 @@
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
 use crate::core::workload::placer::state::slowness::SlownessEstimate;
+use crate::core::workload::placer::state::stall::StallState;
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
@@ -127,6 +128,8 @@
     pub failure_streak: u32,
     /// Job of the last failed run.
     pub last_failed_job: Option<JobKey>,
+    /// Progress of the runs.
+    pub stall: StallState,
 }
 
 /// State of a VM's lease renewals.
@@ -282,6 +285,7 @@
             slowness: SlownessEstimate::default(),
             failure_streak: 0,
             last_failed_job: None,
+            stall: StallState::default(),
         }
     }
 
@@ -326,6 +330,7 @@
             && self.renewal.failures == 0
             && now >= self.avoid_until
             && !self.is_silent(now)
+            && self.stall.suspect_since.is_none()
             && now >= self.capacity_uncertain_until
     }
 
@@ -428,6 +433,7 @@
         self.preempted_until = Now::ZERO;
         self.processed_seq = 0;
         self.stored_seq = 0;
+        self.stall = StallState::default();
     }
 }
 
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the workload reducer's decisions under load, each on plain values.
 
+mod estimates;
 mod evacuation;
 mod forwarders;
 mod preemption;
 mod shares;
+mod stall;
 mod timeliness;
