--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -90,6 +90,17 @@
     }
 }
 
+impl Queue {
+    /// Returns the objective for the time from acceptance to completion of a job with this critical
+    /// path.
+    #[must_use]
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = critical_path.as_secs_f64() * self.stretch.max(0.0);
+        let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
+        stretched.saturating_add(self.target)
+    }
+}
+
 impl Team {
     /// Returns whether `used` is within the cap.
     #[must_use]
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -378,8 +378,7 @@
 
     /// Returns the objective for the time from acceptance to completion.
     pub fn objective(&self) -> Duration {
-        let chain = self.submission.critical_path();
-        chain.mul_f64(self.queue.stretch.max(0.0)) + self.queue.target
+        self.queue.objective(self.submission.critical_path())
     }
 }
 
--- a/src/core/workload/submission.rs
+++ b/src/core/workload/submission.rs
@@ -146,7 +146,7 @@
                 .iter()
                 .filter_map(|&ix| finish_ms.get(usize::from(ix)));
             let start = start.max().copied().unwrap_or(0);
-            finish_ms.push(start + step.estimate_ms);
+            finish_ms.push(start.saturating_add(step.estimate_ms));
         }
         Duration::from_millis(finish_ms.into_iter().max().unwrap_or(0))
     }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the workload reducer's decisions under load, each on plain values.
 
+mod admission;
 mod shares;
 mod timeliness;
