Publish the waits of new jobs with the placer's heartbeat

Daemons cannot tell how long a job would wait. The placer counts the work that it starts and, once per heartbeat, the work that waits, and lists the queues and teams whose wait is worth reporting in the optional field waits.

--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -280,6 +280,7 @@
             loading: true,
             waiting: None,
             waiting_age_ms: 0,
+            waits: Vec::new(),
         };
         let txn = Transaction {
             expect: vec![(RowId::new(PROGRESS, part, SEQUENCE_KEY), self.grant.version)],
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -24,6 +24,7 @@
 use super::event::ProbePurpose;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
+use super::policy::admission::WaitEstimator;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
@@ -64,6 +65,8 @@
     fleet: Fleet,
     usage: state::usage::Usage,
     slowness: state::slowness::SlownessByKind,
+    /// Estimated waits of new jobs, and the started work that they are based on.
+    waits: WaitEstimator,
     forwarders: rounds::advice::AdviceForwarders,
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
@@ -125,6 +128,7 @@
             vms: self.fleet.vms.len() as u64,
             vm_scans: self.vm_scans,
             rounds: self.rounds,
+            waits: self.listed_waits(),
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
@@ -340,8 +344,10 @@
         CommitPurpose::Placer(self.owner.epoch, write)
     }
 
-    /// Returns the heartbeat row, with the number of unstarted jobs of each queue.
-    fn heartbeat_row(&self, now: Now) -> HeartbeatRow {
+    /// Returns the heartbeat row, with the number of unstarted jobs of each queue and the waits of
+    /// new jobs.
+    fn heartbeat_row(&mut self, cx: &Cx) -> HeartbeatRow {
+        self.update_waits(cx);
         let mut waiting = rustc_hash::FxHashMap::default();
         for (_, job) in self
             .registry
@@ -355,7 +361,8 @@
             released: self.release != Release::NotRequested,
             loading: false,
             waiting: Some(waiting),
-            waiting_age_ms: millis(now.saturating_sub(self.jobs_known_at)),
+            waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
+            waits: self.wait_rows(),
         }
     }
 
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -18,6 +18,7 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::waits::started_work;
 use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
@@ -60,6 +61,7 @@
         };
         let new_run = Run::new(run, job.spec(task.step.step), cx.now);
         let (team, payload) = (job.team.clone(), job.payload.clone());
+        let work = started_work(job, task.step.step);
         let Some(step) = self.registry.step_mut(task.step) else {
             return;
         };
@@ -89,6 +91,9 @@
         };
         let id = vm.id.clone();
         self.usage.add(team.as_ref(), &new_run.demand);
+        if let Some((pair, core_millis)) = work {
+            self.waits.record_start(cx.now, pair, core_millis);
+        }
         cx.send(Request::Start(Box::new(start)));
         cx.log(Decision::Placed {
             task: name.to_string().into(),
--- a/src/core/workload/placer/rounds/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -34,7 +34,11 @@
     }
 
     /// Returns whether the job can still be of use to its caller, at a wall time since the Unix epoch.
-    fn timeliness(&self, objective: Duration, unix_time: Duration) -> Timeliness {
+    pub(in crate::core::workload::placer) fn timeliness(
+        &self,
+        objective: Duration,
+        unix_time: Duration,
+    ) -> Timeliness {
         let age = unix_time.saturating_sub(self.accepted_at);
         Timeliness::new(age, self.remaining_time(), objective)
     }
--- a/src/core/workload/placer/rounds/shares.rs
+++ b/src/core/workload/placer/rounds/shares.rs
@@ -10,7 +10,7 @@
 use crate::core::workload::policy::shares::FairShares;
 
 /// Weight of a team without a valid weight in the configuration.
-const DEFAULT_WEIGHT: f64 = 1.0;
+pub(in crate::core::workload::placer) const DEFAULT_WEIGHT: f64 = 1.0;
 
 impl Placer {
     /// Divides the capacity of the listed VMs by weight among the teams that have running tasks or
@@ -47,7 +47,8 @@
     }
 }
 
-fn weight(cx: &Cx, team: &TeamId) -> f64 {
+/// Returns the configured weight of a team.
+pub(in crate::core::workload::placer) fn weight(cx: &Cx, team: &TeamId) -> f64 {
     let team = cx.catalog.and_then(|catalog| catalog.teams.get(team));
     let weight = team.map_or(DEFAULT_WEIGHT, |team| team.weight);
     if weight > 0.0 { weight } else { DEFAULT_WEIGHT }
--- a/src/core/workload/placer/state/mod.rs
+++ b/src/core/workload/placer/state/mod.rs
@@ -1,7 +1,9 @@
-//! State of the placer: VMs, jobs, usage of teams, and what was learned about VMs.
+//! State of the placer: VMs, jobs, usage of teams, waits of new jobs, and what was
+//! learned about VMs.
 
 pub(in crate::core::workload::placer) mod fleet;
 pub(in crate::core::workload::placer) mod job_registry;
 pub(in crate::core::workload::placer) mod renewal_schedule;
 pub(in crate::core::workload::placer) mod slowness;
 pub(in crate::core::workload::placer) mod usage;
+pub(in crate::core::workload::placer) mod waits;
--- a/src/core/workload/placer/storage/heartbeat.rs
+++ b/src/core/workload/placer/storage/heartbeat.rs
@@ -33,7 +33,7 @@
         let txn = Transaction {
             // The sequence row may be changed by the write in flight.
             expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.grant_version)],
-            put: vec![(row, encode(&self.heartbeat_row(cx.now)))],
+            put: vec![(row, encode(&self.heartbeat_row(cx)))],
             remove: Vec::new(),
         };
         cx.commit(self.purpose(PlacerWrite::Heartbeat), txn);
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -28,6 +28,7 @@
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
+use crate::core::workload::policy::admission::WaitEstimator;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -99,6 +100,7 @@
             fleet: Fleet::default(),
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
+            waits: WaitEstimator::default(),
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -175,7 +175,7 @@
         if heartbeat_due {
             self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
             let row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
-            txn.put.push((row, encode(&self.heartbeat_row(cx.now))));
+            txn.put.push((row, encode(&self.heartbeat_row(cx))));
         }
         let stopping_vms = self.stops_row(cx.now).map(|(keys, row)| {
             txn.put
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -425,6 +425,7 @@
             loading: true,
             waiting: None,
             waiting_age_ms: 0,
+            waits: Vec::new(),
         };
         let heartbeat_row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
         let sequence = RowId::new(PROGRESS, part, SEQUENCE_KEY);
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -146,6 +146,21 @@
     /// Age of that number when the heartbeat was written, in milliseconds.
     #[serde(default)]
     pub waiting_age_ms: u64,
+    /// Estimated waits of new jobs, for the queues and teams whose wait is worth reporting.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits: Vec<WaitRow>,
+}
+
+/// Estimated wait of a new job of a queue and team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct WaitRow {
+    /// Queue.
+    pub queue: QueueId,
+    /// Team; `None` for jobs without a key, on public queues.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<TeamId>,
+    /// Wait in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// VMs on which the placer may be stopping runs.
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -47,4 +47,6 @@
     pub runs: u64,
     /// Number of tasks that are ready to start, by queue and team; no team on a public queue.
     pub waiting: BTreeMap<(QueueId, Option<TeamId>), u64>,
+    /// Published waits of new jobs, by queue and team.
+    pub waits: BTreeMap<(QueueId, Option<TeamId>), Duration>,
 }
