Refuse jobs that could not be done in useful time

All that the table took was accepted, so that under overload jobs started long after their callers had gone. The daemon that receives a job now compares the published wait with the time for which the job is of use, and replies 429 with a delay if it is too long. It reads the job's row first, so that a repeat of an accepted job is accepted; nothing of a refused job is written. If the estimate is old or the row cannot be read, or if an earlier submission of the job may still take effect, the submission is handled as before. A refused job that is submitted again counts from its first attempt, within bounds.

--- a/src/core/workload/callers/batcher.rs
+++ b/src/core/workload/callers/batcher.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::calls::UNAVAILABLE_RETRY_AFTER;
+use super::recent_ids::RecentIds;
 use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
@@ -38,6 +39,8 @@
 pub(in crate::core::workload) struct SubmissionBatcher {
     /// Queues by the number of the table's part.
     parts: BTreeMap<u8, PartQueue>,
+    /// Jobs that were given up although a transaction with them may still take effect.
+    unsettled: RecentIds<()>,
 }
 
 /// Submitted jobs of one part of the table.
@@ -90,7 +93,12 @@
             tickets: vec![ticket],
         };
         if part.refused_until.is_some_and(|until| cx.now < until) {
-            return refuse(cx, &pending, "the table's part does not answer");
+            return refuse(
+                cx,
+                &mut self.unsettled,
+                &pending,
+                "the table's part does not answer",
+            );
         }
         if part.queued.is_empty() {
             part.send_at = cx.now + cx.options.table.batch_delay;
@@ -98,6 +106,14 @@
         part.queued.push(pending);
     }
 
+    /// Returns whether a transaction with the job may have committed, or may still commit.
+    pub fn may_be_stored(&self, id: &str) -> bool {
+        let part = self.parts.get(&job_part(id));
+        let pending = part.map(|part| part.queued.iter().chain(&part.in_flight));
+        let is_pending = pending.is_some_and(|mut jobs| jobs.any(|job| &*job.id == id));
+        is_pending || self.unsettled.get(id).is_some()
+    }
+
     /// Returns whether no submission waits for a reply.
     pub fn is_idle(&self) -> bool {
         let jobs = |part: &PartQueue| part.queued.len() + part.in_flight.len();
@@ -144,7 +160,7 @@
                         part.send_at = cx.now + RETRY_DELAY;
                         part.queued.push(pending);
                     } else {
-                        refuse(cx, &pending, reason);
+                        refuse(cx, &mut self.unsettled, &pending, reason);
                     }
                 }
             }
@@ -162,7 +178,12 @@
     pub fn refuse_queued(&mut self, cx: &mut Cx) {
         for part in self.parts.values_mut() {
             for pending in part.queued.drain(..) {
-                refuse(cx, &pending, "the table does not answer");
+                refuse(
+                    cx,
+                    &mut self.unsettled,
+                    &pending,
+                    "the table does not answer",
+                );
             }
         }
         let now = cx.now;
@@ -211,8 +232,9 @@
 
 /// Gives up a submission. Reports it as refused only if it is certainly not stored; otherwise its
 /// outcome is reported as unknown.
-fn refuse(cx: &mut Cx, pending: &Pending, reason: &str) {
+fn refuse(cx: &mut Cx, unsettled: &mut RecentIds<()>, pending: &Pending, reason: &str) {
     if pending.may_be_stored {
+        unsettled.add(&pending.id, ());
         cx.log(Decision::Unsettled {
             id: pending.id.clone(),
             reason: reason.into(),
--- a/src/core/workload/callers/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -6,7 +6,10 @@
 
 use rustc_hash::FxHashMap;
 
+use super::admission::AdmissionControl;
+use super::admission::Submitted;
 use super::batcher::SubmissionBatcher;
+use super::relay::Relays;
 use crate::core::model::JobId;
 use crate::core::model::TeamId;
 use crate::core::model::Ticket;
@@ -64,6 +67,10 @@
 pub(in crate::core::workload) struct Components<'a> {
     /// Batches submissions into transactions.
     pub batcher: &'a mut SubmissionBatcher,
+    /// Refuses submissions in overload.
+    pub admission: &'a mut AdmissionControl,
+    /// Calls relayed to other daemons.
+    pub relays: &'a Relays,
     /// Followed tables of the platform.
     pub feeds: &'a Feeds,
     /// Heartbeats of the placer.
@@ -336,16 +343,24 @@
         });
         return cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
     }
+    let admission = &mut *components.admission;
     let row = JobRow {
         queue: queue.name.clone(),
         service: queue.service.clone(),
         team,
-        at: cx.unix_time,
+        at: admission.acceptance_time(cx, &id, queue, &job),
         job: Some(job),
     };
-    components
-        .batcher
-        .submit(cx, ticket, id, row, config_version);
+    let may_be_stored =
+        components.batcher.may_be_stored(&id) || components.relays.may_have_submitted(&id);
+    let submitted = Submitted {
+        id,
+        row,
+        config_version,
+        may_be_stored,
+    };
+    let batcher = &mut *components.batcher;
+    admission.submit(cx, batcher, components.heartbeats, queue, ticket, submitted);
 }
 
 fn reply_waiting_count(cx: &mut Cx, heartbeats: &HeartbeatMonitor, ticket: Ticket, queue: &Queue) {
@@ -394,6 +409,15 @@
     rest.split('?').next().unwrap_or_default()
 }
 
+/// Returns the id at the end of a job's path, without the query string; empty if it is too short.
+pub(super) fn job_id_in_path(path: &str) -> &str {
+    let path = path.split('?').next().unwrap_or_default();
+    let start = path.len().checked_sub(JOB_ID_DIGITS);
+    start
+        .and_then(|start| path.get(start..))
+        .unwrap_or_default()
+}
+
 fn is_valid_job_id(id: &str) -> bool {
     id.len() == JOB_ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
--- a/src/core/workload/callers/relay.rs
+++ b/src/core/workload/callers/relay.rs
@@ -9,6 +9,8 @@
 use rustc_hash::FxHashMap;
 
 use super::calls::UNAVAILABLE_RETRY_AFTER;
+use super::calls::job_id_in_path;
+use super::recent_ids::RecentIds;
 use crate::core::model::DaemonId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
@@ -46,6 +48,8 @@
     /// Highest version of the configuration that a relayed call was handled with. Its callers have
     /// seen it, so calls must not be handled with an older one.
     config: u64,
+    /// Jobs of calls that may have been handled although no reply to them arrived.
+    unsettled: RecentIds<()>,
 }
 
 /// Call that another daemon handles.
@@ -62,6 +66,12 @@
         self.pending.is_empty()
     }
 
+    /// Returns whether a relayed submission of a job may still take effect.
+    pub fn may_have_submitted(&self, id: &str) -> bool {
+        let is_pending = |relayed: &Relayed| job_id_in_path(&relayed.call.path) == id;
+        self.pending.values().any(is_pending) || self.unsettled.get(id).is_some()
+    }
+
     /// Returns the version of the configuration below which no call may be handled.
     pub fn min_config(&self) -> u64 {
         self.config
@@ -131,6 +141,8 @@
         let is_read = matches!(failed.call.action, Action::Get);
         let may_have_run = matches!(err, Some(RelayError::NoReply(_))) && !is_read;
         let reply = if may_have_run {
+            let id = job_id_in_path(&failed.call.path);
+            self.unsettled.add(id, ());
             Reply::Unknown
         } else {
             Reply::Unavailable(UNAVAILABLE_RETRY_AFTER)
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -210,8 +210,21 @@
     },
     /// A transaction failed.
     CommitFailed { purpose: Box<str>, reason: Box<str> },
-    /// A read for the placer role failed. It is retried, or the role is not acquired yet.
+    /// A read failed. For the placer role, it is retried, or the role is not acquired yet; before a
+    /// refusal for overload, the submission is handled as without overload.
     ReadFailed { purpose: Box<str>, reason: Box<str> },
+    /// A submission was refused because its job could not be done in useful time. `age_ms` is the
+    /// age of the estimate.
+    #[serde(rename = "refused")]
+    RefusedForOverload {
+        id: JobId,
+        queue: QueueId,
+        team: Option<TeamId>,
+        reason: Box<str>,
+        config: u64,
+        age_ms: u64,
+        retry_after_ms: u64,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -159,6 +159,8 @@
     Existence(Ticket, JobId),
     /// Rows of a job that a caller cancels.
     Cancel(Ticket, JobId),
+    /// Row of a job that is about to be refused for overload.
+    Admission(JobId),
     /// Owner row, before the placer role is claimed.
     Owner,
     /// Owner row, after a claim whose outcome is unknown.
--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -24,6 +24,7 @@
 use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
+use crate::core::model::TeamId;
 
 /// Maximum age of a number of waiting jobs that is returned to callers.
 ///
@@ -31,6 +32,9 @@
 /// waits of a watch ago where jobs are rare.
 const MAX_WAITING_COUNT_AGE: Duration = Duration::from_millis(2_500);
 
+/// Maximum age of a heartbeat by whose estimates jobs are refused.
+const MAX_WAIT_AGE: Duration = Duration::from_millis(2_500);
+
 /// Last heartbeat of the placer, state of its process, and addresses and hosts of the daemons.
 #[derive(Debug, Default)]
 pub(super) struct HeartbeatMonitor {
@@ -42,6 +46,15 @@
     pub hosts: Hosts,
 }
 
+/// Estimated wait of a new job, as published by the placer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct PublishedWait {
+    /// Estimated wait.
+    pub wait: Duration,
+    /// Upper bound of the time since the heartbeat with the estimate was written.
+    pub age: Duration,
+}
+
 /// Heartbeat of the placer.
 #[derive(Debug)]
 pub(super) struct Heartbeat {
@@ -76,6 +89,18 @@
         (now < counted_at + MAX_WAITING_COUNT_AGE).then_some(count)
     }
 
+    /// Returns the estimated wait of a new job of a queue and team. `None` if it is short, or not
+    /// known as the placer is loading, is lost or has sent no recent heartbeat.
+    pub fn wait(&self, now: Now, queue: &str, team: Option<&TeamId>) -> Option<PublishedWait> {
+        let last = self.last.as_ref()?;
+        let age = now.saturating_sub(last.requested_at);
+        if last.row.loading || last.row.released || age >= MAX_WAIT_AGE || self.holder_has_ended() {
+            return None;
+        }
+        let wait = last.row.wait(queue, team)?;
+        Some(PublishedWait { wait, age })
+    }
+
     /// Probes the holder's process if its heartbeat is late.
     pub fn poll(&mut self, cx: &mut Cx) {
         if let Some(last) = &self.last {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -196,6 +196,14 @@
         let count = counts.get(queue).copied().unwrap_or(0);
         Some((count, Duration::from_millis(self.waiting_age_ms)))
     }
+
+    /// Returns the estimated wait of a new job of a queue and team; `None` if it is short or not
+    /// known.
+    pub fn wait(&self, queue: &str, team: Option<&TeamId>) -> Option<Duration> {
+        let is_pair = |row: &&WaitRow| &*row.queue == queue && row.team.as_ref() == team;
+        let row = self.waits.iter().find(is_pair)?;
+        Some(Duration::from_millis(row.wait_ms))
+    }
 }
 
 /// Encodes a value as JSON.
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::address::AddressState;
+use super::callers::admission::AdmissionControl;
 use super::callers::batcher::SubmissionBatcher;
 use super::callers::calls::CallHandler;
 use super::callers::calls::Components;
@@ -62,6 +63,7 @@
     feeds: Feeds,
     heartbeats: HeartbeatMonitor,
     batcher: SubmissionBatcher,
+    admission: AdmissionControl,
     calls: CallHandler,
     relays: Relays,
     role: Role,
@@ -86,6 +88,7 @@
             feeds,
             heartbeats: HeartbeatMonitor::default(),
             batcher: SubmissionBatcher::default(),
+            admission: AdmissionControl::default(),
             calls: CallHandler::default(),
             relays: Relays::default(),
             role: Role::new(),
@@ -189,6 +192,8 @@
         }
         let components = Components {
             batcher: &mut self.batcher,
+            admission: &mut self.admission,
+            relays: &self.relays,
             feeds: &self.feeds,
             heartbeats: &self.heartbeats,
         };
@@ -282,6 +287,10 @@
                 self.calls.handle_existence_rows(cx, ticket, &id, page);
             }
             ReadPurpose::Cancel(ticket, id) => self.calls.handle_cancel_rows(cx, ticket, id, page),
+            ReadPurpose::Admission(id) => {
+                self.admission
+                    .handle_job_row(cx, &mut self.batcher, &id, page);
+            }
             ReadPurpose::Owner => self.role.handle_owner_row(cx, false, page),
             ReadPurpose::Settle => self.role.handle_owner_row(cx, true, page),
             ReadPurpose::Load(epoch, source) => {
@@ -395,8 +404,11 @@
             Some(placer) => placer.release(&mut cx),
             None => true,
         };
-        let is_idle =
-            released && self.batcher.is_idle() && self.calls.is_idle() && self.relays.is_idle();
+        let is_idle = released
+            && self.admission.is_idle()
+            && self.batcher.is_idle()
+            && self.calls.is_idle()
+            && self.relays.is_idle();
         if is_idle || now >= started_at + self.options.drain_timeout {
             self.exited = true;
             out.push(Effect::Exit);
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -33,6 +33,8 @@
 pub struct StatusGauges {
     /// Queues and teams with waiting tasks in the last report, whose gauges are reset by the next.
     waiting: BTreeSet<Labels>,
+    /// Queues and teams with published waits in the last report, likewise.
+    waits: BTreeSet<Labels>,
 }
 
 /// Returns a builder of a recorder whose histograms have fixed buckets.
@@ -48,6 +50,7 @@
         Decision::Accepted { .. } => count_submission("accepted"),
         Decision::Unsettled { .. } => count_submission("unknown"),
         Decision::Refused { .. } => counter!("ragwortstall_refusals_total").increment(1),
+        Decision::RefusedForOverload { queue, .. } => count_overload(queue),
         Decision::JobState {
             state,
             took_ms,
@@ -101,6 +104,7 @@
         gauge!("ragwortstall_free_milli_cores").set(f64::from(placer.free.cpu_milli));
         gauge!("ragwortstall_free_mebibytes").set(f64::from(placer.free.mem_mib));
         self.report_waiting(&placer);
+        self.report_waits(&placer);
     }
 
     /// Sets the gauges of waiting tasks. The cardinality of the labels is bounded, as the queues
@@ -117,6 +121,19 @@
             self.waiting.insert(labels);
         }
     }
+
+    /// Sets the gauges of published waits.
+    fn report_waits(&mut self, placer: &PlacerStatus) {
+        for labels in std::mem::take(&mut self.waits) {
+            wait_gauge(&labels).set(0.0);
+        }
+        for ((queue, team), wait) in &placer.waits {
+            let team = team.clone().unwrap_or(NO_TEAM.into());
+            let labels = (queue.clone(), team);
+            wait_gauge(&labels).set(wait.as_secs_f64());
+            self.waits.insert(labels);
+        }
+    }
 }
 
 /// Sets the gauges of the followed tables' ages. A table that is not followed, or has not answered
@@ -134,6 +151,15 @@
     gauge!("ragwortstall_waiting_tasks", "queue" => queue.to_string(), "team" => team.to_string())
 }
 
+fn wait_gauge((queue, team): &Labels) -> metrics::Gauge {
+    gauge!("ragwortstall_wait_seconds", "queue" => queue.to_string(), "team" => team.to_string())
+}
+
+fn count_overload(queue: &str) {
+    counter!("ragwortstall_refusals_total").increment(1);
+    counter!("ragwortstall_overload_refusals_total", "queue" => queue.to_owned()).increment(1);
+}
+
 fn count_submission(outcome: &'static str) {
     counter!("ragwortstall_submissions_total", "outcome" => outcome).increment(1);
 }
--- a/tests/meters.rs
+++ b/tests/meters.rs
@@ -78,3 +78,51 @@
     assert!(second.contains(&format!("{waiting} 0")), "{second}");
     assert!(second.contains("ragwortstall_placer_epoch 0"));
 }
+
+fn refusal_for_overload(queue: &str) -> Decision {
+    Decision::RefusedForOverload {
+        id: "00000000000000a1".into(),
+        queue: queue.into(),
+        team: None,
+        reason: "overload: wait of 9000 ms, useful within 1750 ms".into(),
+        config: 1,
+        age_ms: 120,
+        retry_after_ms: 6_000,
+    }
+}
+
+#[test]
+fn refusals_for_overload_are_counted_by_queue_and_with_all_refusals() {
+    let page = page(|| {
+        meters::record(&refusal_for_overload("labels"));
+        meters::record(&refusal_for_overload("labels"));
+        meters::record(&refusal_for_overload("panels"));
+    });
+    let has = |line: &str| assert!(page.lines().any(|have| have == line), "{line} in\n{page}");
+    has("ragwortstall_overload_refusals_total{queue=\"labels\"} 2");
+    has("ragwortstall_overload_refusals_total{queue=\"panels\"} 1");
+    has("ragwortstall_refusals_total 3");
+}
+
+/// Guards against a wait that is shown for a queue that is no longer overloaded.
+#[test]
+fn gauges_of_waits_that_are_no_longer_published_are_reset_to_zero() {
+    let mut placer = PlacerStatus::default();
+    let labels = ("labels".into(), Some("dairy".into()));
+    placer.waits.insert(labels, Duration::from_millis(2_500));
+    let busy = Status {
+        placer: Some(placer),
+        ..Status::default()
+    };
+    let page = |list: &[&Status]| {
+        page(|| {
+            let mut gauges = StatusGauges::default();
+            for status in list {
+                gauges.report(status);
+            }
+        })
+    };
+    let wait = "ragwortstall_wait_seconds{queue=\"labels\",team=\"dairy\"}";
+    assert!(page(&[&busy]).contains(&format!("{wait} 2.5")));
+    assert!(page(&[&busy, &Status::default()]).contains(&format!("{wait} 0")));
+}
--- a/tests/workload/harness/callers.rs
+++ b/tests/workload/harness/callers.rs
@@ -90,6 +90,11 @@
         self.apply(daemon, Event::Call { ticket, call });
     }
 
+    /// Returns the number of replies that no caller of the harness has waited for.
+    pub(crate) fn reply_count(&self) -> usize {
+        self.replies.len()
+    }
+
     /// Keeps the reply to a caller, or returns that to a relayed call to its daemon.
     pub(super) fn handle_reply(&mut self, ticket: Ticket, reply: Reply) {
         let Some(call) = self.relayed.remove(&ticket) else {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the workload reducer against a simulated table and simulated VMs, in virtual time.
 
+mod admission;
 mod archive;
 mod busy_placer;
 mod capacity;
