--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -25,6 +25,7 @@
 use super::event::ProbePurpose;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
+use super::policy::admission::WaitEstimator;
 use super::policy::estimates::RunTimeEstimates;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
@@ -69,6 +70,8 @@
     estimates: RunTimeEstimates,
     estimates_writer: storage::estimates::EstimatesWriter,
     stall_checks: state::stall::StallChecks,
+    /// Estimated waits of new jobs, and the started work that they are based on.
+    waits: WaitEstimator,
     forwarders: rounds::advice::AdviceForwarders,
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
@@ -137,6 +140,7 @@
             vm_scans: self.vm_scans,
             rounds: self.rounds,
             preempted_runs: self.preempted_runs,
+            waits: self.listed_waits(),
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
@@ -357,8 +361,10 @@
         CommitPurpose::Placer(self.owner.epoch, write)
     }
 
-    /// Returns the heartbeat row, with the number of unstarted jobs of each queue.
-    fn heartbeat_row(&self, now: Now) -> HeartbeatRow {
+    /// Returns the heartbeat row, with the number of unstarted jobs of each queue and the waits of
+    /// new jobs.
+    fn heartbeat_row(&mut self, cx: &Cx) -> HeartbeatRow {
+        self.update_waits(cx);
         let mut waiting = rustc_hash::FxHashMap::default();
         for (_, job) in self
             .registry
@@ -372,7 +378,8 @@
             released: self.release != Release::NotRequested,
             loading: false,
             waiting: Some(waiting),
-            waiting_age_ms: millis(now.saturating_sub(self.jobs_known_at)),
+            waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
+            waits: self.wait_rows(),
         }
     }
 
--- a/src/core/workload/placer/state/mod.rs
+++ b/src/core/workload/placer/state/mod.rs
@@ -1,4 +1,5 @@
-//! State of the placer: VMs, jobs, usage of teams, and what was learned about VMs.
+//! State of the placer: VMs, jobs, usage of teams, waits of new jobs, and what was
+//! learned about VMs.
 
 pub(in crate::core::workload::placer) mod fleet;
 pub(in crate::core::workload::placer) mod job_registry;
@@ -6,3 +7,4 @@
 pub(in crate::core::workload::placer) mod slowness;
 pub(in crate::core::workload::placer) mod stall;
 pub(in crate::core::workload::placer) mod usage;
+pub(in crate::core::workload::placer) mod waits;
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -30,6 +30,7 @@
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
+use crate::core::workload::policy::admission::WaitEstimator;
 use crate::core::workload::policy::estimates::RunTimeEstimates;
 use crate::core::workload::rows::ESTIMATES_KEY;
 use crate::core::workload::rows::JobRow;
@@ -106,6 +107,7 @@
             estimates: RunTimeEstimates::default(),
             estimates_writer: EstimatesWriter::default(),
             stall_checks: StallChecks::new(cx.now),
+            waits: WaitEstimator::default(),
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the workload reducer's decisions under load, each on plain values.
 
+mod admission;
 mod estimates;
 mod evacuation;
 mod forwarders;
