Count only urgent runs of a team against its share for urgent steps

A team whose batch work had used up its share had its urgent steps placed behind the batch steps of all other teams. Of an urgent step, only the team's urgent runs count now.

--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -205,7 +205,7 @@
         let mut tasks = 0;
         while tasks < waiting {
             let is_exhausted = team.is_some_and(|team| {
-                shares.is_exhausted(team, &self.usage.running(team).plus(&claimed))
+                shares.is_exhausted(team, &self.usage.running_urgent(team).plus(&claimed))
             });
             claimed = claimed.plus(&spec.demand);
             if is_exhausted || !self.usage.allows(cx, team, &claimed) {
