--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -107,7 +107,8 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        self.fitting(self.visible_vms(pool, key).cloned(), key, spec)
+        let vms = self.visible_vms(pool, key).map(|vm| (vm, vm.free));
+        self.fitting(vms, key, spec)
     }
 
     /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
@@ -118,10 +119,7 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let drained = self.visible_vms(pool, key).cloned().map(|mut vm| {
-            vm.free = vm.drained;
-            vm
-        });
+        let drained = self.visible_vms(pool, key).map(|vm| (vm, vm.drained));
         self.fitting(drained, key, spec)
     }
 
@@ -136,19 +134,22 @@
         vms.filter(move |vm| is_urgent || vm.open_to == OpenTo::AllTasks)
     }
 
-    /// Returns those VMs on which tasks of a step fit.
-    pub(in crate::core::workload::placer) fn fitting(
+    /// Returns those VMs on which tasks of a step fit within the resources given with each.
+    pub(in crate::core::workload::placer) fn fitting<'a>(
         &self,
-        vms: impl Iterator<Item = Candidate>,
+        vms: impl Iterator<Item = (&'a Candidate, Resources)>,
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
         let reservation = spec.reservation();
-        let fits = |vm: &Candidate| {
-            vm.free.holds(&reservation)
+        let fits = |(vm, free): &(&Candidate, Resources)| {
+            free.holds(&reservation)
                 && (spec.required_label.is_empty() || self.has_label(vm.vm, &spec.required_label))
         };
-        let mut list: Vec<Candidate> = vms.filter(fits).collect();
+        let vms = vms
+            .filter(fits)
+            .map(|(vm, free)| Candidate { free, ..vm.clone() });
+        let mut list: Vec<Candidate> = vms.collect();
         if spec.max_per_vm > 0 {
             for candidate in &mut list {
                 candidate.siblings = self.siblings(candidate.vm, key);
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -75,7 +75,7 @@
         }
         let has_waiting_tasks = !steps.is_empty();
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
-        let preemption_enabled = self.is_preemption_enabled(cx);
+        let preempts = self.begin_preemption(cx);
         let mut round = Round::new(heartbeats);
         let mut over_share = Vec::new();
         for (rank, key) in steps {
@@ -87,7 +87,7 @@
             if !self.is_urgent(key) {
                 self.preempt(cx, &mut round);
             }
-            let may_preempt = preemption_enabled && self.may_preempt(rank, key);
+            let may_preempt = preempts && self.may_preempt(rank, key);
             self.place_step(cx, &mut round, key, may_preempt);
             if may_preempt {
                 self.claim_preemption(cx, &mut round, &shares, key);
