Let hosts fit for the placer claim the role first

A daemon on a small host with a short random delay could claim the role before a fit host with a long one. A daemon whose host is not fit now waits longer than the longest delay of a fit host, as long as one other than the last holder's is known. It also leaves a holder whose process has ended to the fit daemons until the heartbeat is overdue.

The time of a claim moves from the role to a module of its own.

--- a/src/core/workload/hosts.rs
+++ b/src/core/workload/hosts.rs
@@ -62,6 +62,20 @@
         max.mul_f64(1.0 - scale.fitness(&cx.options.capacity))
     }
 
+    /// Returns whether this daemon's host is not fit for the placer and another one is, other than
+    /// that of the last holder of the role, which has failed or released it.
+    pub fn defers_to_fit_host(&self, cx: &Cx, last_holder: Option<&DaemonId>) -> bool {
+        let scale = self.scale(cx);
+        if scale.is_fit(&cx.options.capacity) {
+            return false;
+        }
+        let own = &cx.options.daemon;
+        let mut others = self.hosts.iter();
+        others.any(|(daemon, host)| {
+            daemon != own && Some(daemon) != last_holder && scale.is_fit(&host.capacity)
+        })
+    }
+
     /// Returns the time at which a host fit for the placer was last announced, if this daemon's
     /// host is not fit for it.
     pub fn fitter_announced_at(&self, cx: &Cx) -> Option<Now> {
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -31,6 +31,7 @@
 mod role;
 mod rows;
 mod state;
+mod takeover_time;
 
 pub use effect::Effect;
 pub use effect::Effects;
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -13,7 +13,6 @@
 use super::event::ReadPurpose;
 use super::feeds::Feeds;
 use super::former::Former;
-use super::former::is_earlier_process;
 use super::former::is_inactive;
 use super::heartbeat::HeartbeatMonitor;
 use super::loading::Loading;
@@ -37,6 +36,9 @@
 use super::table::RowId;
 use super::table::TableRow;
 use super::table::Transaction;
+use super::takeover_time::after_recovery;
+use super::takeover_time::due_at;
+use super::takeover_time::jitter;
 use crate::core::model::Epoch;
 use crate::core::model::Now;
 use crate::core::model::Rev;
@@ -44,13 +46,6 @@
 /// Additional age allowed for a heartbeat, as a multiple of the measured latency of a table read.
 const SLOW_TABLE_FACTOR: u32 = 6;
 
-/// Time that the holder has to send a heartbeat once the table answers again.
-const RECOVERY_GRACE: Duration = Duration::from_millis(600);
-
-/// The random delay of a takeover is at most `takeover_after` divided by this number. It lets one
-/// daemon claim the role before the others try.
-const JITTER_DIVISOR: u32 = 3;
-
 /// Role of this daemon.
 #[derive(Debug)]
 pub(super) enum Role {
@@ -242,9 +237,8 @@
         if !matches!(outcome, CommitOutcome::Done(_)) {
             return self.back_off_from_table(cx);
         }
-        let delay = RECOVERY_GRACE + jitter(cx) + heartbeats.hosts.takeover_delay(cx);
         *self = Self::Follower {
-            not_before: cx.now + delay,
+            not_before: after_recovery(cx, heartbeats),
             table_failed: false,
         };
     }
@@ -445,37 +439,6 @@
     }
 }
 
-/// Returns the time at which a follower may start a takeover: at once if the holder is an earlier
-/// process of this daemon; otherwise, and later by the delay for a lack of capacity:
-/// - a random delay after the start if there is no heartbeat, or after the heartbeat is overdue;
-/// - a short random delay after the holder has released the role, or at once if its process ended.
-fn due_at(cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Now {
-    let delay = heartbeats.hosts.takeover_delay(cx);
-    let Some(last) = heartbeats.heartbeat() else {
-        return jitter(cx) + delay;
-    };
-    if is_earlier_process(cx, &last.row.owner) {
-        return last.received_at;
-    }
-    if last.row.released {
-        return last.received_at + jitter(cx) / 4 + delay;
-    }
-    if let Some(ended_at) = heartbeats.holder_ended_at() {
-        return ended_at + delay;
-    }
-    let recovered_at = feeds.recovered_at(Feed::Heartbeats).unwrap_or(Now::ZERO);
-    let due =
-        (last.received_at + cx.options.placer.takeover_after).max(recovered_at + RECOVERY_GRACE);
-    due + jitter(cx) + delay
-}
-
-/// Returns the random delay of this process before a takeover.
-fn jitter(cx: &Cx) -> Duration {
-    let max = cx.options.placer.takeover_after / JITTER_DIVISOR;
-    let share = u32::try_from(cx.options.nonce % 1_000).unwrap_or(0);
-    max * share / 1_000
-}
-
 fn read_owner(cx: &mut Cx, purpose: ReadPurpose) {
     let timeout = cx.options.table.read_timeout;
     let range = Range::row(JOBS, &cx.options.part, OWNER_KEY, timeout);
--- a/tests/workload/capacity.rs
+++ b/tests/workload/capacity.rs
@@ -27,6 +27,13 @@
     memory_mib: 260,
 };
 
+/// Half the capacity of [`LARGE`], the least that is fit for the placer.
+const MEDIUM: HostCapacity = HostCapacity {
+    millicores: 250,
+    bandwidth_kbps: 100_000,
+    memory_mib: 260,
+};
+
 /// Longest time in milliseconds until a takeover after the loss of a host: the time without a
 /// heartbeat, the random delay, the delay for capacity, and calls.
 const TAKEOVER_MILLIS: u64 = 2_500;
@@ -74,6 +81,53 @@
     assert_eq!(harness.placer_count(), 1);
 }
 
+/// Guards against a small host with a short random delay that claims the role before the only
+/// other fit host, whose delays are the longest of all.
+#[test]
+fn a_fit_host_claims_the_role_before_each_small_one() {
+    let mut hosts = vec![SMALL; 12];
+    hosts[10] = LARGE;
+    hosts[9] = MEDIUM;
+    let mut harness = Harness::with_hosts(&hosts, 2);
+    assert_eq!(harness.placer(), Some(10));
+    harness.kill_host(10);
+    assert_eq!(next_placer(&mut harness, 10).0, 9);
+}
+
+/// Guards against a small host that leaves the role to fit hosts of which none is alive.
+#[test]
+fn a_small_host_takes_over_when_all_known_fit_hosts_are_dead() {
+    let mut harness = Harness::with_hosts(&[LARGE, SMALL, LARGE, MEDIUM], 2);
+    for fit in [3, 2, 0] {
+        harness.kill_host(fit);
+    }
+    assert_eq!(next_placer(&mut harness, 0).0, 1);
+}
+
+/// Guards against an additional delay of small hosts where no fit host is left to defer to.
+#[test]
+fn a_small_host_defers_to_no_host_if_only_the_lost_placer_was_fit() {
+    let mut harness = Harness::with_hosts(&[LARGE, SMALL, SMALL], 2);
+    harness.kill_host(0);
+    let (_, took) = next_placer(&mut harness, 0);
+    assert!(took < Duration::from_millis(1_800), "{took:?}");
+}
+
+/// Guards against a restarted process on a small host that claims its former role although a fit
+/// host could have it.
+#[test]
+fn a_restarted_placer_on_a_small_host_leaves_the_role_to_a_large_one() {
+    let mut harness = cell_without_its_large_host();
+    harness.restart(0);
+    harness.run_for(300);
+    let epoch = harness.epoch().expect("a placer");
+    harness.kill(1);
+    harness.run_for(100);
+    harness.restart(1);
+    assert_eq!(next_placer(&mut harness, 1).0, 0);
+    assert_eq!(harness.epoch(), Some(epoch + 1));
+}
+
 #[test]
 fn the_larger_host_takes_over_soon_after_the_placers_process_has_ended() {
     let mut harness = Harness::with_hosts(&[LARGE, SMALL, SMALL, LARGE], 2);
