Place the jobs of the parts that can be read after a takeover

A new placer started nothing before it had read all parts of the jobs table, so that one unreadable part stopped all jobs. It now needs its own part only and reads the missing ones later. Meanwhile it keeps the progress, the runs and the ended runs of their jobs: runs are neither stopped nor started again, their VMs get no tasks, their ends are not acknowledged, and the caps of teams are charged with what they may use at most.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -178,13 +178,14 @@
         failed_reads: u32,
         took_ms: u64,
     },
-    /// The new placer has loaded its state.
+    /// The new placer has loaded its state, except for the parts of the jobs table that are missing.
     RoleReady {
         epoch: Epoch,
         jobs: usize,
         vms: usize,
         rows: usize,
         failed_reads: u32,
+        missing_parts: usize,
         took_ms: u64,
     },
     /// This daemon lost or released the placer role.
@@ -212,6 +213,15 @@
     CommitFailed { purpose: Box<str>, reason: Box<str> },
     /// A read for the placer role failed. It is retried, or the role is not acquired yet.
     ReadFailed { purpose: Box<str>, reason: Box<str> },
+    /// A part of the jobs table was read that the placer did not have when it started. `took_ms` is
+    /// the time since then.
+    PartLoaded {
+        epoch: Epoch,
+        part: u8,
+        rows: usize,
+        missing_parts: usize,
+        took_ms: u64,
+    },
     /// The daemon is stopping.
     Draining,
 }
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -1,9 +1,6 @@
-//! Load of the rows that a daemon needs before it can act as the placer.
-//!
-//! The rows are read in pages, whose size and number in flight are limited, so that a load takes its
-//! time on a slow link, but neither fails there nor delays the heartbeats that it sends meanwhile.
+//! Load of the rows that a daemon needs before it can act as the placer: those of its own part, and
+//! as many parts of the jobs table as can be read. The placer reads the others later.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::cx::Cx;
@@ -12,25 +9,21 @@
 use super::event::CommitPurpose;
 use super::event::LoadSource;
 use super::event::PlacerWrite;
-use super::event::ReadPurpose;
 use super::heartbeat::HeartbeatMonitor;
 use super::placer::LoadedRows;
 use super::placer::Placer;
 use super::placer::RoleGrant;
 use super::placer::RoleLoss;
+use super::ranges::RangePage;
+use super::ranges::RangeReader;
 use super::rows::HEARTBEAT_KEY;
 use super::rows::HeartbeatRow;
-use super::rows::JOB_PARTS;
 use super::rows::SEQUENCE_KEY;
 use super::rows::encode;
-use super::rows::job_part_name;
 use super::table::CommitOutcome;
 use super::table::HEARTBEATS;
-use super::table::JOBS;
 use super::table::PROGRESS;
 use super::table::Page;
-use super::table::ROSTER;
-use super::table::Range;
 use super::table::RowId;
 use super::table::Transaction;
 use crate::core::model::Epoch;
@@ -40,64 +33,21 @@
 /// Interval of the log lines about a load.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Size of the pages in flight, in bytes, as expected from the pages read before. A link of
-/// 10 Mbit/s transfers it in half a second.
-const BYTES_IN_FLIGHT: usize = 512 << 10;
-
-/// Size that a page with many rows should have, in bytes.
-const PAGE_BYTES: usize = 64 << 10;
-
-/// Size that is expected of a page before the first one is read, in bytes.
-const FIRST_PAGE_BYTES: usize = 32 << 10;
-
-/// Weight of the pages before the last one in the mean size of a page, relative to the last one.
-const MEAN_WEIGHT: usize = 3;
-
-/// Maximum number of rows in a page while the size of the rows is not known.
-const FIRST_PAGE_ROWS: usize = 4;
-
-/// Maximum number of rows in a page.
-const MAX_PAGE_ROWS: usize = 500;
-
-/// Longest delay after a failed read. The delay starts at the retry delay of the table and doubles
-/// with each failure in a row.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Time after the last page for which reads that fail are repeated before the placer does without
+/// their parts, so that a table that fails for a moment is loaded as a whole.
+const PARTIAL_LOAD_DELAY: Duration = Duration::from_millis(500);
 
 /// Granted role whose rows are not all read yet.
 #[derive(Debug)]
 pub(super) struct Loading {
     grant: RoleGrant,
     started_at: Now,
-    /// Ranges of which no page is in flight.
-    queued: VecDeque<RangeRead>,
-    /// Ranges of which a page is in flight.
-    in_flight: Vec<RangeRead>,
+    reader: RangeReader,
     loaded: LoadedRows,
-    /// Time of the last page, or of the start.
-    last_page_at: Now,
-    /// Earliest time of the next read.
-    next_read_at: Now,
-    /// Delay after the next failed read.
-    retry_delay: Duration,
-    /// Mean size of a page, in bytes.
-    mean_page_bytes: usize,
-    /// Size of a row, in bytes, as in the largest rows read so far; `None` before the first.
-    row_bytes: Option<usize>,
-    /// Whether the last answer to a read was a failure; reads are sent one at a time then.
-    last_read_failed: bool,
-    failed_reads: u32,
     next_report_at: Now,
     next_heartbeat_at: Now,
 }
 
-/// Paged read of a range.
-#[derive(Debug)]
-struct RangeRead {
-    source: LoadSource,
-    /// First key of the next page.
-    from: Box<str>,
-}
-
 impl Loading {
     /// Starts the reads of a daemon that was granted the role. The grant's transaction has written
     /// the first heartbeat.
@@ -105,23 +55,15 @@
         let mut loading = Self {
             grant,
             started_at: cx.now,
-            queued: RangeRead::all(),
-            in_flight: Vec::new(),
+            reader: RangeReader::new(cx),
             loaded: LoadedRows {
                 read_since: cx.now,
                 ..LoadedRows::default()
             },
-            last_page_at: cx.now,
-            next_read_at: cx.now,
-            retry_delay: cx.options.table.retry_delay,
-            mean_page_bytes: FIRST_PAGE_BYTES,
-            row_bytes: None,
-            last_read_failed: false,
-            failed_reads: 0,
             next_report_at: cx.now + REPORT_INTERVAL,
             next_heartbeat_at: cx.now + cx.options.placer.heartbeat_interval,
         };
-        loading.send_reads(cx);
+        loading.reader.send_reads(cx, loading.epoch());
         loading
     }
 
@@ -131,15 +73,16 @@
     }
 
     /// Sends the reads and the heartbeat that are due. Returns a reason if another daemon has
-    /// claimed the role, or if no page has arrived for the load timeout.
+    /// claimed the role, or if no page has arrived for the load timeout and the
+    /// placer cannot do without the ranges that are left.
     pub fn poll(&mut self, cx: &mut Cx, heartbeats: &HeartbeatMonitor) -> RoleLoss {
         if let Some(holder) = heartbeats.holder_after(self.epoch()) {
             return Some(format!("{} has epoch {}", holder.daemon, holder.epoch).into());
         }
-        if cx.now >= self.stalled_at(cx) {
+        if self.partial_at(cx).is_none() && cx.now >= self.stalled_at(cx) {
             return Some("the load makes no progress".into());
         }
-        self.send_reads(cx);
+        self.reader.send_reads(cx, self.epoch());
         if cx.now >= self.next_heartbeat_at {
             self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
             self.write_heartbeat(cx, false);
@@ -150,12 +93,9 @@
 
     /// Returns the time at which [`Loading::poll`] is next due.
     pub fn wake_at(&self, cx: &Cx) -> Now {
-        let mut at = self.next_report_at.min(self.stalled_at(cx));
-        at = at.min(self.next_heartbeat_at);
-        if self.can_read() {
-            at = at.min(self.next_read_at);
-        }
-        at
+        let mut at = self.next_report_at.min(self.next_heartbeat_at);
+        at = at.min(self.partial_at(cx).unwrap_or_else(|| self.stalled_at(cx)));
+        self.reader.wake_at().map_or(at, |read_at| at.min(read_at))
     }
 
     /// Handles the outcome of a heartbeat. Returns a reason if another daemon has claimed the role.
@@ -169,63 +109,40 @@
 
     /// Adds a page; the next one of its range is read in its turn.
     pub fn add_page(&mut self, cx: &mut Cx, source: LoadSource, page: Result<Page, Box<str>>) {
-        let mut in_flight = self.in_flight.iter();
-        let Some(ix) = in_flight.position(|read| read.source == source) else {
-            return;
-        };
-        let mut read = self.in_flight.swap_remove(ix);
-        let Ok(page) = page else {
-            return self.retry(cx, read);
-        };
-        self.last_page_at = cx.now;
-        self.last_read_failed = false;
-        self.retry_delay = cx.options.table.retry_delay;
-        self.mean_page_bytes =
-            (self.mean_page_bytes * MEAN_WEIGHT + page.value_bytes()) / (MEAN_WEIGHT + 1);
-        if !page.rows.is_empty() {
-            let row_bytes = page.value_bytes() / page.rows.len();
-            self.row_bytes = self.row_bytes.max(Some(row_bytes));
-        }
-        let last = page.rows.last().map(|row| format!("{}\0", row.key));
-        match source {
-            LoadSource::Jobs(_) => {
-                let version = self.loaded.version.get_or_insert(page.version);
-                *version = page.version.min(*version);
-                self.loaded.jobs.extend(page.rows);
+        if let Some(RangePage { page, .. }) = self.reader.take_page(cx, source, page) {
+            match source {
+                LoadSource::Jobs(part) => self.loaded.add_jobs(part, page),
+                LoadSource::Progress => self.loaded.progress.extend(page.rows),
+                LoadSource::Roster => self.loaded.roster.extend(page.rows),
             }
-            LoadSource::Progress => self.loaded.progress.extend(page.rows),
-            LoadSource::Roster => self.loaded.roster.extend(page.rows),
         }
-        if let Some(last) = last
-            && page.more
-        {
-            read.from = last.into();
-            self.queued.push_front(read);
-        }
-        self.send_reads(cx);
+        self.reader.send_reads(cx, self.epoch());
     }
 
-    /// Returns whether all rows are read.
-    pub fn is_complete(&self) -> bool {
-        self.queued.is_empty() && self.in_flight.is_empty()
+    /// Returns whether the placer can start: all rows are read, or those of the own part and the
+    /// job parts that can be read.
+    pub fn is_complete(&self, cx: &Cx) -> bool {
+        self.reader.is_done() || self.partial_at(cx).is_some_and(|at| cx.now >= at)
     }
 
-    /// Returns the version from which changes to the jobs table are followed.
-    pub fn version(&self) -> Option<Rev> {
-        self.loaded.version
+    /// Returns the version from which changes to the jobs table are followed: the lowest one that
+    /// was read. Later changes to parts that are read later are received from there on.
+    pub fn version(&self) -> Rev {
+        self.loaded.version.unwrap_or(self.grant.version)
     }
 
     /// Creates the placer from the rows read.
-    pub fn finish(&mut self, cx: &mut Cx) -> Placer {
-        let loaded = std::mem::take(&mut self.loaded);
-        let rows = loaded.row_count();
-        let placer = Placer::new(cx, self.grant.clone(), loaded);
+    pub fn finish(self, cx: &mut Cx) -> Placer {
+        let rows = self.loaded.row_count();
+        let failed_reads = self.reader.failed_reads();
+        let placer = Placer::new(cx, self.grant, self.loaded, self.reader);
         cx.log(Decision::RoleReady {
             epoch: placer.epoch(),
             jobs: placer.job_count(),
             vms: placer.vm_count(),
             rows,
-            failed_reads: self.failed_reads,
+            failed_reads,
+            missing_parts: placer.missing_part_count(),
             took_ms: millis(cx.now.saturating_sub(self.started_at)),
         });
         placer
@@ -237,39 +154,6 @@
         self.write_heartbeat(cx, true);
     }
 
-    fn retry(&mut self, cx: &Cx, read: RangeRead) {
-        self.failed_reads += 1;
-        self.last_read_failed = true;
-        self.next_read_at = cx.now + self.retry_delay;
-        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
-        self.queued.push_back(read);
-    }
-
-    fn can_read(&self) -> bool {
-        let max = if self.last_read_failed {
-            1
-        } else {
-            BYTES_IN_FLIGHT / self.mean_page_bytes.max(1)
-        };
-        !self.queued.is_empty() && self.in_flight.len() < max.max(1)
-    }
-
-    /// Returns the maximum number of rows of the next page.
-    fn page_rows(&self) -> usize {
-        let rows = self.row_bytes.map(|bytes| PAGE_BYTES / bytes.max(1));
-        rows.map_or(FIRST_PAGE_ROWS, |rows| rows.clamp(1, MAX_PAGE_ROWS))
-    }
-
-    fn send_reads(&mut self, cx: &mut Cx) {
-        while cx.now >= self.next_read_at && self.can_read() {
-            let Some(read) = self.queued.pop_front() else {
-                return;
-            };
-            read.send(cx, self.epoch(), self.page_rows());
-            self.in_flight.push(read);
-        }
-    }
-
     /// Writes the heartbeat, whether or not earlier ones are answered. The transaction expects the sequence row as the grant wrote it, so that
     /// it fails once another daemon has claimed the role or this one has written progress.
     fn write_heartbeat(&self, cx: &mut Cx, released: bool) {
@@ -300,40 +184,27 @@
         self.next_report_at = cx.now + REPORT_INTERVAL;
         cx.log(Decision::RoleLoading {
             epoch: self.epoch(),
-            ranges_left: self.queued.len() + self.in_flight.len(),
+            ranges_left: self.reader.ranges_left(),
             rows: self.loaded.row_count(),
-            failed_reads: self.failed_reads,
+            failed_reads: self.reader.failed_reads(),
             took_ms: millis(cx.now.saturating_sub(self.started_at)),
         });
     }
 
     fn stalled_at(&self, cx: &Cx) -> Now {
-        self.last_page_at + cx.options.placer.load_timeout
-    }
-}
-
-impl RangeRead {
-    /// Returns a read of each range that a new placer needs.
-    fn all() -> VecDeque<Self> {
-        let jobs = (0..JOB_PARTS).map(LoadSource::Jobs);
-        let sources = jobs.chain([LoadSource::Progress, LoadSource::Roster]);
-        let read = |source| Self {
-            source,
-            from: "".into(),
-        };
-        sources.map(read).collect()
+        self.reader.last_page_at() + cx.options.placer.load_timeout
     }
 
-    fn send(&self, cx: &mut Cx, epoch: Epoch, rows: usize) {
-        let timeout = cx.options.table.read_timeout * 2;
-        let own = cx.options.part.clone();
-        let mut range = match self.source {
-            LoadSource::Jobs(part) => Range::part(JOBS, &job_part_name(part), timeout),
-            LoadSource::Progress => Range::part(PROGRESS, &own, timeout),
-            LoadSource::Roster => Range::part(ROSTER, &own, timeout),
-        };
-        range.from = self.from.clone();
-        range.limit = Some(rows);
-        cx.read(ReadPurpose::Load(epoch, self.source), range);
+    /// Returns the time from which on the placer does without the job parts that are left, unless a
+    /// page arrives before; `None` while the own part is not read, or no read has failed since the
+    /// last page.
+    fn partial_at(&self, cx: &Cx) -> Option<Now> {
+        if !self.reader.has_own_part() {
+            return None;
+        }
+        if self.reader.all_failed() {
+            return Some(self.reader.last_page_at() + PARTIAL_LOAD_DELAY);
+        }
+        self.reader.last_read_failed().then(|| self.stalled_at(cx))
     }
 }
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -28,6 +28,7 @@
 mod loading;
 mod placer;
 mod probe;
+mod ranges;
 mod role;
 mod rows;
 mod state;
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -68,6 +68,7 @@
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
     retire: storage::retire::RetireState,
+    missing: storage::missing::MissingParts,
     /// Ended runs that VMs have reported and that are not yet processed, with the key of the VM.
     pending_ended_tasks: Vec<(state::fleet::VmKey, EndedTask)>,
     next_heartbeat_at: Now,
@@ -165,6 +166,7 @@
         self.write_progress(cx);
         self.write_late_heartbeat(cx);
         self.archive_jobs(cx);
+        self.read_missing_parts(cx);
         if !self.is_partitioned(cx) {
             self.send_renewals(cx);
             self.run_round(cx, heartbeats);
@@ -189,6 +191,7 @@
                 .wake_at(&self.registry, self.next_heartbeat_at),
         );
         at = earliest(at, self.late_heartbeat_at(cx));
+        at = earliest(at, self.missing.wake_at());
         if self.is_partitioned(cx) {
             return at;
         }
@@ -223,6 +226,9 @@
         }
         if feed == Feed::Jobs {
             self.jobs_known_at = self.jobs_known_at.max(update.as_of);
+            if update.is_snapshot {
+                self.missing.restart();
+            }
         }
         for row in update.rows {
             match row {
@@ -242,6 +248,9 @@
                 _ => {}
             }
         }
+        if !self.missing.is_empty() {
+            self.reconcile_unread_runs(cx);
+        }
         self.schedule_round(cx.now);
         None
     }
@@ -340,7 +349,7 @@
         CommitPurpose::Placer(self.owner.epoch, write)
     }
 
-    /// Returns the heartbeat row, with the number of unstarted jobs of each queue.
+    /// Returns the heartbeat row, with the number of unstarted jobs of each queue if all are known.
     fn heartbeat_row(&self, now: Now) -> HeartbeatRow {
         let mut waiting = rustc_hash::FxHashMap::default();
         for (_, job) in self
@@ -354,7 +363,7 @@
             owner: self.owner.clone(),
             released: self.release != Release::NotRequested,
             loading: false,
-            waiting: Some(waiting),
+            waiting: self.missing.is_empty().then_some(waiting),
             waiting_age_ms: millis(now.saturating_sub(self.jobs_known_at)),
         }
     }
@@ -384,6 +393,7 @@
             };
         }
         if is_job_part(&row.part) {
+            self.missing.record_change(&row);
             self.register_job_row(cx, row);
         }
         None
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -27,10 +27,13 @@
     /// Processes the ended runs that VMs have reported.
     pub(in crate::core::workload::placer) fn process_ended_tasks(&mut self, cx: &mut Cx) {
         for (vm_key, ended) in std::mem::take(&mut self.pending_ended_tasks) {
-            if let Some(vm) = self.fleet.vms.get_mut(&vm_key) {
-                vm.processed_seq = vm.processed_seq.max(ended.seq);
+            if self.is_unread(&ended.task.job) {
+                let vm = self.fleet.vms.get(&vm_key);
+                let started_ms = vm.map_or(0, |vm| vm.started_ms);
+                self.missing.keep_end(vm_key, started_ms, ended);
+            } else {
+                self.process_ended_task(cx, vm_key, &ended);
             }
-            self.process_ended_task(cx, vm_key, &ended);
         }
         self.schedule_round(cx.now);
     }
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -251,9 +251,13 @@
         {
             self.pending_ended_tasks.push((key, ended.clone()));
         }
+        let last_seq = report.ended.iter().map(|ended| ended.seq).max();
+        vm.processed_seq = vm.processed_seq.max(last_seq.unwrap_or(0));
         let is_complete = report.ended.len() < MAX_ENDED_PER_REPORT;
         self.process_ended_tasks(cx);
+        self.missing.clear_runs(key);
         self.reconcile(cx, key, sent, &report.running, is_complete);
+        self.update_uncounted_runs(key, is_complete);
         self.throttle_fillers(cx, key);
         if let Some(vm) = self.fleet.vms.get(&key) {
             let is_stored = vm.stored_seq == vm.processed_seq;
@@ -288,6 +292,7 @@
     /// executes.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         self.drop_runs(cx, key, "VM restarted");
+        self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
         }
@@ -365,7 +370,16 @@
         }
     }
 
-    fn reconcile_run(&mut self, cx: &mut Cx, key: VmKey, row: &RunningTask) {
+    /// Compares a run that a VM reports with the one that the placer expects there.
+    pub(in crate::core::workload::placer) fn reconcile_run(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        row: &RunningTask,
+    ) {
+        if self.is_unread(&row.task.job) {
+            return self.missing.keep_run(key, row);
+        }
         let Some(task) = self.registry.find_task(&row.task) else {
             if self.is_surplus_run(key, row) {
                 return;
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -62,6 +62,7 @@
         self.rounds += 1;
         self.retry_stops(cx);
         self.count_inherited_tasks();
+        self.count_unread_runs(cx);
         let steps = self.ready_steps(cx);
         if steps.is_empty() {
             return;
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -75,6 +75,9 @@
     /// Time before which no tasks are placed: a run that is being stopped may still use resources
     /// although the VM lists it neither as running nor as ended.
     pub capacity_uncertain_until: Now,
+    /// Least number of runs on this VM whose resources are not counted, as their jobs are not
+    /// loaded; no tasks are placed while there are any.
+    pub uncounted_runs: usize,
     /// Whether an earlier placer may have been stopping runs on this VM.
     pub inherits_stops: bool,
     /// Time until which a run that an earlier placer was stopping may still execute; the VM lists it
@@ -246,6 +249,7 @@
             lease_end_ms: 0,
             fenced: false,
             capacity_uncertain_until: Now::ZERO,
+            uncounted_runs: 0,
             inherits_stops: false,
             inherited_stops_until: Now::ZERO,
             unexpected_runs: Vec::new(),
@@ -304,6 +308,7 @@
             && self.renewal.failures == 0
             && now >= self.avoid_until
             && now >= self.capacity_uncertain_until
+            && self.uncounted_runs == 0
     }
 
     /// Returns the capacity that is not reserved by runs.
@@ -385,6 +390,7 @@
         self.fenced = false;
         self.roster_state = self.roster_state.after_restart();
         self.capacity_uncertain_until = Now::ZERO;
+        self.uncounted_runs = 0;
         self.inherits_stops = false;
         self.inherited_stops_until = Now::ZERO;
         self.unexpected_runs.clear();
--- a/src/core/workload/placer/state/usage.rs
+++ b/src/core/workload/placer/state/usage.rs
@@ -13,6 +13,8 @@
     /// Demand of tasks that an earlier placer may have started on VMs that have not answered this
     /// placer yet.
     inherited: FxHashMap<TeamId, Resources>,
+    /// Demand of such tasks whose team is unknown; charged to each team.
+    inherited_by_any: Resources,
 }
 
 impl Usage {
@@ -27,6 +29,7 @@
         };
         let inherited = self.inherited.get(team).copied();
         let inherited = inherited.unwrap_or(Resources::ZERO);
+        let inherited = inherited.plus(&self.inherited_by_any);
         configured.allows(&self.running(team).plus(&inherited).plus(demand))
     }
 
@@ -44,6 +47,12 @@
     /// Resets the demand of tasks that an earlier placer may have started.
     pub fn clear_inherited(&mut self) {
         self.inherited.clear();
+        self.inherited_by_any = Resources::ZERO;
+    }
+
+    /// Adds the demand of tasks that an earlier placer may have started for any team.
+    pub fn charge_all_teams(&mut self, demand: &Resources) {
+        self.inherited_by_any = self.inherited_by_any.plus(demand);
     }
 
     /// Adds the demand of tasks that an earlier placer may have started.
--- a/src/core/workload/placer/storage/hand_over.rs
+++ b/src/core/workload/placer/storage/hand_over.rs
@@ -204,6 +204,7 @@
             && self.registry.active_jobs().next().is_none()
             && self.registry.dirty_jobs().is_empty()
             && self.pending_ended_tasks.is_empty()
+            && self.missing.is_empty()
             && self.fleet.vms.values().all(|vm| vm.runs.is_empty())
     }
 }
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -25,9 +25,11 @@
 use crate::core::workload::placer::storage::archive::ArchiveState;
 use crate::core::workload::placer::storage::archive::is_final;
 use crate::core::workload::placer::storage::hand_over::HandOver;
+use crate::core::workload::placer::storage::missing::MissingParts;
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
+use crate::core::workload::ranges::RangeReader;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
@@ -39,6 +41,7 @@
 use crate::core::workload::rows::cancelled_job;
 use crate::core::workload::rows::decode;
 use crate::core::workload::submission::Step;
+use crate::core::workload::table::Page;
 use crate::core::workload::table::TableRow;
 
 /// Run numbers reserved for each epoch, so that no two placers assign the same number.
@@ -52,8 +55,8 @@
 pub(in crate::core::workload) struct LoadedRows {
     /// Version from which changes to the jobs table are followed.
     pub version: Option<Rev>,
-    /// Rows of jobs and cancellations.
-    pub jobs: Vec<TableRow>,
+    /// Rows of jobs and cancellations, by part.
+    pub jobs: BTreeMap<u8, Vec<TableRow>>,
     /// Rows of progress.
     pub progress: Vec<TableRow>,
     /// Rows of the VMs that may run tasks.
@@ -65,7 +68,15 @@
 impl LoadedRows {
     /// Returns the number of rows.
     pub fn row_count(&self) -> usize {
-        self.jobs.len() + self.progress.len() + self.roster.len()
+        let jobs: usize = self.jobs.values().map(Vec::len).sum();
+        jobs + self.progress.len() + self.roster.len()
+    }
+
+    /// Adds a page of a part of the jobs table.
+    pub fn add_jobs(&mut self, part: u8, page: Page) {
+        let version = self.version.get_or_insert(page.version);
+        *version = page.version.min(*version);
+        self.jobs.entry(part).or_default().extend(page.rows);
     }
 }
 
@@ -81,8 +92,9 @@
 }
 
 impl Placer {
-    /// Creates a placer from the rows that were read after the grant.
-    pub fn new(cx: &mut Cx, grant: RoleGrant, rows: LoadedRows) -> Self {
+    /// Creates a placer from the rows that were read after the grant. `reader` has the reads of the
+    /// job parts that are left.
+    pub fn new(cx: &mut Cx, grant: RoleGrant, mut rows: LoadedRows, reader: RangeReader) -> Self {
         let RoleGrant {
             owner,
             version,
@@ -103,6 +115,7 @@
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
             retire: RetireState::default(),
+            missing: MissingParts::new(reader, &mut rows.jobs),
             pending_ended_tasks: Vec::new(),
             next_heartbeat_at: Now::ZERO,
             next_lease_check_at: Now::ZERO,
@@ -119,7 +132,7 @@
         for row in rows.roster {
             placer.load_vm(cx, &row);
         }
-        for row in rows.jobs {
+        for row in rows.jobs.into_values().flatten() {
             placer.register_job_row(cx, row);
         }
         for row in rows.progress {
@@ -144,7 +157,10 @@
             return;
         }
         match decode::<JobRow>(&value) {
-            Ok(job) if job.job.is_none() => self.add_ended_job(cx, &row.key, row.version, job),
+            Ok(job) if job.job.is_none() => {
+                self.add_ended_job(cx, &row.key, row.version, job);
+                self.apply_kept_progress(cx, &row.key);
+            }
             Ok(job) => self.add_job(cx, &row.key, row.version, job),
             Err(reason) => cx.log(Decision::RowUnreadable {
                 key: row.key,
@@ -157,6 +173,7 @@
         let mut job = self.new_job(cx, id, version, row);
         job.begin_due_occurrences(cx.now, cx.unix_time, cx.options.placer.early_start);
         if let Some(key) = self.registry.add(job) {
+            self.apply_kept_progress(cx, id);
             self.schedule_round(cx.now);
             self.fail_if_unplaceable(cx, key);
         }
@@ -205,7 +222,8 @@
     /// Fails a job that has not started if one of its tasks fits on no VM.
     ///
     /// Does nothing before all VMs are known: within `VM_LISTING_GRACE` of the grant, while the
-    /// placer is not settled, and while the capacity of a VM is unknown.
+    /// placer is not settled, and while the capacity of a VM is unknown. It also waits for missing
+    /// parts of the jobs table.
     pub(in crate::core::workload::placer) fn fail_if_unplaceable(
         &mut self,
         cx: &mut Cx,
@@ -222,7 +240,7 @@
         let vms = self.fleet.vms.values();
         let capacity_unknown = vms.clone().any(|vm| vm.capacity == Resources::ZERO);
         let listing = cx.now < self.granted_at + VM_LISTING_GRACE;
-        if capacity_unknown || listing || !self.settled {
+        if capacity_unknown || listing || !self.settled || !self.missing.is_empty() {
             return;
         }
         // Includes VMs without a row in the table, as they may be listed again soon.
@@ -288,9 +306,24 @@
                 });
             }
         };
-        let Some(key) = self.registry.key(&row.key) else {
-            return;
-        };
+        if self.is_unread(&row.key) {
+            return self.missing.keep_progress(&row.key, progress);
+        }
+        if let Some(key) = self.registry.key(&row.key) {
+            self.apply_progress(cx, key, &progress);
+        }
+    }
+
+    /// Applies the progress that was kept for a job while its part was missing.
+    fn apply_kept_progress(&mut self, cx: &mut Cx, id: &str) {
+        if let Some(key) = self.registry.key(id)
+            && let Some(progress) = self.missing.take_progress(id)
+        {
+            self.apply_progress(cx, key, &progress);
+        }
+    }
+
+    fn apply_progress(&mut self, cx: &mut Cx, key: JobKey, progress: &ProgressRow) {
         let Some(job) = self.registry.jobs.get_mut(&key) else {
             return;
         };
--- a/src/core/workload/placer/storage/mod.rs
+++ b/src/core/workload/placer/storage/mod.rs
@@ -4,6 +4,7 @@
 pub(in crate::core::workload::placer) mod hand_over;
 pub(in crate::core::workload::placer) mod heartbeat;
 pub(in crate::core::workload::placer) mod load;
+pub(in crate::core::workload::placer) mod missing;
 pub(in crate::core::workload::placer) mod progress;
 pub(in crate::core::workload::placer) mod retire;
 pub(in crate::core::workload::placer) mod roster;
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -289,11 +289,17 @@
     }
 
     /// Returns the VMs with ended runs that are processed but not yet recorded in the table, in the
-    /// form of [`Batch::ack_cursors`].
+    /// form of [`Batch::ack_cursors`]. Those of jobs that are not loaded are not recorded.
     fn ack_cursors(&self) -> Vec<(VmKey, u64, u64)> {
         let vms = self.fleet.vms.iter();
-        vms.filter(|(_, vm)| vm.processed_seq > vm.stored_seq)
-            .map(|(&key, vm)| (key, vm.started_ms, vm.processed_seq))
+        let cursors = vms.map(|(&key, vm)| {
+            let max = self.missing.max_ack(key, vm.started_ms);
+            let seq = max.map_or(vm.processed_seq, |max| max.min(vm.processed_seq));
+            (key, vm, seq)
+        });
+        cursors
+            .filter(|(_, vm, seq)| *seq > vm.stored_seq)
+            .map(|(key, vm, seq)| (key, vm.started_ms, seq))
             .collect()
     }
 }
--- a/src/core/workload/placer/storage/retire.rs
+++ b/src/core/workload/placer/storage/retire.rs
@@ -52,9 +52,11 @@
         self.retire.next_at = cx.now + CHECK_INTERVAL;
         self.fail_unplaceable_jobs(cx);
         let retention = cx.options.placer.retention;
+        // A read of a missing part in progress may contain rows from before their removal.
         let is_expired = |job: &Job| {
             job.ended_at
                 .is_some_and(|ended| cx.now >= ended + retention)
+                && !self.missing.has_part_of(&job.id)
         };
         let ended = || self.registry.jobs.iter().filter(|(_, job)| is_expired(job));
         let Some(part) = ended().next().map(|(_, job)| job_part(&job.id)) else {
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -138,8 +138,9 @@
             Self::Loading(loading) => {
                 if let Some(reason) = loading.poll(cx, heartbeats) {
                     loading.release(cx);
-                    self.step_down(cx, feeds, &reason);
+                    return self.step_down(cx, feeds, &reason);
                 }
+                self.start_placing(cx, feeds);
             }
             Self::Placing(placer) => {
                 if let Some(reason) = placer.poll(cx, heartbeats) {
@@ -275,7 +276,8 @@
         placer.handle_sequence_row(cx, page)
     }
 
-    /// Handles a page of the rows that the new placer needs; starts the placer after the last one.
+    /// Handles a page of the rows that the placer of an epoch needs; starts the placer after the
+    /// last one.
     pub fn handle_page(
         &mut self,
         cx: &mut Cx,
@@ -284,20 +286,29 @@
         source: LoadSource,
         page: Result<Page, Box<str>>,
     ) {
-        let Self::Loading(loading) = self else {
-            return;
-        };
-        if loading.epoch() != epoch {
-            return;
+        match self {
+            Self::Loading(loading) if loading.epoch() == epoch => {
+                loading.add_page(cx, source, page);
+                self.start_placing(cx, feeds);
+            }
+            Self::Placing(placer) if placer.epoch() == epoch => {
+                placer.add_late_page(cx, source, page);
+            }
+            _ => {}
         }
-        loading.add_page(cx, source, page);
-        if !loading.is_complete() {
-            return;
+    }
+
+    /// Starts the placer if the load is complete.
+    fn start_placing(&mut self, cx: &mut Cx, feeds: &mut Feeds) {
+        match std::mem::replace(self, Self::new()) {
+            Self::Loading(loading) if loading.is_complete(cx) => {
+                feeds.follow(Feed::Vms, None);
+                feeds.follow(Feed::Jobs, Some(loading.version()));
+                let placer = loading.finish(cx);
+                *self = Self::Placing(Box::new(placer));
+            }
+            role => *self = role,
         }
-        feeds.follow(Feed::Vms, None);
-        feeds.follow(Feed::Jobs, loading.version());
-        let placer = loading.finish(cx);
-        *self = Self::Placing(Box::new(placer));
     }
 
     /// Gives up the role for a reason, which is logged, and delays the next takeover.
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -16,6 +16,7 @@
 mod moves;
 mod pace;
 mod partial_outage;
+mod random_outages;
 mod relay;
 mod slow_link;
 mod status;
