Keep a start in flight when its VM restarts

The runs of a VM were dropped when it restarted, also those whose start was not answered yet. Such a start could reach the VM after the restart, and the task ran a second time elsewhere. These runs are now kept until the start is answered or the VM's reports do not list them.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -170,7 +170,7 @@
                 vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
             });
             if is_expired {
-                self.drop_runs(cx, key, "lease expired");
+                self.drop_runs(cx, key, "lease expired", |_| true);
             }
         }
     }
@@ -289,9 +289,10 @@
     }
 
     /// Handles a restart of a VM, which begins a new lifetime: none of its former runs still
-    /// executes.
+    /// executes. A start without an answer may have arrived after the restart, so its run is kept.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
-        self.drop_runs(cx, key, "VM restarted");
+        let is_confirmed = |run: &Run| !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
+        self.drop_runs(cx, key, "VM restarted", is_confirmed);
         self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
@@ -299,12 +300,13 @@
         self.fleet.schedule_renewal(key, cx.now);
     }
 
-    /// Drops all runs of a VM and requeues their tasks.
+    /// Drops the runs of a VM that match and requeues their tasks.
     pub(in crate::core::workload::placer) fn drop_runs(
         &mut self,
         cx: &mut Cx,
         key: VmKey,
         reason: &'static str,
+        matches: impl Fn(&Run) -> bool,
     ) {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return;
@@ -313,6 +315,7 @@
         let mut runs: Vec<(TaskKey, u64)> = vm
             .runs
             .iter()
+            .filter(|(_, run)| matches(run))
             .map(|(&task, run)| (task, run.number))
             .collect();
         runs.sort_unstable();
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -243,3 +243,19 @@
     assert_eq!(purposes, BTreeSet::from(["Owner", "Sequence(1)"]));
     assert!(failed.iter().all(|line| line["reason"] == "no answer"));
 }
+
+/// Guards against a start that reaches a VM just after its restart and counts as lost with its
+/// former lifetime, so that the task is started a second time.
+#[test]
+fn a_start_in_flight_to_a_vm_that_restarts_does_not_run_twice() {
+    for delay in 0..40 {
+        let mut harness = Harness::new(2, 2);
+        harness.send_submission(0, ID, job(vec![step(17, 1_500, &[])]));
+        harness.run_for(delay);
+        harness.vms.get_mut("vm-0").expect("a VM").restart();
+        // The harness asserts that no task runs twice.
+        harness.run_for(8_000);
+        let state = harness.state(0, ID);
+        assert_eq!(state, Some(JobState::Completed), "restart after {delay} ms");
+    }
+}
