--- a/tests/workload/partial_outage.rs
+++ b/tests/workload/partial_outage.rs
@@ -440,3 +440,24 @@
     assert_eq!(harness.starts.len(), 2);
     assert_ne!(harness.starts[1].3, from);
 }
+
+/// Guards against runs of unknown jobs that count as running after a restart of their VM.
+#[test]
+fn tasks_of_a_late_part_start_again_if_their_vm_has_restarted() {
+    let mut harness = Harness::new(3, 2);
+    let submission = job(vec![step(2, 8_000, &[])]);
+    assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
+    harness.run_for(500);
+    let vm = harness.starts[0].3.clone();
+    let part = take_over_without_part_of(&mut harness, ID);
+    harness.vms.get_mut(&vm).expect("a VM").restart();
+    harness.run_for(2_000);
+    assert_eq!(harness.starts.len(), 2);
+    harness.unreadable_parts.remove(&part);
+    harness.run_for(1_500);
+    assert_eq!(harness.starts.len(), 4);
+    harness.run_for(8_500);
+    let placer = harness.placer().expect("a placer");
+    assert_eq!(harness.state(placer, ID), Some(JobState::Completed));
+    assert_eq!(harness.starts.len(), 4);
+}
