--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -29,9 +29,11 @@
 mod loading;
 mod placer;
 mod probe;
+mod ranges;
 mod role;
 mod rows;
 mod state;
+mod takeover_time;
 
 pub use effect::Effect;
 pub use effect::Effects;
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -76,6 +76,7 @@
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
     retire: storage::retire::RetireState,
+    missing: storage::missing::MissingParts,
     /// Ended runs that VMs have reported and that are not yet processed, with the key of the VM.
     pending_ended_tasks: Vec<(state::fleet::VmKey, EndedTask)>,
     next_heartbeat_at: Now,
@@ -184,6 +185,7 @@
         self.write_progress(cx);
         self.write_late_heartbeat(cx);
         self.archive_jobs(cx);
+        self.read_missing_parts(cx);
         if !self.is_partitioned(cx) {
             self.check_stalls(cx);
             self.send_renewals(cx);
@@ -209,6 +211,7 @@
                 .wake_at(&self.registry, self.next_heartbeat_at),
         );
         at = earliest(at, self.late_heartbeat_at(cx));
+        at = earliest(at, self.missing.wake_at());
         if self.is_partitioned(cx) {
             return at;
         }
@@ -246,6 +249,9 @@
         }
         if feed == Feed::Jobs {
             self.jobs_known_at = self.jobs_known_at.max(update.as_of);
+            if update.is_snapshot {
+                self.missing.restart();
+            }
         }
         for row in update.rows {
             match row {
@@ -265,6 +271,9 @@
                 _ => {}
             }
         }
+        if !self.missing.is_empty() {
+            self.reconcile_unread_runs(cx);
+        }
         self.schedule_round(cx.now);
         None
     }
@@ -363,8 +372,8 @@
         CommitPurpose::Placer(self.owner.epoch, write)
     }
 
-    /// Returns the heartbeat row, with the number of unstarted jobs of each queue and the waits of
-    /// new jobs.
+    /// Returns the heartbeat row, with the number of unstarted jobs of each queue if all are
+    /// known, and the waits of new jobs.
     fn heartbeat_row(&mut self, cx: &Cx) -> HeartbeatRow {
         self.update_waits(cx);
         let mut waiting = rustc_hash::FxHashMap::default();
@@ -379,7 +388,7 @@
             owner: self.owner.clone(),
             released: self.release != Release::NotRequested,
             loading: false,
-            waiting: Some(waiting),
+            waiting: self.missing.is_empty().then_some(waiting),
             waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
             waits: self.wait_rows(),
         }
@@ -410,6 +419,7 @@
             };
         }
         if is_job_part(&row.part) {
+            self.missing.record_change(&row);
             self.register_job_row(cx, row);
         }
         None
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -174,7 +174,7 @@
                 vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
             });
             if is_expired {
-                self.drop_runs(cx, key, "lease expired");
+                self.drop_runs(cx, key, "lease expired", |_| true);
             }
         }
     }
@@ -256,9 +256,13 @@
         {
             self.pending_ended_tasks.push((key, ended.clone()));
         }
+        let last_seq = report.ended.iter().map(|ended| ended.seq).max();
+        vm.processed_seq = vm.processed_seq.max(last_seq.unwrap_or(0));
         let is_complete = report.ended.len() < MAX_ENDED_PER_REPORT;
         self.process_ended_tasks(cx);
+        self.missing.clear_runs(key);
         self.reconcile(cx, key, sent, &report.running, is_complete);
+        self.update_uncounted_runs(key, is_complete);
         self.throttle_fillers(cx, key);
         if let Some(vm) = self.fleet.vms.get(&key) {
             let is_stored = vm.stored_seq == vm.processed_seq;
@@ -290,22 +294,25 @@
     }
 
     /// Handles a restart of a VM, which begins a new lifetime: none of its former runs still
-    /// executes.
+    /// executes. A start without an answer may have arrived after the restart, so its run is kept.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
-        self.drop_runs(cx, key, "VM restarted");
+        let is_confirmed = |run: &Run| !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
+        self.drop_runs(cx, key, "VM restarted", is_confirmed);
         self.clear_suspicion(cx, key, "VM restarted");
+        self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
             vm.begin_lifetime(started_ms);
         }
         self.fleet.schedule_renewal(key, cx.now);
     }
 
-    /// Drops all runs of a VM and requeues their tasks.
+    /// Drops the runs of a VM that match and requeues their tasks.
     pub(in crate::core::workload::placer) fn drop_runs(
         &mut self,
         cx: &mut Cx,
         key: VmKey,
         reason: &'static str,
+        matches: impl Fn(&Run) -> bool,
     ) {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return;
@@ -314,6 +321,7 @@
         let mut runs: Vec<(TaskKey, u64)> = vm
             .runs
             .iter()
+            .filter(|(_, run)| matches(run))
             .map(|(&task, run)| (task, run.number))
             .collect();
         runs.sort_unstable();
@@ -371,7 +379,16 @@
         }
     }
 
-    fn reconcile_run(&mut self, cx: &mut Cx, key: VmKey, row: &RunningTask) {
+    /// Compares a run that a VM reports with the one that the placer expects there.
+    pub(in crate::core::workload::placer) fn reconcile_run(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        row: &RunningTask,
+    ) {
+        if self.is_unread(&row.task.job) {
+            return self.missing.keep_run(key, row);
+        }
         let Some(task) = self.registry.find_task(&row.task) else {
             if self.is_surplus_run(key, row) {
                 return;
