Look for victims in each round again

A pause between searches let batch tasks take the room beside victims (two tests). The order of a queue is worked out only for jobs with ready steps.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -91,8 +91,6 @@
     /// Time of the next placement round, if one is scheduled.
     next_round_at: Option<Now>,
     last_round_at: Now,
-    /// Earliest time of the next round in which runs may be stopped for urgent tasks.
-    next_preemption_at: Now,
     /// Number of searches of the fleet for VMs on which a step fits.
     vm_scans: u64,
     /// Number of placement rounds.
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -76,7 +76,7 @@
         }
         let has_waiting_tasks = !steps.is_empty();
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
-        let preempts = self.begin_preemption(cx);
+        let preempts = self.is_preemption_enabled(cx);
         let mut round = Round::new(heartbeats);
         let mut over_share = Vec::new();
         for (rank, key) in steps {
@@ -199,10 +199,12 @@
             if inherited && !self.settled {
                 continue;
             }
-            let before = ready.len();
+            if job.ready_steps(job_key).next().is_none() {
+                continue;
+            }
             let waiting = job.as_waiting(cx.unix_time);
             ready.extend(job.ready_steps(job_key).map(|key| (key, job, waiting)));
-            if ready.len() > before && waiting.shows_overload() {
+            if waiting.shows_overload() {
                 overloaded.insert(&job.queue.name);
             }
         }
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -34,25 +34,10 @@
 /// Time beyond the longest stop for which a VM is kept for urgent tasks.
 const HOLD_MARGIN: Duration = Duration::from_millis(300);
 
-/// Least time between two rounds in which runs are stopped for urgent tasks. It is short against the
-/// time that a stop takes, and bounds the processor time of the search for victims in an overload.
-const PREEMPTION_INTERVAL: Duration = Duration::from_millis(100);
-
 impl Placer {
-    /// Returns whether runs may be stopped for urgent tasks in this round, which takes place at least
-    /// [`PREEMPTION_INTERVAL`] after the last such round.
-    pub(in crate::core::workload::placer) fn begin_preemption(&mut self, cx: &mut Cx) -> bool {
-        let is_due = cx.now >= self.next_preemption_at;
-        if !is_due || !self.is_preemption_enabled(cx) {
-            return false;
-        }
-        self.next_preemption_at = cx.now + PREEMPTION_INTERVAL;
-        true
-    }
-
     /// Returns whether the configuration has an urgent queue and one with a lower priority. Logs a
     /// change of the queues that may preempt others.
-    fn is_preemption_enabled(&mut self, cx: &mut Cx) -> bool {
+    pub(in crate::core::workload::placer) fn is_preemption_enabled(&mut self, cx: &mut Cx) -> bool {
         let queues = cx
             .catalog
             .map(|catalog| preempting_queues(catalog))
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -134,7 +134,6 @@
             starts_suspended: false,
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
-            next_preemption_at: Now::ZERO,
             vm_scans: 0,
             rounds: 0,
             preempted_runs: 0,
