--- a/src/core/workload/placer/rounds/preemptible.rs
+++ b/src/core/workload/placer/rounds/preemptible.rs
@@ -109,8 +109,12 @@
             list.unclaimed.add_room(&preemptible.freeing);
             list.vms.insert(key, preemptible);
         }
-        list.budget = preemption::budget(&capacity, &freeing);
-        list.claimable = list.budget.min(&stoppable).plus(&freeing);
+        if preemption::is_worthwhile(&capacity, &stoppable) {
+            list.budget = preemption::budget(&capacity, &freeing);
+            list.claimable = list.budget.min(&stoppable).plus(&freeing);
+        } else {
+            list.clear_stoppable();
+        }
         list
     }
 
@@ -259,6 +263,15 @@
 }
 
 impl Preemptible {
+    /// Leaves no run to be stopped; what is being freed still counts.
+    fn clear_stoppable(&mut self) {
+        self.unclaimed = Claimable::default();
+        for vm in self.vms.values_mut() {
+            vm.runs.clear();
+            vm.stoppable = Resources::ZERO;
+        }
+    }
+
     /// Returns the resources of the runs on a VM that may be stopped or are being stopped.
     pub fn room(&self, vm: VmKey) -> Resources {
         let vm = self.vms.get(&vm);
--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -18,6 +18,11 @@
 /// Largest part of a service's capacity that is being freed at a time, as a divisor.
 pub const FREEING_DIVISOR: u32 = 4;
 
+/// Least part of a service's capacity that runs which may be stopped must hold for a search, as a
+/// divisor. With less, urgent tasks wait for each other: the search and its advice queries would only
+/// delay them.
+pub const WORTHWHILE_DIVISOR: u32 = 8;
+
 /// Position of a VM in the list of views.
 pub type VmIndex = usize;
 
@@ -119,6 +124,14 @@
     traits.checkpointing && is_independent && step.max_unavailable.is_none()
 }
 
+/// Returns whether the runs that may be stopped hold enough of a service's capacity, of any resource,
+/// that urgent tasks gain by a search for victims.
+#[must_use]
+pub fn is_worthwhile(capacity: &Resources, stoppable: &Resources) -> bool {
+    let holds = |part: u32, whole: u32| part > 0 && part >= whole / WORTHWHILE_DIVISOR;
+    holds(stoppable.cpu_milli, capacity.cpu_milli) || holds(stoppable.mem_mib, capacity.mem_mib)
+}
+
 /// Returns the resources that may be freed in addition to those that are being freed already.
 #[must_use]
 pub fn budget(capacity: &Resources, freeing: &Resources) -> Resources {
--- a/tests/policy/preemption.rs
+++ b/tests/policy/preemption.rs
@@ -24,6 +24,7 @@
 use ragwortstall::core::workload::policy::preemption::budget;
 use ragwortstall::core::workload::policy::preemption::choose_victims;
 use ragwortstall::core::workload::policy::preemption::is_preemptible;
+use ragwortstall::core::workload::policy::preemption::is_worthwhile;
 use ragwortstall::core::workload::policy::timeliness::Timeliness;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::submission::Traits;
@@ -365,3 +366,22 @@
         Ok(())
     });
 }
+
+/// Names an amount of CPU held by runs that may be stopped, of 80 cores, and whether that is enough
+/// for a search.
+macro_rules! stoppable_cores {
+    ($($name:ident: $cores:literal => $worthwhile:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let capacity = Resources::new(80_000, 320_000, 0, 0);
+            let stoppable = Resources::new($cores * 1_000, $cores * 10, 0, 0);
+            assert_eq!(is_worthwhile(&capacity, &stoppable), $worthwhile);
+        }
+    )*};
+}
+
+stoppable_cores! {
+    nothing_is_searched_without_runs_to_stop: 0 => false;
+    nothing_is_searched_while_urgent_tasks_wait_for_each_other: 9 => false;
+    victims_are_searched_among_an_eighth_of_the_capacity: 10 => true;
+}
