--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rustc_hash::FxHashSet;
-
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
@@ -27,7 +25,6 @@
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::placer::state::job_registry::TaskKey;
-use crate::core::workload::policy::order::QueueOrder;
 use crate::core::workload::submission::Step;
 
 /// Number of task slots for which advice is requested per waiting task, as the advice service
@@ -192,28 +189,18 @@
     /// Jobs accepted before the role was granted are left out until the placer is settled, as an
     /// earlier placer may have started their tasks.
     fn ready_steps(&self, cx: &Cx) -> Vec<(Rank, StepKey)> {
-        let mut ready = Vec::new();
-        let mut overloaded: FxHashSet<&str> = FxHashSet::default();
+        let mut list = Vec::new();
         for (job_key, job) in self.registry.active_jobs() {
             let inherited = job.version <= self.grant_version;
             if inherited && !self.settled {
                 continue;
             }
-            if job.ready_steps(job_key).next().is_none() {
-                continue;
-            }
-            let waiting = job.as_waiting(cx.unix_time);
-            ready.extend(job.ready_steps(job_key).map(|key| (key, job, waiting)));
-            if waiting.shows_overload() {
-                overloaded.insert(&job.queue.name);
+            let mut ready = job.ready_steps(job_key).peekable();
+            if ready.peek().is_some() {
+                let rank = job.rank(job_key, cx.unix_time);
+                list.extend(ready.map(|key| (rank, key)));
             }
         }
-        let ranked = ready.into_iter().map(|(key, job, waiting)| {
-            let order = QueueOrder::new(overloaded.contains(&*job.queue.name));
-            let rank = (job.queue.priority, order.turn(&waiting), key.job);
-            (rank, key)
-        });
-        let mut list: Vec<(Rank, StepKey)> = ranked.collect();
         list.sort_unstable();
         list
     }
--- a/src/core/workload/placer/rounds/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -1,29 +1,31 @@
 //! Order of steps in a placement round when the VMs lack room for all of them.
 //!
-//! Jobs that can still meet their objective go first, then jobs that are late but still awaited by
-//! their callers, and last jobs that are long overdue, which run to completion all the same.
+//! In a burst, more jobs are queued than the VMs can run in time. With earliest-deadline-first
+//! order alone, each job starts only when it is already late, and all callers are served late. Jobs
+//! that can still meet their objective therefore go first, then jobs that are late but still
+//! awaited by their callers, and last jobs that are long overdue, which run to completion all the
+//! same.
 
 use std::time::Duration;
 
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::JobKey;
-use crate::core::workload::policy::order::Turn;
-use crate::core::workload::policy::order::WaitingJob;
 use crate::core::workload::policy::timeliness::Timeliness;
 
-/// Sort key of a step in a placement round: priority of the queue, turn of the job in its queue, and
-/// job. Lower ranks go first.
-pub(in crate::core::workload::placer) type Rank = (u32, Turn, JobKey);
+/// Sort key of a step in a placement round: priority of the queue, timeliness, deadline since the
+/// Unix epoch, and job. Lower ranks go first.
+pub(in crate::core::workload::placer) type Rank = (u32, Timeliness, Duration, JobKey);
 
 impl Job {
-    /// Returns the job as one that waits for VMs, at a wall time since the Unix epoch.
-    pub(in crate::core::workload::placer) fn as_waiting(&self, unix_time: Duration) -> WaitingJob {
-        WaitingJob {
-            has_begun: !self.is_unstarted(),
-            timeliness: self.timeliness(unix_time),
-            accepted_at: self.accepted_at,
-            deadline: self.accepted_at + self.objective(),
-        }
+    /// Returns the rank of the job's steps at a wall time since the Unix epoch.
+    pub(in crate::core::workload::placer) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
+        let deadline = self.accepted_at + self.objective();
+        (
+            self.queue.priority,
+            self.timeliness(unix_time),
+            deadline,
+            key,
+        )
     }
 
     /// Returns whether the job can still be of use to its caller, at a wall time since the Unix epoch.
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -5,7 +5,6 @@
 pub mod estimates;
 pub mod evacuation;
 pub mod forwarders;
-pub mod order;
 pub mod preemption;
 pub mod shares;
 pub mod stall;
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -4,7 +4,6 @@
 mod estimates;
 mod evacuation;
 mod forwarders;
-mod order;
 mod preemption;
 mod shares;
 mod stall;
