Ask for advice on room to be freed only with spare daemons

A step that lacked room for some of its tasks asked about VMs without any room in place of those with room, and its queries delayed those of other steps. It now asks for room to be freed only if no VM has room, and only while most daemons have no query in flight.

--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -156,6 +156,13 @@
             .map(|(_, forwarder)| forwarder)
     }
 
+    /// Returns whether most daemons have no query in flight, so that queries for room that is yet to be
+    /// freed delay no others.
+    pub fn has_spare(&self, heartbeats: &HeartbeatMonitor) -> bool {
+        let forwarders = heartbeats.addresses.len().max(1);
+        self.busy_count() * 2 < forwarders
+    }
+
     /// Returns the number of daemons with a query in flight.
     fn busy_count(&self) -> usize {
         self.in_flight.values().filter(|&&busy| busy > 0).count()
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -238,7 +238,8 @@
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
         }
-        if asks && may_preempt && self.lacks_room(key, spec, &candidates) {
+        // Tickets for VMs that have room now are of use at once.
+        if asks && may_preempt && candidates.is_empty() {
             let usable =
                 self.preemptible_candidates(cx, round, key, spec, &service, |_: &Candidate| true);
             self.query_advice(cx, round, key, spec, &usable);
@@ -291,21 +292,13 @@
         }
         let needed = step.waiting.saturating_sub(approved);
         let mut has_claim = needed > 0 && pool.claim(spec, needed);
-        if may_preempt && needed > 0 && !has_claim {
+        let has_spare = self.forwarders.has_spare(round.heartbeats);
+        if may_preempt && needed > 0 && !has_claim && has_spare {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
         }
         has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
     }
 
-    /// Returns whether the candidates have too little room for all waiting tasks of a step.
-    fn lacks_room(&self, key: StepKey, spec: &Step, candidates: &[Candidate]) -> bool {
-        let room = candidates.iter().fold(0_u32, |sum, candidate| {
-            sum.saturating_add(candidate.max_tasks(spec))
-        });
-        let step = self.registry.step(key);
-        step.is_some_and(|step| room < step.waiting)
-    }
-
     /// Returns whether a step has a valid ticket for any VM.
     fn has_ticket(&self, cx: &Cx, key: StepKey) -> bool {
         let step = self.registry.step(key);
