Count all runs of a team against its share again, and mend findings of the review

Slowness: a run time of zero no longer moves the mean of a VM and of its kind without limit. Estimates: a ratio in the last bucket, which has no end, gives no expected run time. Timeliness saturates.

--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -285,7 +285,7 @@
             .and_then(|vm| vm.remove_run(task));
         let job = self.registry.jobs.get(&task.step.job);
         if let (Some(run), Some(job)) = (run, job) {
-            self.usage.subtract(job.team.as_ref(), &run);
+            self.usage.subtract(job.team.as_ref(), &run.demand);
         }
     }
 
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -1,7 +1,6 @@
 //! Starts of runs, and adoption of runs that an earlier placer started.
 
 use crate::core::model::Now;
-use crate::core::workload::catalog::URGENT_PRIORITY;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::cx::millis;
 use crate::core::workload::decision::Decision;
@@ -17,11 +16,10 @@
 use crate::core::workload::placer::state::fleet::Phase;
 use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
-use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::waits::started_work;
-use crate::core::workload::submission::StepIndex;
+use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
 
@@ -72,7 +70,7 @@
         let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, lease) else {
             return;
         };
-        let new_run = Run::new(run, job, task.step.step, cx.now);
+        let new_run = Run::new(run, job.spec(task.step.step), cx.now);
         let (team, payload) = (job.team.clone(), job.payload.clone());
         let work = started_work(job, task.step.step);
         let Some(step) = self.registry.step_mut(task.step) else {
@@ -104,7 +102,7 @@
             timeout: cx.options.vms.order_timeout,
         };
         let id = vm.id.clone();
-        self.usage.add(team.as_ref(), &new_run);
+        self.usage.add(team.as_ref(), &new_run.demand);
         if let Some((pair, core_millis)) = work {
             self.waits.record_start(cx.now, pair, core_millis);
         }
@@ -209,7 +207,7 @@
         let Some(job) = self.registry.jobs.get(&task.step.job) else {
             return;
         };
-        let mut run = Run::new(row.run, job, task.step.step, cx.now);
+        let mut run = Run::new(row.run, job.spec(task.step.step), cx.now);
         let (id, team) = (job.id.clone(), job.team.clone());
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
@@ -223,7 +221,7 @@
             run: row.run,
             vm: vm.id.clone(),
         });
-        self.usage.add(team.as_ref(), &run);
+        self.usage.add(team.as_ref(), &run.demand);
         if let Some(step) = self.registry.step_mut(task.step) {
             step.waiting -= 1;
             let state = &mut step.tasks[task.index as usize];
@@ -248,11 +246,9 @@
 }
 
 impl Run {
-    fn new(number: RunNumber, job: &Job, step: StepIndex, now: Now) -> Self {
-        let spec = job.spec(step);
+    fn new(number: RunNumber, spec: &Step, now: Now) -> Self {
         Self {
             number,
-            is_urgent: job.queue.priority == URGENT_PRIORITY,
             reservation: spec.reservation(),
             demand: spec.demand,
             has_target: spec.target_ms > 0,
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -118,8 +118,8 @@
 
 impl AdviceForwarders {
     /// Returns the daemon with the fewest queries in flight and its address, or `None` if all
-    /// daemons are at their limit or paused after a failure. The last free ones are reserved for
-    /// queues of the highest priority.
+    /// daemons are at their limit or paused after a failure. Some are reserved for queues of
+    /// the highest priority if there are enough daemons.
     pub fn least_busy(
         &self,
         cx: &Cx,
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -81,7 +81,8 @@
                 over_share.push(key);
                 continue;
             }
-            // Otherwise steps with a lower priority take the room that is left beside the victims.
+            // Runs are stopped before steps of a lower priority are placed, as these would take the room
+            // beside the victims.
             if !self.is_urgent(key) {
                 self.preempt(cx, &mut round);
             }
--- a/src/core/workload/placer/rounds/evacuation.rs
+++ b/src/core/workload/placer/rounds/evacuation.rs
@@ -57,7 +57,7 @@
         suspended
     }
 
-    /// Stops runs in evacuated zones whose tasks fit on other VMs. Returns whether runs are left that
+    /// Stops runs in evacuated zones whose tasks fit on other VMs. Returns whether there were runs that
     /// may be moved later.
     ///
     /// Does nothing until the placer is settled, as the tasks could not be started again before.
--- a/src/core/workload/placer/rounds/preemptible.rs
+++ b/src/core/workload/placer/rounds/preemptible.rs
@@ -263,7 +263,8 @@
 }
 
 impl Preemptible {
-    /// Leaves no run to be stopped; what is being freed still counts.
+    /// Leaves no run to be stopped, so that no step claims room. What is being freed still counts as
+    /// room of its VM.
     fn clear_stoppable(&mut self) {
         self.unclaimed = Claimable::default();
         for vm in self.vms.values_mut() {
--- a/src/core/workload/placer/rounds/shares.rs
+++ b/src/core/workload/placer/rounds/shares.rs
@@ -4,7 +4,6 @@
 
 use crate::core::model::Resources;
 use crate::core::model::TeamId;
-use crate::core::workload::catalog::URGENT_PRIORITY;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::state::fleet::Vm;
@@ -36,24 +35,14 @@
     }
 
     /// Returns whether the team of a step's job has used up its share.
-    ///
-    /// Of a step of an urgent queue, only the team's urgent runs count: its batch work, which yields
-    /// to urgent work, does not put its urgent work behind the batch work of others.
     pub(in crate::core::workload::placer) fn is_over_share(
         &self,
         shares: &FairShares,
         key: StepKey,
     ) -> bool {
         let job = self.registry.jobs.get(&key.job);
-        let Some((job, team)) = job.and_then(|job| Some((job, job.team.as_ref()?))) else {
-            return false;
-        };
-        let used = if job.queue.priority == URGENT_PRIORITY {
-            self.usage.running_urgent(team)
-        } else {
-            self.usage.running(team)
-        };
-        shares.is_exhausted(team, &used)
+        let team = job.and_then(|job| job.team.as_ref());
+        team.is_some_and(|team| shares.is_exhausted(team, &self.usage.running(team)))
     }
 }
 
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -162,8 +162,6 @@
     /// Resources reserved on the VM; no CPU for fillers.
     pub reservation: Resources,
     pub demand: Resources,
-    /// Whether the task's queue is an urgent one.
-    pub is_urgent: bool,
     /// Whether the task has a latency target.
     pub has_target: bool,
     /// Whether the task runs until its job is cancelled.
--- a/src/core/workload/placer/state/slowness.rs
+++ b/src/core/workload/placer/state/slowness.rs
@@ -28,8 +28,11 @@
 /// than this, the VM's own mean outweighs that of its kind.
 const KIND_WEIGHT_RUNS: f64 = 8.0;
 
-/// Largest logarithm that is restored from the table, which stands for a factor of 1,000.
-const MAX_RESTORED_MEAN: f64 = 6.9;
+/// Shortest run time that is told from others.
+const MIN_RUN_TIME: Duration = Duration::from_millis(1);
+
+/// Largest logarithm that is learned or restored from the table, which stands for a factor of 1,000.
+const MAX_LOG: f64 = 6.9;
 
 /// Mean and number of runs of each VM kind, as stored in the table.
 pub(in crate::core::workload::placer) type StoredKinds = BTreeMap<Box<str>, (f64, f64)>;
@@ -58,7 +61,7 @@
     /// Restores the estimates of the VM kinds. Values beyond what can be learned are limited.
     pub fn from_stored(stored: StoredKinds) -> Self {
         let restore = |(kind, (mean, runs)): (Box<str>, (f64, f64))| {
-            let mean = mean.clamp(-MAX_RESTORED_MEAN, MAX_RESTORED_MEAN);
+            let mean = mean.clamp(-MAX_LOG, MAX_LOG);
             let runs = runs.clamp(0.0, KIND_WINDOW_RUNS);
             (kind, SlownessEstimate { mean, runs })
         };
@@ -99,7 +102,7 @@
             return;
         }
         self.estimates_writer.mark_changed();
-        let log = |took: Duration| took.as_secs_f64().max(f64::MIN_POSITIVE).ln();
+        let log = |took: Duration| took.max(MIN_RUN_TIME).as_secs_f64().ln();
         let expected = |key: VmKey| {
             let vm = self.fleet.vms.get(&key);
             vm.map_or(0.0, |vm| self.slowness.estimate(vm))
@@ -112,7 +115,8 @@
         let mean = sum / runs.len() as f64;
         for (key, took) in runs {
             if let Some(vm) = self.fleet.vms.get_mut(&key) {
-                self.slowness.update(vm, log(took) - mean);
+                let value = (log(took) - mean).clamp(-MAX_LOG, MAX_LOG);
+                self.slowness.update(vm, value);
             }
         }
     }
--- a/src/core/workload/placer/state/usage.rs
+++ b/src/core/workload/placer/state/usage.rs
@@ -5,20 +5,11 @@
 use crate::core::model::Resources;
 use crate::core::model::TeamId;
 use crate::core::workload::cx::Cx;
-use crate::core::workload::placer::state::fleet::Run;
-
-/// Sum of the demands of a team's runs.
-#[derive(Clone, Copy, Debug, Default)]
-struct TeamUsage {
-    all: Resources,
-    /// Part of it that runs of urgent queues have.
-    urgent: Resources,
-}
 
 /// Sum of the demands of each team's runs.
 #[derive(Debug, Default)]
 pub(in crate::core::workload::placer) struct Usage {
-    teams: FxHashMap<TeamId, TeamUsage>,
+    teams: FxHashMap<TeamId, Resources>,
     /// Demand of tasks that an earlier placer may have started on VMs that have not answered this
     /// placer yet.
     inherited: FxHashMap<TeamId, Resources>,
@@ -44,18 +35,13 @@
 
     /// Returns the teams whose runs use CPU.
     pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
-        let running = self.teams.iter().filter(|(_, used)| used.all.cpu_milli > 0);
+        let running = self.teams.iter().filter(|(_, used)| used.cpu_milli > 0);
         running.map(|(team, _)| team)
     }
 
     /// Returns the demand of a team's runs.
     pub fn running(&self, team: &TeamId) -> Resources {
-        self.team(team).all
-    }
-
-    /// Returns the demand of a team's runs of urgent queues.
-    pub fn running_urgent(&self, team: &TeamId) -> Resources {
-        self.team(team).urgent
+        self.teams.get(team).copied().unwrap_or(Resources::ZERO)
     }
 
     /// Resets the demand of tasks that an earlier placer may have started.
@@ -78,27 +64,17 @@
     }
 
     /// Adds the demand of a run that began.
-    pub fn add(&mut self, team: Option<&TeamId>, run: &Run) {
+    pub fn add(&mut self, team: Option<&TeamId>, demand: &Resources) {
         if let Some(team) = team {
             let used = self.teams.entry(team.clone()).or_default();
-            used.all = used.all.plus(&run.demand);
-            if run.is_urgent {
-                used.urgent = used.urgent.plus(&run.demand);
-            }
+            *used = used.plus(demand);
         }
     }
 
     /// Subtracts the demand of a run that ended.
-    pub fn subtract(&mut self, team: Option<&TeamId>, run: &Run) {
+    pub fn subtract(&mut self, team: Option<&TeamId>, demand: &Resources) {
         if let Some(used) = team.and_then(|team| self.teams.get_mut(team)) {
-            used.all = used.all.minus(&run.demand);
-            if run.is_urgent {
-                used.urgent = used.urgent.minus(&run.demand);
-            }
+            *used = used.minus(demand);
         }
     }
-
-    fn team(&self, team: &TeamId) -> TeamUsage {
-        self.teams.get(team).copied().unwrap_or_default()
-    }
 }
--- a/src/core/workload/policy/estimates.rs
+++ b/src/core/workload/policy/estimates.rs
@@ -100,7 +100,10 @@
 
     fn update_expected(&mut self) {
         let is_known = self.runs >= MIN_RUNS;
-        self.expected = self.quantile(EXPECTED_QUANTILE).filter(|_| is_known);
+        // The last bucket has no upper bound.
+        let is_bounded = |ratio: &f64| *ratio < max_ratio();
+        let quantile = self.quantile(EXPECTED_QUANTILE);
+        self.expected = quantile.filter(|ratio| is_known && is_bounded(ratio));
     }
 
     /// Returns the number of runs, of which older ones count less.
@@ -197,3 +200,9 @@
     let position = (ratio.log2() - MIN_LOG2) * BUCKETS_PER_OCTAVE;
     position.clamp(0.0, BUCKETS as f64 - 1.0) as usize
 }
+
+/// Returns the end of the last bucket.
+#[allow(clippy::cast_precision_loss)]
+fn max_ratio() -> f64 {
+    (BUCKETS as f64 / BUCKETS_PER_OCTAVE + MIN_LOG2).exp2()
+}
--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -124,8 +124,7 @@
     traits.checkpointing && is_independent && step.max_unavailable.is_none()
 }
 
-/// Returns whether the runs that may be stopped hold enough of a service's capacity, of any resource,
-/// that urgent tasks gain by a search for victims.
+/// Returns whether the runs that may be stopped hold enough of a service's CPU or memory that urgent tasks gain by a search for victims.
 #[must_use]
 pub fn is_worthwhile(capacity: &Resources, stoppable: &Resources) -> bool {
     let holds = |part: u32, whole: u32| part > 0 && part >= whole / WORTHWHILE_DIVISOR;
--- a/src/core/workload/policy/timeliness.rs
+++ b/src/core/workload/policy/timeliness.rs
@@ -20,10 +20,10 @@
     /// Returns the timeliness of a job of this age whose remaining steps take at least `remaining`.
     #[must_use]
     pub fn new(age: Duration, remaining: Duration, objective: Duration) -> Self {
-        let earliest_end = age + remaining;
+        let earliest_end = age.saturating_add(remaining);
         if earliest_end <= objective {
             Self::OnTime
-        } else if earliest_end <= objective * OVERDUE_FACTOR {
+        } else if earliest_end <= objective.saturating_mul(OVERDUE_FACTOR) {
             Self::Late
         } else {
             Self::Overdue
