Log crashes of VMs, the runs lost with them, and changes of a VM's capacity

A lost run was logged as 'lease expired' whether its VM had crashed or was cut off, and a change of a VM's capacity was not logged at all, so that the hypotheses of the incident could not be told apart.

A VM that was lost without draining is now kept for 30 s with its runs. It has crashed if a later lifetime is seen of the VM or on its machine, and was cut off if it answers again in the same one. Nothing else depends on this yet.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -87,13 +87,23 @@
         end: RunOutcome,
         failures: usize,
     },
-    /// A run was dropped because its VM restarted or the lease expired.
+    /// A run was dropped because its VM restarted or the lease expired. `age_ms` is the time from its
+    /// start to the last answer of the VM.
     RunLost {
         id: JobId,
         task: Box<str>,
         run: RunNumber,
         vm: VmId,
         reason: &'static str,
+        age_ms: u64,
+    },
+    /// The VM of a run has crashed. `crashes` is the number of crashes under runs of the task.
+    RunCrashed {
+        id: JobId,
+        task: Box<str>,
+        run: RunNumber,
+        vm: VmId,
+        crashes: usize,
     },
     /// A run that was not started by this placer was found.
     RunAdopted {
@@ -142,10 +152,29 @@
     /// A VM appeared or changed.
     VmSeen {
         vm: VmId,
+        machine: Box<str>,
         draining: bool,
         born: u64,
         cpu_milli: u32,
     },
+    /// The capacity of a VM changed. `used_cpu_milli` and `used_mem_mib` are reserved by its runs.
+    VmResized {
+        vm: VmId,
+        cpu_milli: u32,
+        mem_mib: u32,
+        accel: u32,
+        used_cpu_milli: u32,
+        used_mem_mib: u32,
+    },
+    /// A VM has crashed with runs on it: it was lost without draining, and a later lifetime has
+    /// begun on its machine.
+    VmCrashed {
+        vm: VmId,
+        machine: Box<str>,
+        born: u64,
+        next_born: u64,
+        runs: usize,
+    },
     /// A VM became unreachable or reachable again.
     VmContact {
         vm: VmId,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -9,6 +9,7 @@
 
 use state::fleet::Fleet;
 use state::job_registry::JobRegistry;
+use state::lost_vms::LostVms;
 pub(super) use storage::load::LoadedRows;
 pub(super) use storage::load::RoleGrant;
 
@@ -65,6 +66,7 @@
     last_commit_sent_at: Now,
     registry: JobRegistry,
     fleet: Fleet,
+    lost_vms: LostVms,
     usage: state::usage::Usage,
     slowness: state::slowness::SlownessByKind,
     estimates: RunTimeEstimates,
--- /dev/null
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -0,0 +1,101 @@
+//! Crashes of VMs, and the runs that were lost with them.
+
+use crate::core::workload::cx::Cx;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::lost_vms::Lifetime;
+use crate::core::workload::placer::state::lost_vms::LostVm;
+use crate::core::workload::task::RunNumber;
+use crate::core::workload::task::TaskName;
+
+impl Placer {
+    /// Drops the runs of a lost VM that match and requeues their tasks. Keeps the runs until it is
+    /// known whether the VM has crashed, unless it had announced its end.
+    pub(in crate::core::workload::placer) fn drop_lost_runs(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        reason: &'static str,
+        matches: impl Fn(&Run) -> bool,
+    ) {
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return;
+        };
+        let (lifetime, end_announced) = (vm.lifetime(), vm.has_announced_end());
+        let runs = self.drop_runs(cx, key, reason, matches);
+        if !runs.is_empty() && !end_announced {
+            self.lost_vms.add(LostVm {
+                lifetime,
+                lost_at: cx.now,
+                runs,
+            });
+        }
+    }
+
+    /// Handles a report of a VM in the lifetime that began at `started_ms`: a lost VM has not crashed
+    /// if this is the same lifetime, and has crashed if it is a later one.
+    pub(in crate::core::workload::placer) fn record_lifetime_of(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        started_ms: u64,
+    ) {
+        if self.lost_vms.is_empty() {
+            return;
+        }
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return;
+        };
+        let seen = Lifetime {
+            started_ms,
+            ..vm.lifetime()
+        };
+        self.lost_vms.remove_alive(&seen);
+        self.record_crashes(cx, &seen);
+    }
+
+    /// Records the crashes of lost VMs that a lifetime shows.
+    pub(in crate::core::workload::placer) fn record_crashes(
+        &mut self,
+        cx: &mut Cx,
+        seen: &Lifetime,
+    ) {
+        self.lost_vms.remove_overdue(cx.now);
+        for lost in self.lost_vms.take_crashed(seen) {
+            cx.log(Decision::VmCrashed {
+                vm: lost.lifetime.vm.clone(),
+                machine: lost.lifetime.machine.clone(),
+                born: lost.lifetime.started_ms,
+                next_born: seen.started_ms,
+                runs: lost.runs.len(),
+            });
+            for (name, run) in &lost.runs {
+                self.record_crash(cx, &lost.lifetime, name, *run);
+            }
+        }
+    }
+
+    /// Records that a VM has crashed under a run, unless the task is done.
+    fn record_crash(&mut self, cx: &mut Cx, crashed: &Lifetime, name: &TaskName, run: RunNumber) {
+        let Some(task) = self.registry.find_task(name) else {
+            return;
+        };
+        let Some(state) = self.registry.task_mut(task) else {
+            return;
+        };
+        if state.placement == Placement::Done || state.crashed.contains(&run) {
+            return;
+        }
+        state.crashed.push(run);
+        cx.log(Decision::RunCrashed {
+            id: name.job.clone(),
+            task: name.to_string().into(),
+            run,
+            vm: crashed.vm.clone(),
+            crashes: state.crashed.len(),
+        });
+    }
+}
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -22,7 +22,10 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lost_vms::Lifetime;
+use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
+use crate::core::workload::task::TaskName;
 
 /// Longest delay of the next renewal while ended runs of the last report are not yet stored in the
 /// table.
@@ -53,9 +56,25 @@
         };
         let (id, started_ms, draining) = (row.id.clone(), row.started_ms, row.draining);
         let cpu_milli = row.capacity.cpu_milli;
+        let seen = Lifetime {
+            vm: row.id.clone(),
+            machine: row.machine.clone(),
+            started_ms,
+        };
         let is_unchanged =
             vm.listed && vm.draining_since.is_some() == draining && vm.started_ms == started_ms;
+        let is_resized = vm.listed && vm.capacity != row.capacity;
         vm.apply_row(row, cx.now);
+        if is_resized {
+            cx.log(Decision::VmResized {
+                vm: id.clone(),
+                cpu_milli,
+                mem_mib: vm.capacity.mem_mib,
+                accel: vm.capacity.accel,
+                used_cpu_milli: vm.used.cpu_milli,
+                used_mem_mib: vm.used.mem_mib,
+            });
+        }
         if started_ms > vm.started_ms {
             if vm.started_ms == 0 {
                 vm.started_ms = started_ms;
@@ -64,8 +83,10 @@
             }
         }
         if !is_unchanged {
+            self.record_crashes(cx, &seen);
             cx.log(Decision::VmSeen {
                 vm: id,
+                machine: seen.machine,
                 draining,
                 born: started_ms,
                 cpu_milli,
@@ -174,7 +195,7 @@
                 vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
             });
             if is_expired {
-                self.drop_runs(cx, key, "lease expired", |_| true);
+                self.drop_lost_runs(cx, key, "lease expired", |_| true);
             }
         }
     }
@@ -228,6 +249,7 @@
             }
             self.begin_vm_lifetime(cx, key, report.started_ms);
         }
+        self.record_lifetime_of(cx, key, report.started_ms);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
         };
@@ -297,7 +319,7 @@
     /// executes. A start without an answer may have arrived after the restart, so its run is kept.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         let is_confirmed = |run: &Run| !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
-        self.drop_runs(cx, key, "VM restarted", is_confirmed);
+        self.drop_lost_runs(cx, key, "VM restarted", is_confirmed);
         self.clear_suspicion(cx, key, "VM restarted");
         self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
@@ -306,26 +328,27 @@
         self.fleet.schedule_renewal(key, cx.now);
     }
 
-    /// Drops the runs of a VM that match and requeues their tasks.
+    /// Drops the runs of a VM that match and requeues their tasks. Returns the runs.
     pub(in crate::core::workload::placer) fn drop_runs(
         &mut self,
         cx: &mut Cx,
         key: VmKey,
         reason: &'static str,
         matches: impl Fn(&Run) -> bool,
-    ) {
+    ) -> Vec<(TaskName, RunNumber)> {
         let Some(vm) = self.fleet.vms.get(&key) else {
-            return;
+            return Vec::new();
         };
         let id = vm.id.clone();
-        let mut runs: Vec<(TaskKey, u64)> = vm
+        let mut runs: Vec<(TaskKey, RunNumber, Duration)> = vm
             .runs
             .iter()
             .filter(|(_, run)| matches(run))
-            .map(|(&task, run)| (task, run.number))
+            .map(|(&task, run)| (task, run.number, vm.reported_age(run)))
             .collect();
         runs.sort_unstable();
-        for (task, run) in runs {
+        let mut dropped = Vec::with_capacity(runs.len());
+        for (task, run, age) in runs {
             if let Some(name) = self.registry.task_name(task) {
                 cx.log(Decision::RunLost {
                     id: name.job.clone(),
@@ -333,10 +356,13 @@
                     run,
                     vm: id.clone(),
                     reason,
+                    age_ms: millis(age),
                 });
+                dropped.push((name, run));
             }
             self.release_and_requeue(cx, key, task);
         }
+        dropped
     }
 
     /// Compares the runs that a VM reports with those that the placer expects there.
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -20,6 +20,7 @@
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
 use crate::core::workload::placer::state::slowness::SlownessEstimate;
 use crate::core::workload::placer::state::stall::StallState;
@@ -54,6 +55,8 @@
 pub(in crate::core::workload::placer) struct Vm {
     pub id: VmId,
     pub address: Box<str>,
+    /// Host machine; empty if unknown.
+    pub machine: Box<str>,
     pub service: ServiceId,
     pub zone: ZoneId,
     pub labels: Vec<Box<str>>,
@@ -70,6 +73,9 @@
     cold_row: (Duration, u64),
     /// When the placer first read that the VM is draining; `None` while it is not.
     pub draining_since: Option<Now>,
+    /// Start of the last lifetime whose end the VM has announced by draining, in milliseconds since
+    /// the Unix epoch; zero if none.
+    drained_lifetime_ms: u64,
     /// Whether the roster, which the next placer loads, has this VM.
     pub roster_state: RosterState,
     /// Start of the current lifetime, in milliseconds since the Unix epoch; zero if unknown. A
@@ -251,6 +257,7 @@
         Self {
             id: id.into(),
             address: address.into(),
+            machine: "".into(),
             service: "".into(),
             zone: "".into(),
             labels: Vec::new(),
@@ -261,6 +268,7 @@
             cold_until: Now::ZERO,
             cold_row: (Duration::ZERO, 0),
             draining_since: None,
+            drained_lifetime_ms: 0,
             roster_state: RosterState::Absent,
             started_ms: 0,
             clock: None,
@@ -297,6 +305,7 @@
     pub fn apply_row(&mut self, row: VmRow, now: Now) {
         self.listed = true;
         self.address = row.address;
+        self.machine = row.machine;
         self.service = row.service;
         self.zone = row.zone;
         let kind = row.labels.iter().filter(|label| **label != row.rack);
@@ -314,6 +323,7 @@
             self.cold_until = now + row.cold_remaining;
         }
         if row.draining {
+            self.drained_lifetime_ms = row.started_ms;
             self.draining_since.get_or_insert(now);
         } else {
             self.draining_since = None;
@@ -346,6 +356,29 @@
             .is_some_and(|since| now >= since + START_ANSWER_TIME)
     }
 
+    /// Returns the current lifetime.
+    pub fn lifetime(&self) -> Lifetime {
+        Lifetime {
+            vm: self.id.clone(),
+            machine: self.machine.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+
+    /// Returns whether the VM has announced the end of its current lifetime.
+    pub fn has_announced_end(&self) -> bool {
+        self.started_ms != 0 && self.started_ms == self.drained_lifetime_ms
+    }
+
+    /// Returns the time from the start of a run to the last answer of the VM; zero if the VM has not
+    /// answered since.
+    pub fn reported_age(&self, run: &Run) -> Duration {
+        match run.phase {
+            Phase::Running { since } => self.last_answer_at.saturating_sub(since),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the capacity that is not reserved by runs.
     pub fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -110,6 +110,8 @@
     pub run: RunNumber,
     /// Numbers of the runs that failed.
     pub failed: Vec<RunNumber>,
+    /// Numbers of the runs under which the VM crashed.
+    pub crashed: Vec<RunNumber>,
     pub checkpoint: Checkpoint,
     pub waiting_since: Now,
     /// Number of runs that were stopped because their VM seemed stalled.
--- /dev/null
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -0,0 +1,87 @@
+//! VMs that were lost with runs on them, until it is known whether they crashed.
+//!
+//! A VM that does not answer may have crashed or may be cut off. It has crashed if a later lifetime
+//! of the VM, or of another VM on its machine, is seen. It has not if it answers again in the same
+//! lifetime.
+
+use std::time::Duration;
+
+use crate::core::model::Now;
+use crate::core::model::VmId;
+use crate::core::workload::task::RunNumber;
+use crate::core::workload::task::TaskName;
+
+/// Time after which a lost VM is no longer expected back. A crash that shows later is not counted
+/// against the runs that were lost.
+const MAX_ABSENCE: Duration = Duration::from_secs(30);
+
+/// Lifetime of a VM: the time from one start to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) struct Lifetime {
+    pub vm: VmId,
+    /// Host machine; empty if unknown.
+    pub machine: Box<str>,
+    /// Start of the lifetime, in milliseconds since the Unix epoch; zero if unknown.
+    pub started_ms: u64,
+}
+
+/// A VM lifetime that was lost, with its runs.
+#[derive(Clone, Debug)]
+pub(in crate::core::workload::placer) struct LostVm {
+    pub lifetime: Lifetime,
+    pub lost_at: Now,
+    pub runs: Vec<(TaskName, RunNumber)>,
+}
+
+/// Lost VMs in the order of their losses.
+#[derive(Debug, Default)]
+pub(in crate::core::workload::placer) struct LostVms {
+    list: Vec<LostVm>,
+}
+
+impl LostVms {
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Adds a VM, or further runs of a VM that is lost already.
+    pub fn add(&mut self, lost: LostVm) {
+        let known = self.list.iter_mut();
+        let mut known = known.filter(|known| known.lifetime == lost.lifetime);
+        if let Some(known) = known.next() {
+            known.runs.extend(lost.runs);
+        } else {
+            self.list.push(lost);
+        }
+    }
+
+    /// Removes and returns the VMs that have crashed, given a lifetime that has been seen.
+    pub fn take_crashed(&mut self, seen: &Lifetime) -> Vec<LostVm> {
+        let crashed = self
+            .list
+            .extract_if(.., |lost| seen.follows(&lost.lifetime));
+        crashed.collect()
+    }
+
+    /// Removes a VM that has answered, and so has not crashed.
+    pub fn remove_alive(&mut self, seen: &Lifetime) {
+        let is_same =
+            |lifetime: &Lifetime| lifetime.vm == seen.vm && lifetime.started_ms == seen.started_ms;
+        self.list.retain(|lost| !is_same(&lost.lifetime));
+    }
+
+    /// Removes the VMs that are no longer expected back.
+    pub fn remove_overdue(&mut self, now: Now) {
+        self.list.retain(|lost| now < lost.lost_at + MAX_ABSENCE);
+    }
+}
+
+impl Lifetime {
+    /// Returns whether this lifetime can have begun only after another one had ended: it is a later
+    /// one of the same VM or machine.
+    pub fn follows(&self, former: &Self) -> bool {
+        let same_machine = !self.machine.is_empty() && self.machine == former.machine;
+        let same_host = self.vm == former.vm || same_machine;
+        same_host && former.started_ms != 0 && self.started_ms > former.started_ms
+    }
+}
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -20,6 +20,7 @@
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::JobRegistry;
 use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::lost_vms::LostVms;
 use crate::core::workload::placer::state::slowness::SlownessByKind;
 use crate::core::workload::placer::state::stall::StallChecks;
 use crate::core::workload::placer::state::usage::Usage;
@@ -114,6 +115,7 @@
             last_commit_sent_at: cx.now,
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
+            lost_vms: LostVms::default(),
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
             estimates: RunTimeEstimates::default(),
