--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -378,7 +378,8 @@
         let table = match feed {
             Feed::Config => return self.operator_rows(after),
             Feed::Vms if after == 0 => {
-                return self.vms.values().map(SimVm::row).map(FeedRow::Vm).collect();
+                let listed = self.vms.values().filter(|vm| vm.listed);
+                return listed.map(SimVm::row).map(FeedRow::Vm).collect();
             }
             Feed::Vms => return self.vm_row_changes(after),
             Feed::Jobs => JOBS,
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod callers;
+mod crashes;
 mod feed_calls;
 mod link;
 mod operator;
@@ -34,6 +35,7 @@
 use ragwortstall::core::workload::task::TaskName;
 
 use self::callers::RelayedCall;
+use self::crashes::Crashes;
 use self::feed_calls::FeedCalls;
 use self::link::Link;
 use self::options::options;
@@ -177,6 +179,8 @@
     pub probes: u32,
     /// Starts that took effect: time, task, run number and VM.
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
+    /// Crashes of VMs.
+    pub crashes: Crashes,
     /// Ordered speeds in percent, by task.
     pub speed_orders: Vec<(TaskName, u32)>,
     stop_time: Duration,
@@ -260,6 +264,7 @@
             lost_relay_replies: 0,
             probes: 0,
             starts: Vec::new(),
+            crashes: Crashes::default(),
             speed_orders: Vec::new(),
             stop_time,
             daemons: Vec::new(),
@@ -350,6 +355,7 @@
         for vm in self.vms.values_mut() {
             vm.advance(self.now);
         }
+        self.advance_crashes();
         self.tick_daemons();
         while let Some(message) = self.next_message() {
             match message {
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -26,6 +26,10 @@
 #[allow(clippy::struct_excessive_bools)]
 pub(crate) struct SimVm {
     pub id: Box<str>,
+    /// Host machine.
+    pub machine: Box<str>,
+    /// Whether the table has a row of the VM.
+    pub listed: bool,
     pub capacity: Resources,
     /// Start of the current lifetime.
     pub started_ms: u64,
@@ -84,6 +88,8 @@
     pub(crate) fn new(id: &str, capacity: Resources) -> Self {
         Self {
             id: id.into(),
+            machine: id.into(),
+            listed: true,
             capacity,
             started_ms: 1,
             connected: true,
@@ -119,7 +125,7 @@
             labels: vec![self.kind.into(), self.rack.into()],
             rack: self.rack.into(),
             started_ms: self.started_ms,
-            machine: self.id.clone(),
+            machine: self.machine.clone(),
             cold_remaining: self.cold_remaining,
         }
     }
@@ -128,9 +134,10 @@
     pub(crate) fn restart(&mut self) {
         let id = self.id.clone();
         let started_ms = self.started_ms + 1;
-        let zone = self.zone;
+        let (zone, machine) = (self.zone, self.machine.clone());
         *self = Self::new(&id, self.capacity);
         self.zone = zone;
+        self.machine = machine;
         self.started_ms = started_ms;
     }
 
@@ -344,6 +351,11 @@
 }
 
 impl SimRun {
+    /// Returns the time at which the run started.
+    pub(crate) fn started_at(&self) -> Now {
+        self.started_at
+    }
+
     /// Returns the checkpoint that the run saves while it is being stopped.
     fn checkpoint(&self, now: Now, outcome: RunOutcome) -> Checkpoint {
         if !self.step.traits.checkpointing || outcome != RunOutcome::Stopped {
--- a/tests/workload/vm_rows.rs
+++ b/tests/workload/vm_rows.rs
@@ -9,7 +9,8 @@
     pub(crate) fn write_vm_rows(&mut self) {
         self.table.version += 1;
         let version = self.table.version;
-        let rows = self.vms.values().map(|vm| FeedRow::Vm(vm.row()));
+        let listed = self.vms.values().filter(|vm| vm.listed);
+        let rows = listed.map(|vm| FeedRow::Vm(vm.row()));
         let rows = rows.map(|row| (version, row)).collect();
         self.pending_vm_rows = rows;
     }
