Let jobs wait for VMs that have shrunk for a time

A job with a task larger than any VM's present capacity was shown as failed at once, also if the VMs had shrunk and were about to grow again. The placer took the capacity of a VM as constant.

The placer now keeps the largest capacity that each VM has had, and stores it in the VM's roster row, so that a new placer knows it too. The caps of teams are charged with runs of unread jobs by that capacity as well, as the runs may have started before the VM shrank. Starts go by the present capacity, as before.

A VM that grows beyond the capacity in its roster row and shrinks again before a takeover is not covered.

--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -64,6 +64,8 @@
     pub kind: Box<str>,
     pub rack: Rc<str>,
     pub capacity: Resources,
+    /// Largest capacity that the VM is known to have had: it may shrink for a time.
+    pub full_capacity: Resources,
     /// Whether the VM table has a row for this VM.
     pub listed: bool,
     /// End of the time for which the VM is slow after its start.
@@ -264,6 +266,7 @@
             kind: "".into(),
             rack: "".into(),
             capacity: Resources::ZERO,
+            full_capacity: Resources::ZERO,
             listed: false,
             cold_until: Now::ZERO,
             cold_row: (Duration::ZERO, 0),
@@ -317,6 +320,7 @@
         self.labels = row.labels;
         self.rack = row.rack.into();
         self.capacity = row.capacity;
+        self.full_capacity = self.full_capacity.max(&row.capacity);
         let cold_row = (row.cold_remaining, row.started_ms);
         if cold_row != self.cold_row {
             self.cold_row = cold_row;
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -257,10 +257,11 @@
         if capacity_unknown || listing || !self.settled || !self.missing.is_empty() {
             return;
         }
-        // Includes VMs without a row in the table, as they may be listed again soon.
+        // Includes VMs without a row in the table, as they may be listed again soon, and the room of
+        // VMs that have shrunk, as they may grow again.
         let largest = vms
             .filter(|vm| vm.service == job.queue.service)
-            .fold(Resources::ZERO, |max, vm| max.max(&vm.capacity));
+            .fold(Resources::ZERO, |max, vm| max.max(&vm.full_capacity));
         let fits_nowhere = |step: &Step| !largest.holds(&step.reservation());
         if largest != Resources::ZERO && job.submission.steps.iter().any(fits_nowhere) {
             self.finish_job(cx, key, JobState::Failed, "a task fits on no VM");
@@ -285,6 +286,7 @@
             Ok(entry) => {
                 let key = self.fleet.get_or_add(&row.key, &entry.address, cx.now);
                 if let Some(vm) = self.fleet.vms.get_mut(&key) {
+                    vm.full_capacity = entry.capacity;
                     vm.roster_state = RosterState::Inherited(row.version);
                     // `load_stops_row` clears this if the former placer's row does not name the VM.
                     vm.inherits_stops = true;
--- a/src/core/workload/placer/storage/missing.rs
+++ b/src/core/workload/placer/storage/missing.rs
@@ -281,10 +281,11 @@
             if vm.renewal.failures > 0 && vm.is_lease_expired(cx.now) {
                 continue;
             }
+            // The runs may have started before the VM shrank.
             let unused = if vm.capacity == Resources::ZERO {
                 UNLIMITED
             } else {
-                vm.free()
+                vm.full_capacity.minus(&vm.used)
             };
             let owners = rows.iter().map(|row| self.missing.progress(&row.task.job));
             let owners: BTreeSet<Option<Option<&TeamId>>> = owners
--- a/src/core/workload/placer/storage/roster.rs
+++ b/src/core/workload/placer/storage/roster.rs
@@ -102,9 +102,12 @@
             ..Transaction::default()
         };
         for vm in added.iter().filter_map(|key| self.fleet.vms.get(key)) {
-            let address = vm.address.clone();
+            let entry = RosterRow {
+                address: vm.address.clone(),
+                capacity: vm.full_capacity,
+            };
             let row = RowId::new(ROSTER, part, &vm.id);
-            txn.put.push((row, encode(&RosterRow { address })));
+            txn.put.push((row, encode(&entry)));
         }
         let mut before = Vec::with_capacity(removed.len());
         for &key in removed {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -20,6 +20,7 @@
 use super::task::RunNumber;
 use crate::core::model::DaemonId;
 use crate::core::model::Epoch;
+use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::model::TaskIndex;
 use crate::core::model::TeamId;
@@ -188,6 +189,10 @@
 pub(super) struct RosterRow {
     /// Address to which orders are sent.
     pub address: Box<str>,
+    /// Largest capacity that the VM had before it was added; zero if unknown. It may shrink for a
+    /// time.
+    #[serde(default)]
+    pub capacity: Resources,
 }
 
 impl HeartbeatRow {
