Fail a job after three VMs have crashed under one of its tasks

Callers saw jobs late or lost beside tasks that crash each VM that starts them: such a task went back to waiting with each lost VM and started again without end, one VM each 3.8 s. Only runs that end as failed counted, and a crashed VM lists no ends.

Each crash that is known (a later lifetime of the VM or on its machine) now counts for the runs that were lost with the VM, by run number. With the third, the job fails. A VM that was cut off or has drained does not count.

Open: jobs of tasks that were only beside such a task fail as well (crashes::jobs_beside_a_crashing_task_complete), and takeovers, unanswered starts and late news.

--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -2,12 +2,15 @@
 
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
+use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::lost_vms::LostVm;
+use crate::core::workload::policy::crashes::is_given_up;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
 
@@ -78,7 +81,8 @@
         }
     }
 
-    /// Records that a VM has crashed under a run, unless the task is done.
+    /// Records that a VM has crashed under a run, unless the task is done. Fails the job once too many
+    /// VMs have crashed under the task.
     fn record_crash(&mut self, cx: &mut Cx, crashed: &Lifetime, name: &TaskName, run: RunNumber) {
         let Some(task) = self.registry.find_task(name) else {
             return;
@@ -90,12 +94,18 @@
             return;
         }
         state.crashed.push(run);
+        let crashes = state.crashed.len();
         cx.log(Decision::RunCrashed {
             id: name.job.clone(),
             task: name.to_string().into(),
             run,
             vm: crashed.vm.clone(),
-            crashes: state.crashed.len(),
+            crashes,
         });
+        let job = task.step.job;
+        let is_active = self.registry.jobs.get(&job).is_some_and(Job::is_active);
+        if is_active && is_given_up(crashes) {
+            self.finish_job(cx, job, JobState::Failed, "VMs crashed under a task");
+        }
     }
 }
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -2,6 +2,7 @@
 //! have no clock, table or effects.
 
 pub mod admission;
+pub mod crashes;
 pub mod estimates;
 pub mod evacuation;
 pub mod forwarders;
