Place tasks under which a VM has crashed apart, then alone on a VM

A task with one crash is now placed on the VM with the fewest other such tasks. After two it runs alone: on a VM without runs, except those of lasting tasks that have run for 10 s, which gets no other task for 1 s. At most a quarter of a service's VMs run a task alone at a time, and an eighth is kept free of new tasks for them; after 5 s a task starts beside others. A job fails after the third crash only if nothing else on the VM may have caused it, otherwise after the fourth. Lasting runs of 10 s or more are not counted.

The crash tests now model that the members of a gang end together.

--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -8,6 +8,7 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::lost_vms::LostVm;
 use crate::core::workload::policy::crashes::is_given_up;
@@ -15,8 +16,8 @@
 use crate::core::workload::task::TaskName;
 
 impl Placer {
-    /// Drops the runs of a lost VM that match and requeues their tasks. Keeps the runs until it is
-    /// known whether the VM has crashed, unless it had announced its end.
+    /// Drops the runs of a lost VM that match and requeues their tasks. Keeps those that may have
+    /// caused a crash until it is known whether the VM has crashed, unless it had announced its end.
     pub(in crate::core::workload::placer) fn drop_lost_runs(
         &mut self,
         cx: &mut Cx,
@@ -28,7 +29,18 @@
             return;
         };
         let (lifetime, end_announced) = (vm.lifetime(), vm.has_announced_end());
+        let proven = vm.runs.iter().filter(|(_, run)| vm.is_proven(run));
+        let proven: Vec<TaskKey> = proven.map(|(&task, _)| task).collect();
+        for &task in &proven {
+            if let Some(state) = self.registry.task_mut(task) {
+                state.crashed.clear();
+            }
+        }
         let runs = self.drop_runs(cx, key, reason, matches);
+        let runs = runs
+            .into_iter()
+            .filter(|(task, _, _)| !proven.contains(task));
+        let runs: Vec<(TaskName, RunNumber)> = runs.map(|(_, name, run)| (name, run)).collect();
         if !runs.is_empty() && !end_announced {
             self.lost_vms.add(LostVm {
                 lifetime,
@@ -75,15 +87,42 @@
                 next_born: seen.started_ms,
                 runs: lost.runs.len(),
             });
+            let was_alone = self.has_one_suspect(&lost);
             for (name, run) in &lost.runs {
-                self.record_crash(cx, &lost.lifetime, name, *run);
+                self.record_crash(cx, &lost.lifetime, name, *run, was_alone);
             }
         }
     }
 
+    /// Returns whether all lost runs are of one task or of one gang, whose tasks crash and end
+    /// together.
+    fn has_one_suspect(&self, lost: &LostVm) -> bool {
+        let [(first, _), others @ ..] = &lost.runs[..] else {
+            return false;
+        };
+        let job = self
+            .registry
+            .key(&first.job)
+            .map(|job| &self.registry.jobs[&job]);
+        let is_gang = job.is_some_and(|job| job.has_gang(first.step));
+        let is_member = |other: &TaskName| {
+            is_gang
+                && (&other.job, other.occurrence, other.step)
+                    == (&first.job, first.occurrence, first.step)
+        };
+        others.iter().all(|(other, _)| is_member(other))
+    }
+
     /// Records that a VM has crashed under a run, unless the task is done. Fails the job once too many
     /// VMs have crashed under the task.
-    fn record_crash(&mut self, cx: &mut Cx, crashed: &Lifetime, name: &TaskName, run: RunNumber) {
+    fn record_crash(
+        &mut self,
+        cx: &mut Cx,
+        former: &Lifetime,
+        name: &TaskName,
+        run: RunNumber,
+        was_alone: bool,
+    ) {
         let Some(task) = self.registry.find_task(name) else {
             return;
         };
@@ -99,12 +138,12 @@
             id: name.job.clone(),
             task: name.to_string().into(),
             run,
-            vm: crashed.vm.clone(),
+            vm: former.vm.clone(),
             crashes,
         });
         let job = task.step.job;
         let is_active = self.registry.jobs.get(&job).is_some_and(Job::is_active);
-        if is_active && is_given_up(crashes) {
+        if is_active && is_given_up(crashes, was_alone) {
             self.finish_job(cx, job, JobState::Failed, "VMs crashed under a task");
         }
     }
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -335,7 +335,7 @@
         key: VmKey,
         reason: &'static str,
         matches: impl Fn(&Run) -> bool,
-    ) -> Vec<(TaskName, RunNumber)> {
+    ) -> Vec<(TaskKey, TaskName, RunNumber)> {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return Vec::new();
         };
@@ -358,7 +358,7 @@
                     reason,
                     age_ms: millis(age),
                 });
-                dropped.push((name, run));
+                dropped.push((task, name, run));
             }
             self.release_and_requeue(cx, key, task);
         }
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -13,12 +13,14 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
+use crate::core::workload::placer::rounds::dispatch::PlannedStart;
 use crate::core::workload::placer::state::fleet::Phase;
 use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::waits::started_work;
+use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
@@ -45,12 +47,13 @@
         &mut self,
         cx: &mut Cx,
         task: TaskKey,
-        vm_key: VmKey,
+        start: PlannedStart,
         run: RunNumber,
     ) {
         if cx.is_evacuation_view_stale() {
             return;
         }
+        let vm_key = start.vm;
         let Some(name) = self.registry.task_name(task) else {
             return;
         };
@@ -70,7 +73,7 @@
         let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, lease) else {
             return;
         };
-        let new_run = Run::new(run, job.spec(task.step.step), cx.now);
+        let new_run = Run::new(run, job.spec(task.step.step), start.caution, cx.now);
         let (team, payload) = (job.team.clone(), job.payload.clone());
         let work = started_work(job, task.step.step);
         let Some(step) = self.registry.step_mut(task.step) else {
@@ -207,7 +210,8 @@
         let Some(job) = self.registry.jobs.get(&task.step.job) else {
             return;
         };
-        let mut run = Run::new(row.run, job.spec(task.step.step), cx.now);
+        let caution = self.caution(cx.now, task).min(Caution::Apart);
+        let mut run = Run::new(row.run, job.spec(task.step.step), caution, cx.now);
         let (id, team) = (job.id.clone(), job.team.clone());
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
@@ -246,13 +250,14 @@
 }
 
 impl Run {
-    fn new(number: RunNumber, spec: &Step, now: Now) -> Self {
+    fn new(number: RunNumber, spec: &Step, caution: Caution, now: Now) -> Self {
         Self {
             number,
             reservation: spec.reservation(),
             demand: spec.demand,
             has_target: spec.target_ms > 0,
             long_running: spec.traits.long_running,
+            caution,
             sent_at: now,
             phase: Phase::Starting,
             speed_percent: FULL_SPEED_PERCENT,
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -11,6 +11,7 @@
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 
 /// Weight of a VM's slowness in the placement cost, relative to the fraction of its capacity that
@@ -27,6 +28,10 @@
 /// that other VMs are chosen first.
 const COLD_COST: f64 = 3.0;
 
+/// Placement cost, for a task under which a VM has crashed, of each other such task on the VM. It
+/// exceeds all other costs together, so that as few of them as possible share a VM.
+const SUSPECT_COST: f64 = 100_000_000.0;
+
 /// Placement cost, for a filler, of a VM that is not on the preferred rack, in millicores of
 /// idle CPU.
 const FILLER_OFF_RACK_COST: f64 = 10_000_000.0;
@@ -52,13 +57,17 @@
     filler_cpu_milli: u32,
     /// Whether tasks with a latency target run on the VM.
     has_latency_tasks: bool,
-    /// Whether filler tasks run on the VM.
-    has_fillers: bool,
     /// Number of tasks of the same step and occurrence that run on the VM or are planned for it.
     /// Running ones are counted only if the step has a limit per VM.
     pub siblings: u32,
     /// Number of steps that wait for advice on the VM.
     pub asked: u32,
+    /// Number of runs on the VM of tasks under which a VM has crashed.
+    suspect_runs: u32,
+    /// Whether a task can run alone on the VM.
+    pub is_clear: bool,
+    /// Start of the VM's lifetime, in milliseconds since the Unix epoch.
+    started_ms: u64,
     /// Natural logarithm of the run time of tasks on this VM relative to other VMs.
     pub slowness: f64,
     on_preferred_rack: bool,
@@ -70,9 +79,11 @@
 /// Tasks that may be placed on a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::core::workload::placer) enum OpenTo {
-    AllTasks,
+    All,
     /// Tasks of urgent queues, as runs are stopped for them.
-    UrgentTasks,
+    Urgent,
+    /// Tasks that are to run alone, once the other runs have ended.
+    Lone,
 }
 
 /// VMs on which tasks of a step may be placed, with the placement cost of each.
@@ -103,11 +114,12 @@
     /// Returns the VMs of a pool on which tasks of a step fit, whether or not advice allows them.
     pub(in crate::core::workload::placer) fn candidates(
         &self,
+        cx: &Cx,
         pool: &Pool,
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let vms = self.visible_vms(pool, key).map(|vm| (vm, vm.free));
+        let vms = self.visible_vms(cx, pool, key).map(|vm| (vm, vm.free));
         self.fitting(vms, key, spec)
     }
 
@@ -115,23 +127,30 @@
     /// not last until they are cancelled.
     pub(in crate::core::workload::placer) fn drained_candidates(
         &self,
+        cx: &Cx,
         pool: &Pool,
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let drained = self.visible_vms(pool, key).map(|vm| (vm, vm.drained));
+        let drained = self.visible_vms(cx, pool, key).map(|vm| (vm, vm.drained));
         self.fitting(drained, key, spec)
     }
 
     /// Returns the VMs of a pool on which tasks of a step may be placed.
     fn visible_vms<'a>(
         &self,
+        cx: &Cx,
         pool: &'a Pool,
         key: StepKey,
     ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
         let is_urgent = self.is_urgent(key);
+        let has_lone_tasks = self.step_caution(cx.now, key) == Caution::Alone;
         let vms = pool.vms().iter();
-        vms.filter(move |vm| is_urgent || vm.open_to == OpenTo::AllTasks)
+        vms.filter(move |vm| match vm.open_to {
+            OpenTo::All => true,
+            OpenTo::Urgent => is_urgent,
+            OpenTo::Lone => has_lone_tasks,
+        })
     }
 
     /// Returns those VMs on which tasks of a step fit within the resources given with each.
@@ -177,10 +196,12 @@
 
 impl OpenTo {
     fn new(vm: &Vm, now: Now) -> Self {
-        if now < vm.preempted_until {
-            Self::UrgentTasks
+        if vm.is_clearing(now) {
+            Self::Lone
+        } else if now < vm.preempted_until {
+            Self::Urgent
         } else {
-            Self::AllTasks
+            Self::All
         }
     }
 }
@@ -195,9 +216,11 @@
             capacity: vm.capacity,
             filler_cpu_milli: vm.filler_cpu_milli,
             has_latency_tasks: vm.latency_tasks > 0,
-            has_fillers: vm.filler_cpu_milli > 0,
             siblings: 0,
             asked: 0,
+            suspect_runs: vm.suspect_runs,
+            is_clear: vm.is_clear(),
+            started_ms: vm.started_ms,
             slowness,
             on_preferred_rack: true,
             cold: f64::from(u8::from(now < vm.cold_until)),
@@ -225,6 +248,7 @@
     pub fn reserve(&mut self, spec: &Step) {
         self.free = self.free.minus(&spec.reservation());
         self.siblings += 1;
+        self.is_clear = false;
         if spec.traits.filler {
             self.filler_cpu_milli += spec.demand.cpu_milli;
         }
@@ -245,7 +269,7 @@
         let left = self.free.minus(&spec.reservation());
         let unused = share(left.cpu_milli, self.capacity.cpu_milli)
             + share(left.mem_mib, self.capacity.mem_mib);
-        let mixing_cost = cost_if(spec.target_ms > 0 && self.has_fillers, MIXING_COST);
+        let mixing_cost = cost_if(spec.target_ms > 0 && self.filler_cpu_milli > 0, MIXING_COST);
         let slowness = if spec.traits.long_running {
             -self.slowness
         } else {
@@ -269,20 +293,45 @@
 
     /// Reserves the resources of a task on the candidate with the lowest cost, of several on the one
     /// with the lowest key, and returns the VM; `None` if no candidate has room.
-    pub fn reserve_best(&mut self) -> Option<VmKey> {
+    pub fn reserve_best(&mut self, caution: Caution) -> Option<VmKey> {
+        let suspect_cost = |candidate: &Candidate| match caution {
+            Caution::None => 0.0,
+            Caution::Apart | Caution::Alone => f64::from(candidate.suspect_runs) * SUSPECT_COST,
+        };
         let vms = self.vms.iter().enumerate();
+        let vms = vms.filter(|(_, (_, candidate))| candidate.open_to != OpenTo::Lone);
         let best = vms.min_by(|(_, (a, left)), (_, (b, right))| {
-            a.total_cmp(b).then_with(|| left.vm.cmp(&right.vm))
+            let (a, b) = (a + suspect_cost(left), b + suspect_cost(right));
+            a.total_cmp(&b).then_with(|| left.vm.cmp(&right.vm))
         });
         let (ix, _) = best?;
+        Some(self.reserve(ix, caution))
+    }
+
+    /// Reserves the resources of a task on a candidate where it runs alone, and returns the VM; `None`
+    /// if there is none.
+    ///
+    /// The VM that has run for the longest time is the least likely to crash by itself.
+    pub fn reserve_clear(&mut self) -> Option<VmKey> {
+        let vms = self.vms.iter().enumerate();
+        let clear = vms.filter(|(_, (_, candidate))| candidate.is_clear);
+        let best = clear.min_by_key(|(_, (_, candidate))| (candidate.started_ms, candidate.vm));
+        let (ix, _) = best?;
+        let vm = self.reserve(ix, Caution::Alone);
+        self.vms.retain(|(_, candidate)| candidate.vm != vm);
+        Some(vm)
+    }
+
+    fn reserve(&mut self, ix: usize, caution: Caution) -> VmKey {
         let (cost, candidate) = &mut self.vms[ix];
         let vm = candidate.vm;
         candidate.reserve(self.spec);
+        candidate.suspect_runs += u32::from(caution != Caution::None);
         if candidate.has_room_for(self.spec) {
             *cost = candidate.cost(self.spec);
         } else {
             self.vms.swap_remove(ix);
         }
-        Some(vm)
+        vm
     }
 }
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 
 /// Number of task slots for which advice is requested per waiting task, as the advice service
@@ -42,8 +43,14 @@
 /// Delay before a failed advice query is repeated.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Index of a task in its step and the VM that it is to start on.
-pub(in crate::core::workload::placer) type PlannedStart = (TaskIndex, VmKey);
+/// Start of a task that a round has planned.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::core::workload::placer) struct PlannedStart {
+    /// Index of the task in its step.
+    pub index: TaskIndex,
+    pub vm: VmKey,
+    pub caution: Caution,
+}
 
 impl Placer {
     /// Runs a placement round if one is due.
@@ -222,7 +229,9 @@
         if spec.traits.gang {
             return self.place_gang(cx, round, key, spec, &service, is_advised);
         }
-        let is_unmet = round.is_unmet(&service, spec);
+        // VMs that are cleared for tasks that are to run alone have no room for other steps.
+        let has_lone_tasks = self.step_caution(cx.now, key) == Caution::Alone;
+        let is_unmet = !has_lone_tasks && round.is_unmet(&service, spec);
         if is_unmet && !(may_preempt && is_advised) {
             return;
         }
@@ -234,7 +243,7 @@
         if !is_unmet {
             self.vm_scans += 1;
             let pool = round.pool(&service, || self.open_vms(cx, &service));
-            candidates = self.candidates(pool, key, spec);
+            candidates = self.candidates(cx, pool, key, spec);
         }
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
@@ -256,12 +265,17 @@
         if candidates.is_empty() {
             return;
         }
-        for (index, vm) in self.plan_tasks(cx, key, spec, candidates.into_iter()) {
-            let task = TaskKey { step: key, index };
+        let planned = self.plan_tasks(cx, key, spec, candidates.iter().cloned());
+        self.clear_vms(cx, round, key, &service, &candidates, &planned);
+        for start in planned {
+            let task = TaskKey {
+                step: key,
+                index: start.index,
+            };
             let run = self.next_run_number(task);
-            self.start_task(cx, task, vm, run);
+            self.start_task(cx, task, start, run);
             let pool = round.pool(&service, Vec::new);
-            pool.reserve(vm, spec);
+            pool.reserve(start.vm, spec);
         }
     }
 
@@ -318,20 +332,43 @@
         else {
             return Vec::new();
         };
+        // The tasks of a gang start together, so the most suspect one decides for all.
+        let gang_caution = spec.traits.gang.then(|| self.step_caution(cx.now, key));
         let mut candidates = CandidateList::new(candidates, spec);
+        let mut lone_slots = None;
         let mut planned = Vec::new();
         let mut requested = Resources::ZERO;
-        let waiting = step.tasks.iter().enumerate();
+        let waiting = (0..).zip(&step.tasks);
         let waiting = waiting.filter(|(_, task)| task.placement == Placement::Waiting);
-        for (index, _) in waiting {
-            requested = requested.plus(&spec.demand);
-            if !self.usage.allows(cx, job.team.as_ref(), &requested) {
+        for (index, task) in waiting {
+            let next = requested.plus(&spec.demand);
+            if !self.usage.allows(cx, job.team.as_ref(), &next) {
                 break;
             }
-            let Some(vm) = candidates.reserve_best() else {
-                break;
+            let caution = gang_caution.unwrap_or_else(|| task.caution(cx.now));
+            let vm = if caution == Caution::Alone && gang_caution.is_none() {
+                let slots =
+                    lone_slots.get_or_insert_with(|| self.free_lone_slots(&job.queue.service));
+                let vm = (*slots > 0).then(|| candidates.reserve_clear()).flatten();
+                let Some(vm) = vm else {
+                    continue;
+                };
+                *slots -= 1;
+                vm
+            } else {
+                // Members of a gang may share a VM, as they crash and end together anyway.
+                let apart = if gang_caution.is_some() {
+                    Caution::None
+                } else {
+                    caution
+                };
+                let Some(vm) = candidates.reserve_best(apart) else {
+                    break;
+                };
+                vm
             };
-            planned.push((TaskIndex::try_from(index).unwrap_or(0), vm));
+            requested = next;
+            planned.push(PlannedStart { index, vm, caution });
         }
         planned
     }
--- a/src/core/workload/placer/rounds/evacuation.rs
+++ b/src/core/workload/placer/rounds/evacuation.rs
@@ -190,13 +190,14 @@
             return false;
         }
         let pool = round.pool(service, || self.open_vms(cx, service));
-        let mut candidates = self.candidates(pool, task.step, spec);
+        let mut candidates = self.candidates(cx, pool, task.step, spec);
         if candidates.is_empty() && spec.max_per_vm == 0 {
             round.record_unmet(service, spec);
             return false;
         }
         candidates.retain(|candidate| !step.advice.rejected.contains(&candidate.vm));
-        let best = CandidateList::new(candidates.into_iter(), spec).reserve_best();
+        let caution = self.caution(cx.now, task);
+        let best = CandidateList::new(candidates.into_iter(), spec).reserve_best(caution);
         if let Some(vm) = best {
             round.pool(service, Vec::new).reserve(vm, spec);
         }
--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -19,6 +19,7 @@
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 
 impl Placer {
@@ -42,8 +43,8 @@
         }
         self.vm_scans += 1;
         let pool = round.pool(service, || self.open_vms(cx, service));
-        let mut open = self.candidates(pool, key, spec);
-        let mut usable = self.drained_candidates(pool, key, spec);
+        let mut open = self.candidates(cx, pool, key, spec);
+        let mut usable = self.drained_candidates(cx, pool, key, spec);
         if is_advised {
             self.ask_for_gang(cx, round, key, spec, service, &open, &usable);
             let Some(step) = self.registry.step(key) else {
@@ -52,14 +53,21 @@
             open.retain(|vm| step.advice.ticket(vm.vm, cx.now).is_some());
             usable.retain(|vm| step.advice.is_approved(vm.vm));
         }
+        if self.step_caution(cx.now, key) == Caution::Alone {
+            open.retain(|vm| vm.is_clear);
+        }
         let planned = self.plan_gang(cx, key, spec, &open);
         if planned.is_empty() {
             hold_vms(round.pool(service, Vec::new), spec, usable);
         }
         let run = self.gang_run_number(key);
-        for (index, vm) in planned {
-            self.start_task(cx, TaskKey { step: key, index }, vm, run);
-            round.pool(service, Vec::new).reserve(vm, spec);
+        for start in planned {
+            let task = TaskKey {
+                step: key,
+                index: start.index,
+            };
+            self.start_task(cx, task, start, run);
+            round.pool(service, Vec::new).reserve(start.vm, spec);
         }
     }
 
--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -2,6 +2,7 @@
 
 pub(in crate::core::workload::placer) mod advice;
 pub(in crate::core::workload::placer) mod candidates;
+pub(in crate::core::workload::placer) mod caution;
 pub(in crate::core::workload::placer) mod dispatch;
 mod evacuation;
 pub(in crate::core::workload::placer) mod gang;
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -214,7 +214,14 @@
     /// Keeps the room of a VM for urgent tasks.
     pub fn keep_for_urgent(&mut self, vm: VmKey) {
         if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
-            self.vms[ix].open_to = OpenTo::UrgentTasks;
+            self.vms[ix].open_to = OpenTo::Urgent;
+        }
+    }
+
+    /// Keeps a VM for tasks that are to run alone.
+    pub fn keep_for_lone_tasks(&mut self, vm: VmKey) {
+        if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
+            self.vms[ix].open_to = OpenTo::Lone;
         }
     }
 
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -25,6 +25,8 @@
 use crate::core::workload::placer::state::slowness::SlownessEstimate;
 use crate::core::workload::placer::state::stall::StallState;
 use crate::core::workload::placer::storage::roster::RosterState;
+use crate::core::workload::policy::crashes;
+use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
 
@@ -133,6 +135,10 @@
     pub unanswered_since: Option<Now>,
     /// Time until which only urgent tasks are placed, as runs are stopped for them.
     pub preempted_until: Now,
+    /// Time until which only tasks that are to run alone are placed, so that the runs end.
+    pub clearing_until: Now,
+    /// Number of runs of tasks under which a VM has crashed.
+    pub suspect_runs: u32,
     /// Slowness estimate from runs on this VM.
     pub slowness: SlownessEstimate,
     /// Consecutive failures, counted once for successive failures of the same job.
@@ -174,6 +180,8 @@
     pub has_target: bool,
     /// Whether the task runs until its job is cancelled.
     pub long_running: bool,
+    /// Caution with which the task was placed.
+    pub caution: Caution,
     /// When the start order was sent, or when the run of an earlier placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
@@ -297,6 +305,8 @@
             avoid_until: Now::ZERO,
             unanswered_since: None,
             preempted_until: Now::ZERO,
+            clearing_until: Now::ZERO,
+            suspect_runs: 0,
             slowness: SlownessEstimate::default(),
             failure_streak: 0,
             last_failed_job: None,
@@ -351,6 +361,26 @@
             && self.stall.suspect_since.is_none()
             && now >= self.capacity_uncertain_until
             && self.uncounted_runs == 0
+            && !self.has_lone_run()
+    }
+
+    /// Returns whether a run has the VM to itself for now.
+    pub fn has_lone_run(&self) -> bool {
+        let is_lone = |run: &Run| {
+            run.caution == Caution::Alone && self.reported_age(run) < crashes::PROBATION
+        };
+        self.suspect_runs > 0 && self.runs.values().any(is_lone)
+    }
+
+    /// Returns whether a task can run alone on the VM: there are no runs but those of lasting tasks
+    /// that are not the cause of a crash.
+    pub fn is_clear(&self) -> bool {
+        self.runs.values().all(|run| self.is_proven(run))
+    }
+
+    /// Returns whether a run has lasted so long that it is not the cause of a crash.
+    pub fn is_proven(&self, run: &Run) -> bool {
+        run.long_running && self.reported_age(run) >= crashes::PROVEN_AGE
     }
 
     /// Returns whether a start has gone unanswered for so long that the VM is likely to be cut off or
@@ -439,6 +469,7 @@
             self.lasting = self.lasting.plus(&run.reservation);
         }
         self.latency_tasks += u32::from(run.has_target);
+        self.suspect_runs += u32::from(run.caution != Caution::None);
         if run.reservation.cpu_milli == 0 {
             self.filler_cpu_milli += run.demand.cpu_milli;
         }
@@ -453,6 +484,7 @@
             self.lasting = self.lasting.minus(&run.reservation);
         }
         self.latency_tasks -= u32::from(run.has_target);
+        self.suspect_runs -= u32::from(run.caution != Caution::None);
         if run.reservation.cpu_milli == 0 {
             self.filler_cpu_milli = self.filler_cpu_milli.saturating_sub(run.demand.cpu_milli);
         }
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -300,6 +300,12 @@
         &self.submission.steps[usize::from(step)]
     }
 
+    /// Returns whether a step is a gang.
+    pub fn has_gang(&self, step: StepIndex) -> bool {
+        let spec = self.submission.steps.get(usize::from(step));
+        spec.is_some_and(|spec| spec.traits.gang)
+    }
+
     /// Returns whether the job is active and no task has started.
     pub fn is_unstarted(&self) -> bool {
         self.state == JobState::Queued && self.is_active()
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -30,6 +30,7 @@
 pub(in crate::core::workload::placer) struct LostVm {
     pub lifetime: Lifetime,
     pub lost_at: Now,
+    /// Runs that may have caused a crash.
     pub runs: Vec<(TaskName, RunNumber)>,
 }
 
--- a/src/core/workload/policy/crashes.rs
+++ b/src/core/workload/policy/crashes.rs
@@ -1,14 +1,84 @@
 //! Policy for tasks under which VMs have crashed.
 //!
 //! Load pattern: a few tasks crash each VM that starts them. Every crash also ends the runs beside
-//! the task, and these start again at the same time. Which of them caused the crash is not known
-//! from one crash alone.
+//! the task, and all of them start again at the same time. Which of them caused the crash is not
+//! known from one crash alone. Placed together again, they would crash together again, until all of
+//! their jobs fail.
+//!
+//! Tasks under which a VM has crashed are therefore placed apart from each other, and alone on a VM
+//! after the second crash: those that only ran beside the cause complete, and the cause takes nothing
+//! with it.
+
+use std::time::Duration;
+
+/// Number of crashes of VMs under the runs of a task after which its job fails if the last one hit a
+/// VM with no other run that may have caused it.
+const MAX_LONE_CRASHES: usize = 3;
+
+/// Number of crashes of VMs under the runs of a task after which its job fails in any case.
+const MAX_CRASHES: usize = 4;
+
+/// Number of crashes after which a task runs alone on a VM.
+const ALONE_CRASHES: usize = 2;
+
+/// Part of a service's VMs that may run a single task at a time, as a divisor: the crash of one costs
+/// its room for seconds.
+const ALONE_DIVISOR: usize = 4;
+
+/// Part of a service's VMs that may get no tasks until their runs have ended, as a divisor.
+const CLEARING_DIVISOR: usize = 8;
+
+/// Time for which a run has its VM to itself. A run that lives longer is unlikely to crash the VM.
+pub const PROBATION: Duration = Duration::from_secs(1);
+
+/// Age from which on a run of a task that runs until its job is cancelled is no cause of a crash.
+pub const PROVEN_AGE: Duration = Duration::from_secs(10);
+
+/// Longest time that a task waits for a VM of its own. After that it starts beside others.
+pub const MAX_ALONE_WAIT: Duration = Duration::from_secs(5);
 
-/// Number of crashes of VMs under the runs of a task after which its job fails.
-const MAX_CRASHES: usize = 3;
+/// Time for which a VM gets no tasks so that its runs end and a task can run there alone. Prolonged
+/// while the task waits.
+pub const CLEARING_TIME: Duration = Duration::from_millis(500);
+
+/// How a task is placed in view of the crashes under its runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Caution {
+    /// Like any other.
+    None,
+    /// Preferably on a VM without other tasks under which a VM has crashed.
+    Apart,
+    /// On a VM without other tasks.
+    Alone,
+}
+
+impl Caution {
+    /// Returns the caution for a task under whose runs this number of VMs has crashed.
+    #[must_use]
+    pub fn new(crashes: usize) -> Self {
+        match crashes {
+            0 => Self::None,
+            ALONE_CRASHES.. => Self::Alone,
+            _ => Self::Apart,
+        }
+    }
+}
+
+/// Returns whether the job of a task fails after this number of crashes under its runs. `was_alone`
+/// tells whether no other run may have caused the last one.
+#[must_use]
+pub fn is_given_up(crashes: usize, was_alone: bool) -> bool {
+    crashes >= MAX_CRASHES || was_alone && crashes >= MAX_LONE_CRASHES
+}
+
+/// Returns the number of a service's VMs that may run a single task at a time.
+#[must_use]
+pub fn max_alone(vms: usize) -> usize {
+    (vms / ALONE_DIVISOR).max(1)
+}
 
-/// Returns whether the job of a task fails after this number of crashes under its runs.
+/// Returns the number of a service's VMs that may get no tasks until their runs have ended.
 #[must_use]
-pub fn is_given_up(crashes: usize) -> bool {
-    crashes >= MAX_CRASHES
+pub fn max_clearing(vms: usize) -> usize {
+    (vms / CLEARING_DIVISOR).max(1)
 }
--- /dev/null
+++ b/tests/policy/crashes.rs
@@ -0,0 +1,49 @@
+//! Policy for tasks under which VMs have crashed.
+
+use ragwortstall::core::workload::policy::crashes::Caution;
+use ragwortstall::core::workload::policy::crashes::is_given_up;
+use ragwortstall::core::workload::policy::crashes::max_alone;
+use ragwortstall::core::workload::policy::crashes::max_clearing;
+
+use crate::support::cases;
+
+/// Largest number of starts of a task after three VMs have crashed under it.
+const MAX_LATER_STARTS: usize = 2;
+
+fn assert_caution(crashes: usize, expected: Caution) {
+    assert_eq!(Caution::new(crashes), expected);
+}
+
+// Guards against tasks that crash together being placed together again.
+cases! {
+    assert_caution;
+    a_task_without_crashes_is_placed_like_any_other(0, Caution::None),
+    a_task_is_placed_apart_after_a_crash(1, Caution::Apart),
+    a_task_is_placed_alone_after_two_crashes(2, Caution::Alone),
+    a_task_stays_alone_after_more_crashes(3, Caution::Alone),
+}
+
+/// Guards against jobs that fail for a crash that another task may have caused.
+#[test]
+fn two_crashes_are_no_proof_and_three_only_without_other_runs() {
+    assert!(!is_given_up(2, true));
+    assert!(!is_given_up(3, false));
+    assert!(is_given_up(3, true));
+}
+
+/// Guards against a task that is started too often, as each of its VMs runs other tasks as well.
+#[test]
+fn a_task_is_given_up_within_the_limit_of_starts() {
+    assert!(is_given_up(3 + MAX_LATER_STARTS, false));
+}
+
+/// Guards against a cell in which no task can run alone, and one that is taken by such tasks.
+#[test]
+fn few_vms_run_a_task_alone_or_are_cleared_for_one() {
+    for vms in [0, 1, 3] {
+        assert_eq!((max_alone(vms), max_clearing(vms)), (1, 1));
+    }
+    for vms in [48, 350, 3_000] {
+        assert!(max_alone(vms) * 2 < vms && max_clearing(vms) * 2 < vms);
+    }
+}
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the workload reducer's decisions under load, each on plain values.
 
 mod admission;
+mod crashes;
 mod estimates;
 mod evacuation;
 mod forwarders;
@@ -8,3 +9,6 @@
 mod shares;
 mod stall;
 mod timeliness;
+
+#[path = "../support/mod.rs"]
+mod support;
--- a/tests/workload/harness/crashes.rs
+++ b/tests/workload/harness/crashes.rs
@@ -5,6 +5,7 @@
 
 use ragwortstall::core::model::Now;
 use ragwortstall::core::workload::event::FeedRow;
+use ragwortstall::core::workload::task::RunOutcome;
 use ragwortstall::core::workload::task::TaskName;
 
 use super::Harness;
@@ -48,7 +49,10 @@
     pub(crate) fn crash_vm(&mut self, id: &str) {
         let vm = self.vms.get_mut(id).expect("a VM");
         vm.connected = false;
-        vm.runs.clear();
+        let lost = std::mem::take(&mut vm.runs);
+        for (name, run) in lost.iter().filter(|(_, run)| run.step.traits.gang) {
+            self.break_gang(name, run.number);
+        }
         let back_at = self.now + self.crashes.downtime;
         self.crashes.down.push((back_at, id.into()));
         self.crashes.most_down = self.crashes.most_down.max(self.crashes.down.len());
@@ -87,6 +91,23 @@
         }
     }
 
+    /// Ends the other members of a gang's run.
+    fn break_gang(&mut self, lost: &TaskName, run: u64) {
+        let is_member = |name: &TaskName| {
+            (&name.job, name.occurrence, name.step) == (&lost.job, lost.occurrence, lost.step)
+        };
+        for vm in self.vms.values_mut() {
+            let members = vm
+                .runs
+                .iter()
+                .filter(|(name, other)| is_member(name) && other.number == run);
+            let members: Vec<TaskName> = members.map(|(name, _)| name.clone()).collect();
+            for name in members {
+                vm.finish(&name, run, RunOutcome::GangMemberEnded, "".into());
+            }
+        }
+    }
+
     fn bring_back(&mut self, id: &str) {
         let vm = self.vms.get_mut(id).expect("a VM");
         self.table.version += 1;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -305,7 +305,7 @@
         Ok(())
     }
 
-    fn finish(
+    pub(crate) fn finish(
         &mut self,
         name: &TaskName,
         run: RunNumber,
