Count a crash under a run whose start was not answered

A task that crashes its VM before the answer to its start arrives was never counted if the VM came back under its id: a start without an answer may arrive after the restart, so its run was kept and later dropped as not found.

Such a run is now marked when its VM restarts. The crash counts once the VM, in its new lifetime, does not have the run; the mark is removed if it lists it.

--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -5,6 +5,7 @@
 use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::state::fleet::Run;
+use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
@@ -94,6 +95,32 @@
         }
     }
 
+    /// Marks the runs on a VM that has restarted whose starts were not confirmed before: the VM may
+    /// have crashed under them, unless it had announced its end.
+    pub(in crate::core::workload::placer) fn mark_unconfirmed_runs(&mut self, key: VmKey) {
+        if let Some(vm) = self.fleet.vms.get_mut(&key)
+            && !vm.has_announced_end()
+        {
+            for run in vm.runs.values_mut() {
+                run.may_have_crashed = true;
+            }
+        }
+    }
+
+    /// Records a crash under a run that a VM, which has restarted since, does not have.
+    pub(in crate::core::workload::placer) fn record_unconfirmed_crash(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+        task: TaskKey,
+        run: RunNumber,
+    ) {
+        let vm = self.fleet.vms.get(&key).map(Vm::lifetime);
+        if let (Some(vm), Some(name)) = (vm, self.registry.task_name(task)) {
+            self.record_crash(cx, &vm, &name, run, false);
+        }
+    }
+
     /// Returns whether all lost runs are of one task or of one gang, whose tasks crash and end
     /// together.
     fn has_one_suspect(&self, lost: &LostVm) -> bool {
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -320,6 +320,7 @@
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         let is_confirmed = |run: &Run| !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
         self.drop_lost_runs(cx, key, "VM restarted", is_confirmed);
+        self.mark_unconfirmed_runs(key);
         self.clear_suspicion(cx, key, "VM restarted");
         self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
@@ -399,6 +400,9 @@
                     self.order_stop(cx, key, task, "start request was not answered");
                 }
                 Phase::Running { .. } | Phase::Stopping { .. } => {
+                    if run.may_have_crashed {
+                        self.record_unconfirmed_crash(cx, key, task, run.number);
+                    }
                     self.release_and_requeue(cx, key, task);
                 }
             }
@@ -428,6 +432,7 @@
             && run.number == row.run
         {
             run.measurement = row.measurement;
+            run.may_have_crashed = false;
             if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
                 run.phase = Phase::Running { since: cx.now };
                 self.record_start(cx, task);
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -258,6 +258,7 @@
             has_target: spec.target_ms > 0,
             long_running: spec.traits.long_running,
             caution,
+            may_have_crashed: false,
             sent_at: now,
             phase: Phase::Starting,
             speed_percent: FULL_SPEED_PERCENT,
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -182,6 +182,9 @@
     pub long_running: bool,
     /// Caution with which the task was placed.
     pub caution: Caution,
+    /// Whether the VM has restarted since the start was sent, which was not answered before: the VM
+    /// may have crashed under the run.
+    pub may_have_crashed: bool,
     /// When the start order was sent, or when the run of an earlier placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
