Hold a task while three of its VMs may have crashed and are not back

A task was started again and again while it was not known whether the VMs that it had run on had crashed: those were back late, or the news of their return was late. The crashes were counted only after more starts than the limit allows.

Losses of the last 10 s that may have been crashes now count as possible ones: with three crashes and possible ones a task does not start, with two (one of them known) it runs alone. Losses alone do not affect the choice of the VM, so that the tasks of a zone that is cut off start like any other. The cost of sharing a VM with another suspect task is now below that of another rack.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -67,6 +67,8 @@
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
+    /// Tasks that were lost lately with VMs that may have crashed.
+    tasks_with_losses: Vec<state::job_registry::TaskKey>,
     usage: state::usage::Usage,
     slowness: state::slowness::SlownessByKind,
     estimates: RunTimeEstimates,
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -29,8 +29,11 @@
 const COLD_COST: f64 = 3.0;
 
 /// Placement cost, for a task under which a VM has crashed, of each other such task on the VM. It
-/// exceeds all other costs together, so that as few of them as possible share a VM.
-const SUSPECT_COST: f64 = 100_000_000.0;
+/// exceeds the cost of unused capacity, but not that of another rack.
+const SUSPECT_COST: f64 = 5.0;
+
+/// The same cost for a filler, in millicores of idle CPU.
+const FILLER_SUSPECT_COST: f64 = 5_000_000.0;
 
 /// Placement cost, for a filler, of a VM that is not on the preferred rack, in millicores of
 /// idle CPU.
@@ -144,7 +147,7 @@
         key: StepKey,
     ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
         let is_urgent = self.is_urgent(key);
-        let has_lone_tasks = self.step_caution(cx.now, key) == Caution::Alone;
+        let has_lone_tasks = self.has_lone_tasks(cx.now, key);
         let vms = pool.vms().iter();
         vms.filter(move |vm| match vm.open_to {
             OpenTo::All => true,
@@ -294,10 +297,13 @@
     /// Reserves the resources of a task on the candidate with the lowest cost, of several on the one
     /// with the lowest key, and returns the VM; `None` if no candidate has room.
     pub fn reserve_best(&mut self, caution: Caution) -> Option<VmKey> {
-        let suspect_cost = |candidate: &Candidate| match caution {
-            Caution::None => 0.0,
-            Caution::Apart | Caution::Alone => f64::from(candidate.suspect_runs) * SUSPECT_COST,
+        let cost_of_suspect = match (caution, self.spec.traits.filler) {
+            (Caution::None, _) => 0.0,
+            (_, true) => FILLER_SUSPECT_COST,
+            (_, false) => SUSPECT_COST,
         };
+        let suspect_cost =
+            |candidate: &Candidate| f64::from(candidate.suspect_runs) * cost_of_suspect;
         let vms = self.vms.iter().enumerate();
         let vms = vms.filter(|(_, (_, candidate))| candidate.open_to != OpenTo::Lone);
         let best = vms.min_by(|(_, (a, left)), (_, (b, right))| {
--- a/src/core/workload/placer/rounds/caution.rs
+++ b/src/core/workload/placer/rounds/caution.rs
@@ -16,6 +16,7 @@
 use crate::core::workload::policy::crashes::CLEARING_TIME;
 use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::policy::crashes::MAX_ALONE_WAIT;
+use crate::core::workload::policy::crashes::RECENT_LOSS;
 use crate::core::workload::policy::crashes::max_alone;
 use crate::core::workload::policy::crashes::max_clearing;
 
@@ -32,11 +33,48 @@
         now: Now,
         key: StepKey,
     ) -> Caution {
+        self.cautions(now, key).max().unwrap_or(Caution::None)
+    }
+
+    /// Returns whether a waiting task of a step is to run alone.
+    pub(in crate::core::workload::placer) fn has_lone_tasks(&self, now: Now, key: StepKey) -> bool {
+        let mut cautions = self.cautions(now, key);
+        cautions.any(|caution| caution == Caution::Alone)
+    }
+
+    /// Returns whether no waiting task of a step may start yet.
+    pub(in crate::core::workload::placer) fn is_held(&self, now: Now, key: StepKey) -> bool {
+        let mut cautions = self.cautions(now, key);
+        cautions.all(|caution| caution == Caution::Hold)
+    }
+
+    /// Returns the cautions with which the waiting tasks of a step are placed.
+    fn cautions(&self, now: Now, key: StepKey) -> impl Iterator<Item = Caution> {
         let tasks = self.registry.step(key).map(|step| &*step.tasks);
         let waiting = tasks.unwrap_or_default().iter();
         let waiting = waiting.filter(|task| task.placement == Placement::Waiting);
-        let cautions = waiting.map(|task| task.caution(now));
-        cautions.max().unwrap_or(Caution::None)
+        waiting.map(move |task| task.caution(now))
+    }
+
+    /// Updates the numbers of recent losses of all tasks.
+    pub(in crate::core::workload::placer) fn count_recent_losses(&mut self, now: Now) {
+        for task in std::mem::take(&mut self.tasks_with_losses) {
+            if let Some(state) = self.registry.task_mut(task) {
+                state.recent_losses = 0;
+            }
+        }
+        let lost = self
+            .lost_vms
+            .runs_lost_after(now.saturating_sub(RECENT_LOSS));
+        for task in lost
+            .filter_map(|name| self.registry.find_task(name))
+            .collect::<Vec<_>>()
+        {
+            if let Some(state) = self.registry.task_mut(task) {
+                state.recent_losses += 1;
+                self.tasks_with_losses.push(task);
+            }
+        }
     }
 
     /// Returns the number of VMs of a service on which further tasks may run alone.
@@ -106,7 +144,7 @@
 impl Task {
     /// Returns the caution with which the task is placed.
     pub fn caution(&self, now: Now) -> Caution {
-        let caution = Caution::new(self.crashed.len());
+        let caution = Caution::new(self.crashed.len(), self.recent_losses);
         if caution == Caution::Alone && now >= self.waiting_since + MAX_ALONE_WAIT {
             return Caution::Apart;
         }
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -69,6 +69,7 @@
         self.last_round_at = cx.now;
         self.rounds += 1;
         self.retry_stops(cx);
+        self.count_recent_losses(cx.now);
         self.count_inherited_tasks();
         self.count_unread_runs(cx);
         let steps = self.ready_steps(cx);
@@ -223,14 +224,14 @@
         let is_advised = job.queue.advice.is_some();
         let spec = &submission.steps[usize::from(key.step)];
         let is_capped = !self.usage.allows(cx, job.team.as_ref(), &spec.demand);
-        if is_capped {
+        if is_capped || self.is_held(cx.now, key) {
             return;
         }
         if spec.traits.gang {
             return self.place_gang(cx, round, key, spec, &service, is_advised);
         }
         // VMs that are cleared for tasks that are to run alone have no room for other steps.
-        let has_lone_tasks = self.step_caution(cx.now, key) == Caution::Alone;
+        let has_lone_tasks = self.has_lone_tasks(cx.now, key);
         let is_unmet = !has_lone_tasks && round.is_unmet(&service, spec);
         if is_unmet && !(may_preempt && is_advised) {
             return;
@@ -346,6 +347,9 @@
                 break;
             }
             let caution = gang_caution.unwrap_or_else(|| task.caution(cx.now));
+            if caution == Caution::Hold {
+                continue;
+            }
             let vm = if caution == Caution::Alone && gang_caution.is_none() {
                 let slots =
                     lone_slots.get_or_insert_with(|| self.free_lone_slots(&job.queue.service));
--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -38,7 +38,8 @@
             return;
         };
         // Tasks of the last run may not have ended yet.
-        if step.waiting < spec.count {
+        let caution = self.step_caution(cx.now, key);
+        if step.waiting < spec.count || caution == Caution::Hold {
             return;
         }
         self.vm_scans += 1;
@@ -53,7 +54,7 @@
             open.retain(|vm| step.advice.ticket(vm.vm, cx.now).is_some());
             usable.retain(|vm| step.advice.is_approved(vm.vm));
         }
-        if self.step_caution(cx.now, key) == Caution::Alone {
+        if caution == Caution::Alone {
             open.retain(|vm| vm.is_clear);
         }
         let planned = self.plan_gang(cx, key, spec, &open);
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -112,6 +112,8 @@
     pub failed: Vec<RunNumber>,
     /// Numbers of the runs under which the VM crashed.
     pub crashed: Vec<RunNumber>,
+    /// Number of runs that were lost lately with VMs that may have crashed.
+    pub recent_losses: usize,
     pub checkpoint: Checkpoint,
     pub waiting_since: Now,
     /// Number of runs that were stopped because their VM seemed stalled.
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -71,6 +71,12 @@
         self.list.retain(|lost| !is_same(&lost.lifetime));
     }
 
+    /// Returns the runs of the VMs that were lost after a time.
+    pub fn runs_lost_after(&self, at: Now) -> impl Iterator<Item = &TaskName> {
+        let recent = self.list.iter().filter(move |lost| lost.lost_at > at);
+        recent.flat_map(|lost| lost.runs.iter().map(|(task, _)| task))
+    }
+
     /// Removes the VMs that are no longer expected back.
     pub fn remove_overdue(&mut self, now: Now) {
         self.list.retain(|lost| now < lost.lost_at + MAX_ABSENCE);
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -116,6 +116,7 @@
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
             lost_vms: LostVms::default(),
+            tasks_with_losses: Vec::new(),
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
             estimates: RunTimeEstimates::default(),
--- a/src/core/workload/policy/crashes.rs
+++ b/src/core/workload/policy/crashes.rs
@@ -41,6 +41,9 @@
 /// while the task waits.
 pub const CLEARING_TIME: Duration = Duration::from_millis(500);
 
+/// Time after the loss of a VM for which it may have crashed in view of the placement of its tasks.
+pub const RECENT_LOSS: Duration = Duration::from_secs(10);
+
 /// How a task is placed in view of the crashes under its runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Caution {
@@ -50,16 +53,27 @@
     Apart,
     /// On a VM without other tasks.
     Alone,
+    /// Not yet: it may have crashed so many VMs that it is to be given up once their returns are known.
+    Hold,
 }
 
 impl Caution {
-    /// Returns the caution for a task under whose runs this number of VMs has crashed.
+    /// Returns the caution for a task under whose runs `crashes` VMs have crashed and `losses` VMs
+    /// were lost lately of which it is not known whether they have crashed.
+    ///
+    /// Losses alone do not affect the choice of the VM, as the tasks of a zone that is cut off are all
+    /// lost at the same time.
     #[must_use]
-    pub fn new(crashes: usize) -> Self {
-        match crashes {
-            0 => Self::None,
-            ALONE_CRASHES.. => Self::Alone,
-            _ => Self::Apart,
+    pub fn new(crashes: usize, losses: usize) -> Self {
+        let possible = crashes + losses;
+        if losses > 0 && possible >= MAX_LONE_CRASHES {
+            Self::Hold
+        } else if crashes == 0 {
+            Self::None
+        } else if possible >= ALONE_CRASHES {
+            Self::Alone
+        } else {
+            Self::Apart
         }
     }
 }
--- a/tests/policy/crashes.rs
+++ b/tests/policy/crashes.rs
@@ -10,17 +10,28 @@
 /// Largest number of starts of a task after three VMs have crashed under it.
 const MAX_LATER_STARTS: usize = 2;
 
-fn assert_caution(crashes: usize, expected: Caution) {
-    assert_eq!(Caution::new(crashes), expected);
+fn assert_caution(crashes: usize, losses: usize, expected: Caution) {
+    assert_eq!(Caution::new(crashes, losses), expected);
 }
 
 // Guards against tasks that crash together being placed together again.
 cases! {
     assert_caution;
-    a_task_without_crashes_is_placed_like_any_other(0, Caution::None),
-    a_task_is_placed_apart_after_a_crash(1, Caution::Apart),
-    a_task_is_placed_alone_after_two_crashes(2, Caution::Alone),
-    a_task_stays_alone_after_more_crashes(3, Caution::Alone),
+    a_task_without_crashes_is_placed_like_any_other(0, 0, Caution::None),
+    a_task_is_placed_apart_after_a_crash(1, 0, Caution::Apart),
+    a_task_is_placed_alone_after_two_crashes(2, 0, Caution::Alone),
+    a_task_stays_alone_after_more_crashes(3, 0, Caution::Alone),
+}
+
+// Guards against a task that starts again and again while the returns of its VMs are not known, and
+// against tasks of a zone that is cut off being placed as if they had crashed their VMs.
+cases! {
+    assert_caution;
+    a_task_of_a_lost_vm_is_placed_like_any_other(0, 1, Caution::None),
+    a_task_of_two_lost_vms_is_placed_like_any_other(0, 2, Caution::None),
+    a_task_is_placed_alone_after_a_crash_and_a_loss(1, 1, Caution::Alone),
+    a_task_is_held_after_three_losses(0, 3, Caution::Hold),
+    a_task_is_held_after_two_crashes_and_a_loss(2, 1, Caution::Hold),
 }
 
 /// Guards against jobs that fail for a crash that another task may have caused.
