Place tasks under which a VM has crashed on VMs with few runs

With the second crash of a task the runs on its VM ended as well, often 10 or more, as tasks are packed onto VMs that are nearly full.

The placement cost of such a task now grows with the used part of the VM's CPU.

--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -28,8 +28,9 @@
 /// that other VMs are chosen first.
 const COLD_COST: f64 = 3.0;
 
-/// Placement cost, for a task under which a VM has crashed, of each other such task on the VM. It
-/// exceeds the cost of unused capacity, but not that of another rack.
+/// Placement cost, for a task under which a VM has crashed, of each other such task on the VM, and of
+/// a VM whose CPU is all in use, as the runs there would end with another crash. It exceeds the cost of
+/// unused capacity, but not that of another rack.
 const SUSPECT_COST: f64 = 5.0;
 
 /// The same cost for a filler, in millicores of idle CPU.
@@ -231,6 +232,11 @@
         }
     }
 
+    /// Returns the used part of the VM's CPU.
+    fn used_share(&self) -> f64 {
+        1.0 - f64::from(self.free.cpu_milli) / f64::from(self.capacity.cpu_milli.max(1))
+    }
+
     /// Returns whether another task of the step fits.
     pub fn has_room_for(&self, spec: &Step) -> bool {
         self.free.holds(&spec.reservation())
@@ -302,8 +308,9 @@
             (_, true) => FILLER_SUSPECT_COST,
             (_, false) => SUSPECT_COST,
         };
-        let suspect_cost =
-            |candidate: &Candidate| f64::from(candidate.suspect_runs) * cost_of_suspect;
+        let suspect_cost = |candidate: &Candidate| {
+            (f64::from(candidate.suspect_runs) + candidate.used_share()) * cost_of_suspect
+        };
         let vms = self.vms.iter().enumerate();
         let vms = vms.filter(|(_, (_, candidate))| candidate.open_to != OpenTo::Lone);
         let best = vms.min_by(|(_, (a, left)), (_, (b, right))| {
