Keep crash counts, and runs that may have crashed their VMs, over takeovers

A task that crashes its VMs was started more often than the limit allows when the placer changed: the counts were lost with it, and so was each crash that it had not recognised, as starts are not stored.

The numbers of the runs under which a VM crashed are now stored with the progress of the task. A row 'lost' of the placer's part has the runs of VMs that do not answer, of lost VMs, and of tasks under which a VM has crashed before; it is written with the next heartbeat if it has changed, with at most 500 runs. A new placer loads it and counts a crash when the VM's next lifetime shows. Crashes under runs of jobs that are not read yet are kept. What is still missed: a VM and the placer that end within one heartbeat (250 ms).

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -67,6 +67,7 @@
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
+    lost_writer: storage::lost::LostWriter,
     /// Tasks that were lost lately with VMs that may have crashed.
     tasks_with_losses: Vec<state::job_registry::TaskKey>,
     usage: state::usage::Usage,
--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -47,6 +47,7 @@
                 lifetime,
                 lost_at: cx.now,
                 runs,
+                has_more: false,
             });
         }
     }
@@ -121,12 +122,22 @@
         }
     }
 
+    /// Records the crashes under runs of jobs that were not known when their VMs came back.
+    pub(in crate::core::workload::placer) fn record_kept_crashes(&mut self, cx: &mut Cx) {
+        for crash in self.lost_vms.take_kept_crashes() {
+            self.record_crash(cx, &crash.former, &crash.task, crash.run, crash.was_alone);
+        }
+    }
+
     /// Returns whether all lost runs are of one task or of one gang, whose tasks crash and end
     /// together.
     fn has_one_suspect(&self, lost: &LostVm) -> bool {
         let [(first, _), others @ ..] = &lost.runs[..] else {
             return false;
         };
+        if lost.has_more {
+            return false;
+        }
         let job = self
             .registry
             .key(&first.job)
@@ -150,6 +161,9 @@
         run: RunNumber,
         was_alone: bool,
     ) {
+        if self.is_unread(&name.job) {
+            return self.lost_vms.keep_crash(former, name, run, was_alone);
+        }
         let Some(task) = self.registry.find_task(name) else {
             return;
         };
@@ -161,6 +175,7 @@
         }
         state.crashed.push(run);
         let crashes = state.crashed.len();
+        self.registry.mark_dirty(task.step.job);
         cx.log(Decision::RunCrashed {
             id: name.job.clone(),
             task: name.to_string().into(),
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -32,12 +32,27 @@
     pub lost_at: Now,
     /// Runs that may have caused a crash.
     pub runs: Vec<(TaskName, RunNumber)>,
+    /// Whether other runs may have caused it that are not known.
+    pub has_more: bool,
 }
 
 /// Lost VMs in the order of their losses.
 #[derive(Debug, Default)]
 pub(in crate::core::workload::placer) struct LostVms {
     list: Vec<LostVm>,
+    /// Crashes under runs of jobs that are not loaded yet.
+    kept_crashes: Vec<KeptCrash>,
+}
+
+/// A crash of a VM under a run of a job that is not loaded yet.
+#[derive(Clone, Debug)]
+pub(in crate::core::workload::placer) struct KeptCrash {
+    /// Lifetime that ended with the crash.
+    pub former: Lifetime,
+    pub task: TaskName,
+    pub run: RunNumber,
+    /// Whether no other run may have caused the crash.
+    pub was_alone: bool,
 }
 
 impl LostVms {
@@ -51,6 +66,7 @@
         let mut known = known.filter(|known| known.lifetime == lost.lifetime);
         if let Some(known) = known.next() {
             known.runs.extend(lost.runs);
+            known.has_more |= lost.has_more;
         } else {
             self.list.push(lost);
         }
@@ -71,6 +87,31 @@
         self.list.retain(|lost| !is_same(&lost.lifetime));
     }
 
+    /// Keeps a crash under a run of a job that is not loaded yet.
+    pub fn keep_crash(
+        &mut self,
+        former: &Lifetime,
+        task: &TaskName,
+        run: RunNumber,
+        was_alone: bool,
+    ) {
+        self.kept_crashes.push(KeptCrash {
+            former: former.clone(),
+            task: task.clone(),
+            run,
+            was_alone,
+        });
+    }
+
+    /// Removes and returns the crashes that were kept.
+    pub fn take_kept_crashes(&mut self) -> Vec<KeptCrash> {
+        std::mem::take(&mut self.kept_crashes)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &LostVm> {
+        self.list.iter()
+    }
+
     /// Returns the runs of the VMs that were lost after a time.
     pub fn runs_lost_after(&self, at: Now) -> impl Iterator<Item = &TaskName> {
         let recent = self.list.iter().filter(move |lost| lost.lost_at > at);
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -28,6 +28,7 @@
 use crate::core::workload::placer::storage::archive::is_final;
 use crate::core::workload::placer::storage::estimates::EstimatesWriter;
 use crate::core::workload::placer::storage::hand_over::HandOver;
+use crate::core::workload::placer::storage::lost::LostWriter;
 use crate::core::workload::placer::storage::missing::MissingParts;
 use crate::core::workload::placer::storage::progress::ProgressWriter;
 use crate::core::workload::placer::storage::retire::RetireState;
@@ -37,6 +38,7 @@
 use crate::core::workload::ranges::RangeReader;
 use crate::core::workload::rows::ESTIMATES_KEY;
 use crate::core::workload::rows::JobRow;
+use crate::core::workload::rows::LOST_KEY;
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
 use crate::core::workload::rows::ProgressRow;
@@ -116,6 +118,7 @@
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
             lost_vms: LostVms::default(),
+            lost_writer: LostWriter::default(),
             tasks_with_losses: Vec::new(),
             usage: Usage::default(),
             slowness: SlownessByKind::default(),
@@ -308,6 +311,9 @@
         if &*row.key == ESTIMATES_KEY {
             return self.load_estimates(cx, row);
         }
+        if &*row.key == LOST_KEY {
+            return self.load_lost_row(cx, row);
+        }
         if &*row.key == STOPS_KEY {
             return match decode(value) {
                 Ok(stops) => self.load_stops_row(&stops),
@@ -397,6 +403,7 @@
                 continue;
             };
             task.failed.clone_from(&history.failed);
+            task.crashed.clone_from(&history.crashed);
             task.run = history.run;
             task.checkpoint.clone_from(&history.checkpoint);
         }
--- a/src/core/workload/placer/storage/missing.rs
+++ b/src/core/workload/placer/storage/missing.rs
@@ -238,6 +238,7 @@
             self.pending_ended_tasks.extend(known);
         }
         self.process_ended_tasks(cx);
+        self.record_kept_crashes(cx);
         for (key, rows) in std::mem::take(&mut self.missing.running) {
             for row in &rows {
                 self.reconcile_run(cx, key, row);
--- a/src/core/workload/placer/storage/mod.rs
+++ b/src/core/workload/placer/storage/mod.rs
@@ -5,6 +5,7 @@
 pub(in crate::core::workload::placer) mod hand_over;
 pub(in crate::core::workload::placer) mod heartbeat;
 pub(in crate::core::workload::placer) mod load;
+pub(in crate::core::workload::placer) mod lost;
 pub(in crate::core::workload::placer) mod missing;
 pub(in crate::core::workload::placer) mod progress;
 pub(in crate::core::workload::placer) mod retire;
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -75,6 +75,8 @@
     stopping_vms: Option<Vec<VmKey>>,
     /// Whether the transaction writes the estimates.
     has_estimates: bool,
+    /// Whether the transaction writes the runs of lost VMs.
+    has_lost: bool,
 }
 
 impl ProgressWriter {
@@ -192,6 +194,11 @@
         let estimates = self.estimates_row_if_due(cx);
         let has_estimates = estimates.is_some();
         txn.put.extend(estimates);
+        let lost = heartbeat_due
+            .then(|| self.lost_row_if_changed(cx))
+            .flatten();
+        let has_lost = lost.is_some();
+        txn.put.extend(lost);
         let all_included = included == jobs.len();
         jobs.truncate(included);
         self.progress.in_flight = Some(Batch {
@@ -206,6 +213,7 @@
             },
             stopping_vms,
             has_estimates,
+            has_lost,
         });
         self.progress.next_at = cx.now + cx.options.placer.progress_interval;
         cx.commit(self.purpose(PlacerWrite::Progress), txn);
@@ -248,6 +256,9 @@
         if batch.has_estimates {
             self.estimates_writer.mark_changed();
         }
+        if batch.has_lost {
+            self.lost_writer.mark_unknown();
+        }
         if batch.stopping_vms.is_some() {
             self.progress.stopping_vms = None;
             self.progress.stops_pending = true;
@@ -348,13 +359,14 @@
 fn task_rows((ix, step): (usize, &StepProgress)) -> Vec<TaskRow> {
     let with_history = step.tasks.iter().enumerate().filter(|(_, task)| {
         task.placement != Placement::Done
-            && (!task.failed.is_empty() || !task.checkpoint.is_empty())
+            && (!task.failed.is_empty() || !task.crashed.is_empty() || !task.checkpoint.is_empty())
     });
     with_history
         .map(|(index, task)| TaskRow {
             step: StepIndex::try_from(ix).unwrap_or(StepIndex::MAX),
             index: u32::try_from(index).unwrap_or(u32::MAX),
             failed: task.failed.clone(),
+            crashed: task.crashed.clone(),
             run: task.run,
             checkpoint: task.checkpoint.clone(),
         })
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -49,6 +49,9 @@
 /// Key of the row that lists the VMs on which the placer may be stopping runs.
 pub(super) const STOPS_KEY: &str = "stops";
 
+/// Key of the row with the runs under which a VM may crash or has crashed.
+pub(super) const LOST_KEY: &str = "lost";
+
 /// Key of the row with the placer's estimates of run times.
 pub(super) const ESTIMATES_KEY: &str = "estimates";
 
@@ -115,6 +118,9 @@
     /// Numbers of the failed runs.
     #[serde(default)]
     pub failed: Vec<RunNumber>,
+    /// Numbers of the runs under which the VM crashed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<RunNumber>,
     /// Highest run known to have ended.
     pub run: RunNumber,
     /// Checkpoint to resume from.
@@ -122,6 +128,29 @@
     pub checkpoint: Checkpoint,
 }
 
+/// Runs whose VM may have crashed, or whose task has crashed VMs before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LostRow {
+    /// VMs with such runs.
+    pub vms: Vec<LostVmRow>,
+}
+
+/// VM with runs whose VM may have crashed, or whose task has crashed VMs before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LostVmRow {
+    /// Id.
+    pub vm: VmId,
+    /// Host machine; empty if unknown.
+    pub machine: Box<str>,
+    /// Start of the VM's lifetime, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Name of the task and number of each run.
+    pub runs: Vec<(Box<str>, RunNumber)>,
+    /// Whether the VM has other runs, which are not listed, that may have caused a crash.
+    #[serde(default)]
+    pub has_more: bool,
+}
+
 /// Owner row: the placer of a part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OwnerRow {
--- a/tests/workload/crashes.rs
+++ b/tests/workload/crashes.rs
@@ -12,6 +12,7 @@
 use crate::harness::Harness;
 use crate::jobs::ID;
 use crate::jobs::job;
+use crate::jobs::part_number;
 use crate::jobs::step;
 use crate::support::cases;
 
@@ -134,6 +135,34 @@
     crashes_under_new_ids_are_counted_over_takeovers_after_the_lease(true, 3_800),
 }
 
+/// Guards against a crash that is forgotten, as the new placer could not read the job when the VM came
+/// back.
+#[test]
+fn a_crash_counts_though_the_job_is_read_later() {
+    let mut harness = cell_with_crashing_task(6, false, step(1, 500, &[]), 0);
+    while harness.crashes.log.is_empty() {
+        harness.run_for(1);
+    }
+    harness.run_for(300);
+    let part = format!("jobs-{}", part_number(ID));
+    harness.unreadable_parts.insert(part.clone().into());
+    let placer = harness.placer().expect("a placer");
+    harness.kill(placer);
+    harness.run_for(9_000);
+    assert_eq!(harness.starts.len(), 1);
+    harness.unreadable_parts.clear();
+    harness.run_for(GIVE_UP_MS);
+    let first = harness
+        .decisions
+        .iter()
+        .find_map(|decision| match decision {
+            Decision::RunCrashed { run, .. } => Some(*run),
+            _ => None,
+        });
+    assert_eq!(first, Some(1));
+    assert_given_up(&mut harness, 0);
+}
+
 /// Guards against crashes that are not counted, as the news of the VM's return is late: the placer
 /// receives no rows of VMs for a time.
 #[test]
