Stop no runs in vain on a VM that has shrunk below its runs

Urgent tasks waited for runs that were stopped for them on a VM that had shrunk: what these freed did not reach beyond the capacity, so that no task fitted and further runs were stopped. The choice of victims took free room as zero there, although the runs reserve more than the VM has.

The view of a VM now has the excess of its runs over its capacity, which a plan has to free first. Other VMs, on which fewer stops are enough, are chosen before.

Runs on such a VM are still not stopped if nothing urgent waits.

--- a/src/core/workload/placer/rounds/preemptible.rs
+++ b/src/core/workload/placer/rounds/preemptible.rs
@@ -61,6 +61,8 @@
     stoppable: Resources,
     /// Resources of runs that are being stopped.
     freeing: Resources,
+    /// Resources that runs reserve beyond the capacity.
+    excess: Resources,
 }
 
 /// Tasks of a step that wait for room.
@@ -136,6 +138,7 @@
             runs,
             stoppable,
             freeing: vm.freeing(),
+            excess: vm.used.minus(&vm.capacity),
         }
     }
 
@@ -242,6 +245,7 @@
         let views = pool.vms_without_gang().map(|vm| VmView {
             free: vm.free,
             freeing: runs_on(vm.vm).freeing,
+            excess: runs_on(vm.vm).excess,
             runs: runs_on(vm.vm).runs.iter().map(|(_, run)| *run).collect(),
         });
         let views: Vec<VmView> = views.collect();
@@ -276,7 +280,9 @@
     /// Returns the resources of the runs on a VM that may be stopped or are being stopped.
     pub fn room(&self, vm: VmKey) -> Resources {
         let vm = self.vms.get(&vm);
-        vm.map_or(Resources::ZERO, |vm| vm.stoppable.plus(&vm.freeing))
+        vm.map_or(Resources::ZERO, |vm| {
+            vm.stoppable.plus(&vm.freeing).minus(&vm.excess)
+        })
     }
 }
 
--- a/src/core/workload/policy/preemption.rs
+++ b/src/core/workload/policy/preemption.rs
@@ -57,6 +57,8 @@
     pub free: Resources,
     /// Resources of runs that are being stopped.
     pub freeing: Resources,
+    /// Resources that runs reserve beyond the capacity of the VM, which has shrunk.
+    pub excess: Resources,
     /// Runs that resume elsewhere if they are stopped, in the order of their keys.
     pub runs: Vec<RunView>,
 }
@@ -102,8 +104,11 @@
 
 /// A VM with the runs that are chosen on it so far.
 struct SiteState {
-    /// Resources that are free, or will be once the chosen runs have ended.
+    /// Resources that are free, or will be once the chosen runs have ended, before `excess` is taken
+    /// off.
     room: Resources,
+    /// Resources that runs reserve beyond the capacity of the VM.
+    excess: Resources,
     /// Runs that are not chosen, the first to be stopped first.
     remaining: Vec<(RunOrder, usize)>,
 }
@@ -210,6 +215,7 @@
         remaining.sort_unstable();
         Self {
             room: vm.free.plus(&vm.freeing),
+            excess: vm.excess,
             remaining,
         }
     }
@@ -220,19 +226,20 @@
             return None;
         }
         let mut room = self.room;
+        let needed = claim.reservation.plus(&self.excess);
         let mut chosen: Vec<(RunOrder, usize)> = Vec::new();
         let may_stop = |ix: usize| site.may_stop && runs[ix].priority > claim.priority;
         for &(order, ix) in self.remaining.iter().filter(|(_, ix)| may_stop(*ix)) {
-            if room.holds(&claim.reservation) {
+            if room.holds(&needed) {
                 break;
             }
             room = room.plus(&runs[ix].reservation);
             chosen.push((order, ix));
         }
-        if !room.holds(&claim.reservation) {
+        if !room.holds(&needed) {
             return None;
         }
-        drop_surplus(&mut chosen, room, &claim.reservation, runs);
+        drop_surplus(&mut chosen, room, &needed, runs);
         let freed = chosen.iter().fold(Resources::ZERO, |sum, (_, ix)| {
             sum.plus(&runs[*ix].reservation)
         });
@@ -248,7 +255,9 @@
     /// Removes the runs of a plan and reserves the resources of its task.
     fn apply(&mut self, claim: &Claim, plan: &Plan) {
         self.remaining.retain(|(_, ix)| !plan.runs.contains(ix));
-        self.room = self.room.plus(&plan.freed).minus(&claim.reservation);
+        let room = self.room.plus(&plan.freed);
+        self.room = room.minus(&claim.reservation).minus(&self.excess);
+        self.excess = Resources::ZERO;
     }
 }
 
--- a/tests/policy/preemption.rs
+++ b/tests/policy/preemption.rs
@@ -6,6 +6,7 @@
 use proptest::collection::vec;
 use proptest::prelude::Strategy;
 use proptest::prop_assert;
+use proptest::prop_oneof;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestCaseError;
@@ -70,6 +71,7 @@
     VmView {
         free: Resources::new(0, 0, 0, u32::MAX),
         freeing: Resources::ZERO,
+        excess: Resources::ZERO,
         runs: runs.to_vec(),
     }
 }
@@ -159,6 +161,21 @@
     assert_eq!(chosen(&[claim(8, 2, &[0, 1])], &vms).len(), 1);
 }
 
+/// Guards against too few stops on a VM that has shrunk: its runs use more than its capacity.
+#[test]
+fn runs_beyond_the_capacity_are_made_up_for_first() {
+    let shrunk = VmView {
+        excess: Resources {
+            tasks: 0,
+            ..cores(8)
+        },
+        ..full_vm(&[run(8, Timeliness::Overdue); 3])
+    };
+    let vms = [shrunk];
+    assert_eq!(chosen(&[claim(4, 1, &[0])], &vms).len(), 2);
+    assert_eq!(chosen(&[claim(4, 3, &[0])], &vms).len(), 3);
+}
+
 /// Guards against stops while room is free for which the tasks only lack advice.
 #[test]
 fn free_room_counts_also_where_nothing_may_be_stopped() {
@@ -242,13 +259,24 @@
 }
 
 fn any_vm() -> impl Strategy<Value = VmView> {
-    (0..5_u32, 0..5_u32, vec(any_run(), 0..6)).prop_map(|(free, freeing, runs)| VmView {
-        free: Resources {
-            tasks: u32::MAX,
-            ..cores(free)
-        },
-        freeing: cores(freeing),
-        runs,
+    // A VM that has shrunk below its runs has no free room.
+    let free_and_excess = prop_oneof![
+        (0..5_u32).prop_map(|free| (free, 0)),
+        (1..5_u32).prop_map(|excess| (0, excess)),
+    ];
+    (free_and_excess, 0..5_u32, vec(any_run(), 0..6)).prop_map(|((free, excess), freeing, runs)| {
+        VmView {
+            free: Resources {
+                tasks: u32::MAX,
+                ..cores(free)
+            },
+            freeing: cores(freeing),
+            excess: Resources {
+                tasks: 0,
+                ..cores(excess)
+            },
+            runs,
+        }
     })
 }
 
@@ -281,6 +309,7 @@
         let room = freed.fold(vm.free.plus(&vm.freeing), |room, victim| {
             room.plus(&vm.runs[victim.run].reservation)
         });
+        let room = room.minus(&vm.excess);
         room.count_of(&claim.reservation).min(site.limit)
     });
     fits.sum()
--- a/tests/workload/preemption.rs
+++ b/tests/workload/preemption.rs
@@ -101,6 +101,25 @@
     preempted.count()
 }
 
+/// Guards against runs that are stopped in vain on a VM that has shrunk: what they free does not reach
+/// beyond its capacity.
+#[test]
+fn runs_on_a_vm_that_has_shrunk_below_them_are_not_stopped_in_vain() {
+    let mut harness = full_cell();
+    harness
+        .vms
+        .get_mut("vm-0")
+        .expect("a VM")
+        .capacity
+        .cpu_milli = 8_000;
+    harness.write_vm_rows();
+    harness.run_for(20);
+    submit_urgent(&mut harness, ID, 1);
+    harness.run_for(start_millis());
+    assert_eq!(starts(&harness, ID), 1);
+    assert_eq!(preemptions(&harness), 1);
+}
+
 /// Guards against urgent jobs that wait until batch tasks end by themselves.
 #[test]
 fn urgent_tasks_start_within_the_stop_time_on_full_vms() {
