Fail a job of the own cell whose task is lost with VM after VM

The scheduler of the product's own cell has the same fault as the placer of the platform: a task that is lost with its VM is queued again without a count or a delay, so that a task that crashes its VMs takes one after the other.

The successive losses of a task within 10 minutes of its start now count. From the second on, its job waits before it starts tasks again (0.5 s, doubled each time), and with the sixth it fails. A success or a loss after 10 minutes or more resets the count. There is no evidence of a crash in this cell's protocol, so the limit is higher than on the platform: a VM that was cut off counts too.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -172,7 +172,7 @@
     Draining,
     /// The caller or its team cancelled the work.
     Cancelled,
-    /// The work failed on several VMs on which no other work fails, or one of its tasks failed too
-    /// often.
+    /// The work failed on several VMs on which no other work fails, or one of its tasks failed, or was
+    /// lost with its VM, too often.
     FailsEverywhere,
 }
--- a/src/core/sched/health.rs
+++ b/src/core/sched/health.rs
@@ -31,6 +31,13 @@
 /// Number of failures of one task, on any VMs, before its job is failed.
 const MAX_TASK_FAILURES: usize = 6;
 
+/// Number of successive runs of a task that are lost with their VMs after less than [`PROVEN_TIME`]
+/// before its job is failed: the task may be the cause. A VM may also be lost by itself or be cut off.
+const MAX_EARLY_LOSSES: u32 = 6;
+
+/// Time after which a run is not the cause of the loss of its VM.
+const PROVEN_TIME: Duration = Duration::from_secs(600);
+
 /// Number of latest failures kept for each job.
 const MAX_FAILURES_KEPT: usize = 32;
 
@@ -81,13 +88,41 @@
 
     /// Counts a success of the job, and clears the failures and quarantines counted for the VM.
     fn record_success(&mut self, placed: &PlacedTask) {
-        self.jobs[placed.job].done += 1;
+        let entry = &mut self.jobs[placed.job];
+        entry.done += 1;
+        entry.early_losses.remove(&placed.index);
         self.vms.update_unindexed(placed.vm, |vm| {
             vm.failed_jobs.clear();
             vm.quarantine_count = 0;
         });
     }
 
+    /// Records that a task is lost with its VM. Delays the job's next start if it was lost before,
+    /// and fails the job if that happens too often.
+    pub(super) fn record_loss(&mut self, now: Now, index: SlabIndex) {
+        let placed = &self.tasks[index];
+        let (job, task) = (placed.job, placed.index);
+        let is_early = now < placed.started + PROVEN_TIME;
+        let entry = &mut self.jobs[job];
+        if !entry.is_active() || placed.is_duplicate() {
+            return;
+        }
+        if !is_early {
+            entry.early_losses.remove(&task);
+            return;
+        }
+        let losses = entry.early_losses.entry(task).or_default();
+        *losses += 1;
+        let losses = *losses;
+        if losses >= MAX_EARLY_LOSSES {
+            self.fail_job(job, Reason::FailsEverywhere);
+        } else if losses > 1 {
+            let doublings = (losses - 2).min(MAX_RETRY_DOUBLINGS);
+            let delay = INITIAL_RETRY_DELAY * 2_u32.pow(doublings);
+            entry.not_before = entry.not_before.max(now + delay);
+        }
+    }
+
     /// Records a failure, delays the job's next start, and fails the job or quarantines the VM if
     /// it is found faulty; returns false if the job was failed.
     fn record_failure(&mut self, now: Now, placed: &PlacedTask) -> bool {
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -260,11 +260,14 @@
     }
 
     /// Removes a VM, all of whose tasks are known to have stopped. Tasks that may be restarted are
-    /// queued again.
-    pub fn remove_vm(&mut self, _now: Now, vm: &str) {
+    /// queued again, unless they have been lost with too many VMs.
+    pub fn remove_vm(&mut self, now: Now, vm: &str) {
         let Some(index) = self.vms.find(vm) else {
             return;
         };
+        for task in self.vms.get(index).tasks.clone() {
+            self.record_loss(now, task);
+        }
         while let Some(&task) = self.vms.get(index).tasks.last() {
             self.handle_lost_task(task);
         }
--- a/src/core/sched/queue.rs
+++ b/src/core/sched/queue.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use rustc_hash::FxHashMap;
+
 use super::PendingTask;
 use super::Scheduler;
 use super::slab::SlabIndex;
@@ -73,6 +75,8 @@
     pub failures: Vec<Failure>,
     /// Number of failures.
     pub failure_count: u32,
+    /// Number of successive runs of each task that were lost with their VMs after a short time.
+    pub early_losses: FxHashMap<TaskIndex, u32>,
     /// Number of tasks that succeeded.
     pub done: u32,
     /// Lowest attempt number that no task of the job has used; services give it to new instances.
--- a/src/core/sched/submit.rs
+++ b/src/core/sched/submit.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use rustc_hash::FxHashMap;
+
 use super::PendingTask;
 use super::QueuedJob;
 use super::Result;
@@ -154,6 +156,7 @@
             partial_since: None,
             failures: Vec::new(),
             failure_count: 0,
+            early_losses: FxHashMap::default(),
             done: 0,
             size: with_task_count(spec.size),
             pending: VecDeque::new(),
--- a/tests/sched/health.rs
+++ b/tests/sched/health.rs
@@ -177,3 +177,53 @@
     zone.run(MINUTE, STEP);
     assert_eq!(zone.started.len(), 2);
 }
+
+/// Returns a zone that runs a task without an end.
+fn zone_with_endless_task() -> SimulatedZone {
+    let mut zone = SimulatedZone::new(4, &["bakers"]);
+    zone.behaviour.lifetime = |_, _| None;
+    zone.submit(batch("job", 1, 8));
+    zone.run(STEP, STEP);
+    zone
+}
+
+/// Removes the VM of the last start, after the task has run for `run_time`, and adds it again. Returns
+/// false if the task does not start again within ten minutes.
+fn lose_vm_of_last_task(zone: &mut SimulatedZone, run_time: Duration) -> bool {
+    let starts = zone.started.len();
+    let vm = zone.started[starts - 1].1.clone();
+    zone.run(run_time, STEP);
+    zone.remove_vm(&vm);
+    zone.add_vm(&vm, 0);
+    for _ in 0..10 {
+        if zone.started.len() > starts {
+            return true;
+        }
+        zone.run(MINUTE, STEP);
+    }
+    false
+}
+
+/// Guards against a task that takes VM after VM with it, as tasks that are lost with their VMs are not
+/// counted.
+#[test]
+fn task_that_is_lost_with_its_vm_again_and_again_fails_its_job() {
+    let mut zone = zone_with_endless_task();
+    let mut losses = 1;
+    while losses <= 20 && lose_vm_of_last_task(&mut zone, STEP) {
+        losses += 1;
+    }
+    assert!(losses <= 6, "{losses} losses");
+    let expected = (Box::from("job"), Reason::FailsEverywhere);
+    assert_eq!(failed_jobs(&zone), [expected]);
+}
+
+/// Guards against a task that runs for long being failed for the usual losses of VMs.
+#[test]
+fn task_that_runs_for_long_is_not_failed_for_the_losses_of_its_vms() {
+    let mut zone = zone_with_endless_task();
+    for _ in 0..12 {
+        assert!(lose_vm_of_last_task(&mut zone, MINUTE * 15));
+    }
+    assert!(failed_jobs(&zone).is_empty());
+}
