Show crashes of VMs in ragwortstall explain, and in the log line of a start

A job that failed as VMs crashed under a task was explained without the lines that show these crashes. The lines of the VMs' crashes and changes of capacity are now shown, crashes are counted among the delays, and 'placed' has the number of crashes under the task so far. explain::cause_of_given_up_job_is_the_crashes_of_its_vms uses the log of a real job. A task that is to run alone also stays on its preferred rack where it can.

--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -22,7 +22,14 @@
   cat *.log | ragwortstall explain 4455f4f6e9907e81.0.1.3 -";
 
 /// Kinds of log lines that are shown for the VMs on which the job ran.
-const VM_KINDS: [&str; 4] = ["vm_contact", "vm_gone", "vm_recovered", "vm_stalled"];
+const VM_KINDS: [&str; 6] = [
+    "vm_contact",
+    "vm_crashed",
+    "vm_gone",
+    "vm_recovered",
+    "vm_resized",
+    "vm_stalled",
+];
 
 /// Kinds of log lines about the whole cell that are shown for the duration of the job.
 const CELL_KINDS: [&str; 6] = [
@@ -211,6 +218,7 @@
         .unwrap_or(0);
     let counts = [
         (count("run_lost"), "runs lost with their VM or its lease"),
+        (count("run_crashed"), "crashes of VMs under runs"),
         (runs_ended("failed"), "runs failed"),
         (runs_ended("lapsed"), "runs killed when their lease lapsed"),
         (preempted(false), "runs preempted for urgent jobs"),
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -60,7 +60,7 @@
         took_ms: u64,
         objective_ms: u64,
     },
-    /// The start of a task was ordered.
+    /// The start of a task was ordered. `crashes` is the number of VMs that have crashed under it.
     Placed {
         id: JobId,
         task: Box<str>,
@@ -69,6 +69,7 @@
         epoch: Epoch,
         free_cpu_milli: u32,
         waited_ms: u64,
+        crashes: usize,
     },
     /// A start failed or may have failed.
     NotStarted {
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -88,6 +88,7 @@
         state.run = run;
         let checkpoint = state.checkpoint.clone();
         let waited = cx.now.saturating_sub(state.waiting_since);
+        let crashes = state.crashed.len();
         step.waiting -= 1;
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
         let free_cpu_milli = vm.free().cpu_milli;
@@ -118,6 +119,7 @@
             epoch: self.owner.epoch,
             free_cpu_milli,
             waited_ms: millis(waited),
+            crashes,
         });
     }
 
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -324,11 +324,15 @@
     /// Reserves the resources of a task on a candidate where it runs alone, and returns the VM; `None`
     /// if there is none.
     ///
-    /// The VM that has run for the longest time is the least likely to crash by itself.
+    /// Among VMs on the same rack, the one that has run for the longest time is the least likely to
+    /// crash by itself.
     pub fn reserve_clear(&mut self) -> Option<VmKey> {
         let vms = self.vms.iter().enumerate();
         let clear = vms.filter(|(_, (_, candidate))| candidate.is_clear);
-        let best = clear.min_by_key(|(_, (_, candidate))| (candidate.started_ms, candidate.vm));
+        let best = clear.min_by_key(|(_, (_, candidate))| {
+            let off_rack = !candidate.on_preferred_rack;
+            (off_rack, candidate.started_ms, candidate.vm)
+        });
         let (ix, _) = best?;
         let vm = self.reserve(ix, Caution::Alone);
         self.vms.retain(|(_, candidate)| candidate.vm != vm);
--- a/tests/tool/explain.rs
+++ b/tests/tool/explain.rs
@@ -37,6 +37,20 @@
     );
 }
 
+/// Guards against a job that failed for the crashes of its VMs, without a line that shows them.
+#[test]
+fn cause_of_given_up_job_is_the_crashes_of_its_vms() {
+    let id = "e1d2fdf8c6f8da10";
+    assert_eq!(
+        cause(id, "crashed.jsonl"),
+        "cause: failed: VMs crashed under a task"
+    );
+    let file = log_path("crashed.jsonl");
+    let output = run_tool(&[], &["explain", id, &file]).expect(DONE);
+    assert_eq!(output.out.matches("vm_crashed").count(), 3);
+    assert_eq!(output.out.matches("run_crashed").count(), 3);
+}
+
 /// Guards against a preemption that is reported only to one side.
 #[test]
 fn both_sides_of_a_preemption_are_told_of_it() {
