Place tasks of a lost VM apart before its crash is known, unless in an outage

A crashed VM is back 3.3 s after the crash and in the table some 0.7 s later, but its lease has expired after 3.7 s: most tasks started the second time before the crash was known, packed together like any others.

Recent losses now count like a crash for the choice of the VM, unless a quarter of the VMs or more were lost within 10 s, as when a zone is cut off. Lasting runs that were adopted at a takeover are not taken for the cause of a crash, and a lasting run that clears its task is stored.

--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -98,7 +98,7 @@
             .task(task)
             .is_some_and(|task| !task.checkpoint.is_empty());
         // The start time of a run that an earlier placer started is unknown.
-        let start_observed = matches!(run.phase, Phase::Running { since } if since > run.sent_at);
+        let start_observed = matches!(run.phase, Phase::Running { .. }) && !run.is_adopted();
         if end != RunOutcome::Done || resumed || !start_observed {
             return;
         }
--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -30,18 +30,11 @@
             return;
         };
         let (lifetime, end_announced) = (vm.lifetime(), vm.has_announced_end());
-        let proven = vm.runs.iter().filter(|(_, run)| vm.is_proven(run));
-        let proven: Vec<TaskKey> = proven.map(|(&task, _)| task).collect();
-        for &task in &proven {
-            if let Some(state) = self.registry.task_mut(task) {
-                state.crashed.clear();
-            }
-        }
-        let runs = self.drop_runs(cx, key, reason, matches);
-        let runs = runs
-            .into_iter()
-            .filter(|(task, _, _)| !proven.contains(task));
-        let runs: Vec<(TaskName, RunNumber)> = runs.map(|(_, name, run)| (name, run)).collect();
+        let proven = self.clear_proven_tasks(key);
+        let mut runs = self.drop_runs(cx, key, reason, matches);
+        runs.retain(|(task, _, _)| !proven.contains(task));
+        let runs: Vec<(TaskName, RunNumber)> =
+            runs.into_iter().map(|(_, name, run)| (name, run)).collect();
         if !runs.is_empty() && !end_announced {
             self.lost_vms.add(LostVm {
                 lifetime,
@@ -52,6 +45,25 @@
         }
     }
 
+    /// Clears the crashes under tasks whose runs on a VM have lasted so long that they are not the
+    /// cause. Returns the tasks.
+    fn clear_proven_tasks(&mut self, key: VmKey) -> Vec<TaskKey> {
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return Vec::new();
+        };
+        let proven = vm.runs.iter().filter(|(_, run)| vm.is_proven(run));
+        let proven: Vec<TaskKey> = proven.map(|(&task, _)| task).collect();
+        for &task in &proven {
+            if let Some(state) = self.registry.task_mut(task)
+                && !state.crashed.is_empty()
+            {
+                state.crashed.clear();
+                self.registry.mark_dirty(task.step.job);
+            }
+        }
+        proven
+    }
+
     /// Handles a report of a VM in the lifetime that began at `started_ms`: a lost VM has not crashed
     /// if this is the same lifetime, and has crashed if it is a later one.
     pub(in crate::core::workload::placer) fn record_lifetime_of(
--- a/src/core/workload/placer/rounds/caution.rs
+++ b/src/core/workload/placer/rounds/caution.rs
@@ -15,8 +15,10 @@
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::policy::crashes::CLEARING_TIME;
 use crate::core::workload::policy::crashes::Caution;
+use crate::core::workload::policy::crashes::Losses;
 use crate::core::workload::policy::crashes::MAX_ALONE_WAIT;
 use crate::core::workload::policy::crashes::RECENT_LOSS;
+use crate::core::workload::policy::crashes::is_outage;
 use crate::core::workload::policy::crashes::max_alone;
 use crate::core::workload::policy::crashes::max_clearing;
 
@@ -56,25 +58,27 @@
         waiting.map(move |task| task.caution(now))
     }
 
-    /// Updates the numbers of recent losses of all tasks.
+    /// Updates the recent losses of all tasks.
     pub(in crate::core::workload::placer) fn count_recent_losses(&mut self, now: Now) {
         for task in std::mem::take(&mut self.tasks_with_losses) {
             if let Some(state) = self.registry.task_mut(task) {
-                state.recent_losses = 0;
+                state.recent_losses = Losses::default();
             }
         }
-        let lost = self
-            .lost_vms
-            .runs_lost_after(now.saturating_sub(RECENT_LOSS));
-        for task in lost
+        let since = now.saturating_sub(RECENT_LOSS);
+        let lost = || self.lost_vms.lost_after(since);
+        let in_outage = is_outage(lost().count(), self.fleet.vms.len());
+        let names = lost().flat_map(|vm| vm.runs.iter().map(|(name, _)| name));
+        let tasks: Vec<TaskKey> = names
             .filter_map(|name| self.registry.find_task(name))
-            .collect::<Vec<_>>()
-        {
+            .collect();
+        for &task in &tasks {
             if let Some(state) = self.registry.task_mut(task) {
-                state.recent_losses += 1;
-                self.tasks_with_losses.push(task);
+                state.recent_losses.count += 1;
+                state.recent_losses.in_outage = in_outage;
             }
         }
+        self.tasks_with_losses = tasks;
     }
 
     /// Returns the number of VMs of a service on which further tasks may run alone.
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -381,9 +381,10 @@
         self.runs.values().all(|run| self.is_proven(run))
     }
 
-    /// Returns whether a run has lasted so long that it is not the cause of a crash.
+    /// Returns whether a run has lasted so long that it is not the cause of a crash. The age of a run
+    /// of an earlier placer is not known, but it has survived its start.
     pub fn is_proven(&self, run: &Run) -> bool {
-        run.long_running && self.reported_age(run) >= crashes::PROVEN_AGE
+        run.long_running && (run.is_adopted() || self.reported_age(run) >= crashes::PROVEN_AGE)
     }
 
     /// Returns whether a start has gone unanswered for so long that the VM is likely to be cut off or
@@ -516,6 +517,11 @@
 }
 
 impl Run {
+    /// Returns whether an earlier placer started the run.
+    pub fn is_adopted(&self) -> bool {
+        matches!(self.phase, Phase::Running { since } if since == self.sent_at)
+    }
+
     /// Returns whether the run is being stopped or is to be stopped.
     pub fn is_stopping(&self) -> bool {
         matches!(self.phase, Phase::StopPending(_) | Phase::Stopping { .. })
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -17,6 +17,7 @@
 use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::rounds::advice::StepAdvice;
 use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::policy::crashes::Losses;
 use crate::core::workload::submission::OccurrenceIndex;
 use crate::core::workload::submission::Step;
 use crate::core::workload::submission::StepIndex;
@@ -112,8 +113,8 @@
     pub failed: Vec<RunNumber>,
     /// Numbers of the runs under which the VM crashed.
     pub crashed: Vec<RunNumber>,
-    /// Number of runs that were lost lately with VMs that may have crashed.
-    pub recent_losses: usize,
+    /// VMs that were lost lately under runs of the task, and may have crashed.
+    pub recent_losses: Losses,
     pub checkpoint: Checkpoint,
     pub waiting_since: Now,
     /// Number of runs that were stopped because their VM seemed stalled.
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -112,10 +112,9 @@
         self.list.iter()
     }
 
-    /// Returns the runs of the VMs that were lost after a time.
-    pub fn runs_lost_after(&self, at: Now) -> impl Iterator<Item = &TaskName> {
-        let recent = self.list.iter().filter(move |lost| lost.lost_at > at);
-        recent.flat_map(|lost| lost.runs.iter().map(|(task, _)| task))
+    /// Returns the VMs that were lost after a time.
+    pub fn lost_after(&self, at: Now) -> impl Iterator<Item = &LostVm> {
+        self.list.iter().filter(move |lost| lost.lost_at > at)
     }
 
     /// Removes the VMs that are no longer expected back.
--- a/src/core/workload/policy/crashes.rs
+++ b/src/core/workload/policy/crashes.rs
@@ -44,6 +44,19 @@
 /// Time after the loss of a VM for which it may have crashed in view of the placement of its tasks.
 pub const RECENT_LOSS: Duration = Duration::from_secs(10);
 
+/// Part of the VMs, as a divisor, from which on the loss of so many in a short time is an outage, as of
+/// a zone that is cut off, and not the doing of tasks.
+const OUTAGE_DIVISOR: usize = 4;
+
+/// VMs that were lost lately under runs of a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Losses {
+    /// Number of VMs.
+    pub count: usize,
+    /// Whether they were lost in an outage.
+    pub in_outage: bool,
+}
+
 /// How a task is placed in view of the crashes under its runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Caution {
@@ -58,22 +71,19 @@
 }
 
 impl Caution {
-    /// Returns the caution for a task under whose runs `crashes` VMs have crashed and `losses` VMs
-    /// were lost lately of which it is not known whether they have crashed.
-    ///
-    /// Losses alone do not affect the choice of the VM, as the tasks of a zone that is cut off are all
-    /// lost at the same time.
+    /// Returns the caution for a task under whose runs this number of VMs has crashed, with the recent
+    /// losses of others of which it is not known yet whether they have crashed.
     #[must_use]
-    pub fn new(crashes: usize, losses: usize) -> Self {
-        let possible = crashes + losses;
-        if losses > 0 && possible >= MAX_LONE_CRASHES {
+    pub fn new(crashes: usize, losses: Losses) -> Self {
+        let possible = crashes + losses.count;
+        if losses.count > 0 && possible >= MAX_LONE_CRASHES {
             Self::Hold
-        } else if crashes == 0 {
-            Self::None
-        } else if possible >= ALONE_CRASHES {
+        } else if crashes > 0 && possible >= ALONE_CRASHES {
             Self::Alone
-        } else {
+        } else if crashes > 0 || losses.count > 0 && !losses.in_outage {
             Self::Apart
+        } else {
+            Self::None
         }
     }
 }
@@ -85,6 +95,12 @@
     crashes >= MAX_CRASHES || was_alone && crashes >= MAX_LONE_CRASHES
 }
 
+/// Returns whether the loss of `lost` of `vms` VMs within [`RECENT_LOSS`] is an outage.
+#[must_use]
+pub fn is_outage(lost: usize, vms: usize) -> bool {
+    lost * OUTAGE_DIVISOR >= vms
+}
+
 /// Returns the number of a service's VMs that may run a single task at a time.
 #[must_use]
 pub fn max_alone(vms: usize) -> usize {
--- a/tests/policy/crashes.rs
+++ b/tests/policy/crashes.rs
@@ -1,7 +1,9 @@
 //! Policy for tasks under which VMs have crashed.
 
 use ragwortstall::core::workload::policy::crashes::Caution;
+use ragwortstall::core::workload::policy::crashes::Losses;
 use ragwortstall::core::workload::policy::crashes::is_given_up;
+use ragwortstall::core::workload::policy::crashes::is_outage;
 use ragwortstall::core::workload::policy::crashes::max_alone;
 use ragwortstall::core::workload::policy::crashes::max_clearing;
 
@@ -11,6 +13,10 @@
 const MAX_LATER_STARTS: usize = 2;
 
 fn assert_caution(crashes: usize, losses: usize, expected: Caution) {
+    let losses = Losses {
+        count: losses,
+        in_outage: false,
+    };
     assert_eq!(Caution::new(crashes, losses), expected);
 }
 
@@ -23,17 +29,30 @@
     a_task_stays_alone_after_more_crashes(3, 0, Caution::Alone),
 }
 
-// Guards against a task that starts again and again while the returns of its VMs are not known, and
-// against tasks of a zone that is cut off being placed as if they had crashed their VMs.
+// Guards against tasks that start together again before the crash of their VM is known, and against
+// a task that starts again and again while the returns of its VMs are not known.
 cases! {
     assert_caution;
-    a_task_of_a_lost_vm_is_placed_like_any_other(0, 1, Caution::None),
-    a_task_of_two_lost_vms_is_placed_like_any_other(0, 2, Caution::None),
+    a_task_of_a_lost_vm_is_placed_apart(0, 1, Caution::Apart),
+    a_task_of_two_lost_vms_is_placed_apart(0, 2, Caution::Apart),
     a_task_is_placed_alone_after_a_crash_and_a_loss(1, 1, Caution::Alone),
     a_task_is_held_after_three_losses(0, 3, Caution::Hold),
     a_task_is_held_after_two_crashes_and_a_loss(2, 1, Caution::Hold),
 }
 
+/// Guards against the tasks of a zone that is cut off being placed as if they had crashed their VMs.
+#[test]
+fn losses_in_an_outage_do_not_affect_the_choice_of_the_vm() {
+    let losses = |count| Losses {
+        count,
+        in_outage: true,
+    };
+    assert_eq!(Caution::new(0, losses(1)), Caution::None);
+    assert_eq!(Caution::new(0, losses(3)), Caution::Hold);
+    assert_eq!(Caution::new(1, losses(0)), Caution::Apart);
+    assert!(is_outage(12, 48) && !is_outage(11, 48));
+}
+
 /// Guards against jobs that fail for a crash that another task may have caused.
 #[test]
 fn two_crashes_are_no_proof_and_three_only_without_other_runs() {
