--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -7,13 +7,13 @@
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::Placer;
-use crate::core::workload::placer::state::fleet::Phase;
-use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::Phase;
+use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::task::EndedTask;
 use crate::core::workload::task::RunOutcome;
 
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -12,16 +12,14 @@
 use crate::core::workload::event::StartError;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
-use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
 use crate::core::workload::placer::rounds::dispatch::PlannedStart;
-use crate::core::workload::placer::state::fleet::Phase;
-use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::Phase;
+use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::placer::state::waits::started_work;
 use crate::core::workload::policy::crashes::Caution;
-use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
 
@@ -250,23 +248,3 @@
         ))
     )
 }
-
-impl Run {
-    fn new(number: RunNumber, spec: &Step, caution: Caution, now: Now) -> Self {
-        Self {
-            number,
-            reservation: spec.reservation(),
-            demand: spec.demand,
-            has_target: spec.target_ms > 0,
-            long_running: spec.traits.long_running,
-            caution,
-            may_have_crashed: false,
-            sent_at: now,
-            phase: Phase::Starting,
-            speed_percent: FULL_SPEED_PERCENT,
-            requested_speed_percent: None,
-            speed_retry_at: Now::ZERO,
-            measurement: 0,
-        }
-    }
-}
--- a/src/core/workload/placer/orders/throttle.rs
+++ b/src/core/workload/placer/orders/throttle.rs
@@ -14,10 +14,10 @@
 use crate::core::workload::event::OrderId;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
-use crate::core::workload::placer::state::fleet::Phase;
-use crate::core::workload::placer::state::fleet::Run;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::Phase;
+use crate::core::workload::placer::state::run::Run;
 
 /// Speed of a task that is not throttled, in percent.
 pub(in crate::core::workload::placer) const FULL_SPEED_PERCENT: u32 = 100;
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -22,6 +22,8 @@
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
+use crate::core::workload::placer::state::run::Phase;
+use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::placer::state::slowness::SlownessEstimate;
 use crate::core::workload::placer::state::stall::StallState;
 use crate::core::workload::placer::storage::roster::RosterState;
@@ -169,59 +171,6 @@
     pub received_at: Now,
 }
 
-/// A run that executes, or may execute, on a VM.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::core::workload::placer) struct Run {
-    pub number: RunNumber,
-    /// Resources reserved on the VM; no CPU for fillers.
-    pub reservation: Resources,
-    pub demand: Resources,
-    /// Whether the task has a latency target.
-    pub has_target: bool,
-    /// Whether the task runs until its job is cancelled.
-    pub long_running: bool,
-    /// Caution with which the task was placed.
-    pub caution: Caution,
-    /// Whether the VM has restarted since the start was sent, which was not answered before: the VM
-    /// may have crashed under the run.
-    pub may_have_crashed: bool,
-    /// When the start order was sent, or when the run of an earlier placer was adopted.
-    pub sent_at: Now,
-    pub phase: Phase,
-    /// Speed limit that the VM last accepted, in percent.
-    pub speed_percent: u32,
-    /// Speed limit requested and not yet answered, in percent.
-    pub requested_speed_percent: Option<u32>,
-    /// Earliest time to repeat a failed speed request.
-    pub speed_retry_at: Now,
-    /// Last reported tail latency in milliseconds, or CPU usage in millicores for tasks without a
-    /// latency target.
-    pub measurement: u64,
-}
-
-/// Lifecycle phase of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(in crate::core::workload::placer) enum Phase {
-    /// The start request has not been answered yet.
-    Starting,
-    /// The VM confirmed the run.
-    Running {
-        /// When the confirmation arrived.
-        since: Now,
-    },
-    /// The start request timed out; the run may exist.
-    Unconfirmed,
-    /// To be stopped, for this reason, once the stops row names the VM.
-    StopPending(&'static str),
-    /// A stop request was sent.
-    Stopping {
-        /// When the VM acknowledged the stop.
-        acked_at: Option<Now>,
-        /// When to send the stop again if it was not acknowledged.
-        retry_at: Now,
-    },
-}
-
 impl Fleet {
     pub fn key(&self, id: &str) -> Option<VmKey> {
         self.ids.get(id).copied()
@@ -516,18 +465,6 @@
     }
 }
 
-impl Run {
-    /// Returns whether an earlier placer started the run.
-    pub fn is_adopted(&self) -> bool {
-        matches!(self.phase, Phase::Running { since } if since == self.sent_at)
-    }
-
-    /// Returns whether the run is being stopped or is to be stopped.
-    pub fn is_stopping(&self) -> bool {
-        matches!(self.phase, Phase::StopPending(_) | Phase::Stopping { .. })
-    }
-}
-
 impl ClockReading {
     /// Returns the lowest time that the clock can show at `now`, in milliseconds.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/core/workload/placer/state/mod.rs
+++ b/src/core/workload/placer/state/mod.rs
@@ -5,6 +5,7 @@
 pub(in crate::core::workload::placer) mod job_registry;
 pub(in crate::core::workload::placer) mod lost_vms;
 pub(in crate::core::workload::placer) mod renewal_schedule;
+pub(in crate::core::workload::placer) mod run;
 pub(in crate::core::workload::placer) mod slowness;
 pub(in crate::core::workload::placer) mod stall;
 pub(in crate::core::workload::placer) mod usage;
--- /dev/null
+++ b/src/core/workload/placer/state/run.rs
@@ -0,0 +1,92 @@
+//! A run on a VM, from the order to start it to its end.
+
+use crate::core::model::Now;
+use crate::core::model::Resources;
+use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
+use crate::core::workload::policy::crashes::Caution;
+use crate::core::workload::submission::Step;
+use crate::core::workload::task::RunNumber;
+
+/// A run that executes, or may execute, on a VM.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::core::workload::placer) struct Run {
+    pub number: RunNumber,
+    /// Resources reserved on the VM; no CPU for fillers.
+    pub reservation: Resources,
+    pub demand: Resources,
+    /// Whether the task has a latency target.
+    pub has_target: bool,
+    /// Whether the task runs until its job is cancelled.
+    pub long_running: bool,
+    /// Caution with which the task was placed.
+    pub caution: Caution,
+    /// Whether the VM has restarted since the start was sent, which was not answered before: the VM
+    /// may have crashed under the run.
+    pub may_have_crashed: bool,
+    /// When the start order was sent, or when the run of an earlier placer was adopted.
+    pub sent_at: Now,
+    pub phase: Phase,
+    /// Speed limit that the VM last accepted, in percent.
+    pub speed_percent: u32,
+    /// Speed limit requested and not yet answered, in percent.
+    pub requested_speed_percent: Option<u32>,
+    /// Earliest time to repeat a failed speed request.
+    pub speed_retry_at: Now,
+    /// Last reported tail latency in milliseconds, or CPU usage in millicores for tasks without a
+    /// latency target.
+    pub measurement: u64,
+}
+
+/// Lifecycle phase of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Phase {
+    /// The start request has not been answered yet.
+    Starting,
+    /// The VM confirmed the run.
+    Running {
+        /// When the confirmation arrived.
+        since: Now,
+    },
+    /// The start request timed out; the run may exist.
+    Unconfirmed,
+    /// To be stopped, for this reason, once the stops row names the VM.
+    StopPending(&'static str),
+    /// A stop request was sent.
+    Stopping {
+        /// When the VM acknowledged the stop.
+        acked_at: Option<Now>,
+        /// When to send the stop again if it was not acknowledged.
+        retry_at: Now,
+    },
+}
+
+impl Run {
+    /// Creates a run whose start is sent, or that is adopted, at `now`.
+    pub fn new(number: RunNumber, spec: &Step, caution: Caution, now: Now) -> Self {
+        Self {
+            number,
+            reservation: spec.reservation(),
+            demand: spec.demand,
+            has_target: spec.target_ms > 0,
+            long_running: spec.traits.long_running,
+            caution,
+            may_have_crashed: false,
+            sent_at: now,
+            phase: Phase::Starting,
+            speed_percent: FULL_SPEED_PERCENT,
+            requested_speed_percent: None,
+            speed_retry_at: Now::ZERO,
+            measurement: 0,
+        }
+    }
+
+    /// Returns whether an earlier placer started the run.
+    pub fn is_adopted(&self) -> bool {
+        matches!(self.phase, Phase::Running { since } if since == self.sent_at)
+    }
+
+    /// Returns whether the run is being stopped or is to be stopped.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.phase, Phase::StopPending(_) | Phase::Stopping { .. })
+    }
+}
