Bound how long a former placer may renew leases by what its heartbeats say

Cause: a successor counted a fixed 2 s after the last heartbeat. A placer that is cut off with its zone notices it only when its renewals time out (2.5 s in a fleet of 350 VMs), counted from its last write of any kind, which may be 250 ms after its last heartbeat. A heartbeat from before an outage of the table counted as well.

Change: a heartbeat names the time for which its placer may renew leases, and the time for which earlier ones may. The placer counts from its last stored heartbeat, the successor from its receipt or the end of an outage of the table. Three of the tests failed before.

--- a/src/core/workload/former.rs
+++ b/src/core/workload/former.rs
@@ -1,6 +1,10 @@
 //! Former holder of the placer role, as a daemon that takes the role over knows it.
 
+use std::time::Duration;
+
 use super::cx::Cx;
+use super::event::Feed;
+use super::feeds::Feeds;
 use super::heartbeat::HeartbeatMonitor;
 use super::rows::HeartbeatRow;
 use super::rows::OwnerRow;
@@ -12,7 +16,7 @@
 pub(super) struct Former {
     /// Daemon; empty if unknown.
     pub daemon: DaemonId,
-    /// Latest time at which it may still renew leases.
+    /// Latest time at which it, or a holder before it, may still renew leases.
     pub renews_until: Now,
     /// Whether it has released the role.
     pub released: bool,
@@ -20,24 +24,38 @@
 
 impl Former {
     /// Returns the holder that the last heartbeat names.
-    pub fn new(cx: &Cx, heartbeats: &HeartbeatMonitor) -> Self {
+    pub fn new(cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Self {
         let last = heartbeats.heartbeat();
         Self {
             daemon: last.map_or("".into(), |last| last.row.owner.daemon.clone()),
-            renews_until: renews_until(cx, heartbeats),
+            renews_until: renews_until(cx, feeds, heartbeats),
             released: last.is_some_and(|last| last.row.released),
         }
     }
+
+    /// Returns the time for which it, or a holder before it, may still renew leases.
+    pub fn renews_for(&self, now: Now) -> Duration {
+        self.renews_until.saturating_sub(now)
+    }
 }
 
-/// Returns the time until which the former holder may still renew leases: now if it is known to be
-/// inactive, otherwise the end of the time for which a placer continues without the table.
-fn renews_until(cx: &Cx, heartbeats: &HeartbeatMonitor) -> Now {
-    match heartbeats.heartbeat() {
-        None => cx.now + cx.options.placer.partition_grace,
-        Some(last) if is_inactive(cx, &last.row) => cx.now,
-        Some(last) => last.received_at + cx.options.placer.partition_grace,
+/// Returns the time until which the former holder, or one before it, may still renew leases, as its
+/// last heartbeat says. A holder that is known to be inactive renews none itself. While the table was
+/// down for this daemon, the holder may have stored no heartbeat and have been cut off only at the
+/// end.
+fn renews_until(cx: &Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Now {
+    let max = cx.options.max_renewal_grace();
+    let Some(last) = heartbeats.heartbeat() else {
+        return cx.now + max;
+    };
+    let earlier = last.received_at + Duration::from_millis(last.row.former_renews_ms);
+    if is_inactive(cx, &last.row) {
+        return earlier.max(cx.now);
     }
+    let recovered_at = feeds.recovered_at(Feed::Heartbeats);
+    let renews = last.row.renews_ms.map_or(max, Duration::from_millis);
+    let own = last.received_at.max(recovered_at.unwrap_or(Now::ZERO)) + renews;
+    own.max(earlier)
 }
 
 /// Returns whether the sender of a heartbeat is known to be inactive: an earlier process of this
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -159,12 +159,12 @@
     fn write_heartbeat(&self, cx: &mut Cx, released: bool) {
         let part = &cx.options.part;
         let heartbeat = HeartbeatRow {
-            owner: self.grant.owner.clone(),
             released,
-            loading: true,
-            waiting: None,
-            waiting_age_ms: 0,
-            waits: Vec::new(),
+            ..HeartbeatRow::loading(
+                self.grant.owner.clone(),
+                cx.options.max_renewal_grace(),
+                self.grant.former.renews_for(cx.now),
+            )
         };
         let txn = Transaction {
             expect: vec![(RowId::new(PROGRESS, part, SEQUENCE_KEY), self.grant.version)],
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::capacity::HostCapacity;
+use super::policy::authority;
 use super::policy::evacuation;
 use crate::core::model::DaemonId;
 use crate::core::model::ZoneId;
@@ -63,8 +64,8 @@
     pub takeover_after: Duration,
     /// Time without a page of its rows after which a placer that is loading gives up the role.
     pub load_timeout: Duration,
-    /// Time for which a placer without access to the table keeps renewing leases although many VMs
-    /// do not answer either.
+    /// Shortest time for which a placer without access to the table keeps renewing leases although
+    /// many VMs do not answer either.
     pub partition_grace: Duration,
     /// Minimum interval between writes of progress.
     pub progress_interval: Duration,
@@ -133,6 +134,26 @@
         }
     }
 
+    /// Returns the longest time for which a placer may renew leases after its last heartbeat, in a
+    /// fleet of any size.
+    #[must_use]
+    pub fn max_renewal_grace(&self) -> Duration {
+        self.renewal_grace(self.vms.max_renewal_wait)
+    }
+
+    /// Returns the time for which a placer may renew leases after its last heartbeat if a renewal
+    /// waits for `renewal_wait`.
+    #[must_use]
+    pub fn renewal_grace(&self, renewal_wait: Duration) -> Duration {
+        let detection = renewal_wait + self.vms.renewal_margin;
+        let options = &self.placer;
+        authority::renewal_grace(
+            options.partition_grace,
+            options.heartbeat_interval,
+            detection,
+        )
+    }
+
     /// Returns the age up to which the view of the evacuation requests may be relied on; `None` for
     /// any age.
     #[must_use]
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -27,6 +27,7 @@
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::policy::admission::WaitEstimator;
+use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
@@ -44,10 +45,6 @@
 /// Reason why the role is lost; `None` while it is kept.
 pub(super) type RoleLoss = Option<Box<str>>;
 
-/// While the table does not answer, the placer assumes a network partition if at least one in this
-/// many VMs is silent.
-const PARTITION_DIVISOR: usize = 4;
-
 /// Interval of placement rounds while ready steps have waiting tasks.
 const PENDING_ROUND_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -60,10 +57,13 @@
     granted_at: Now,
     /// Time up to which all changes of the jobs table are applied.
     jobs_known_at: Now,
-    /// Latest time at which a former placer may still renew leases.
+    /// Latest time at which a former placer, or one before it, may still renew leases.
     former_renews_until: Now,
     /// Send time of the last progress write that was committed; initially the time of the grant.
     last_commit_sent_at: Now,
+    /// Send time of the last heartbeat that was stored; initially the time of the grant. A successor
+    /// counts from its receipt how long this placer may renew leases.
+    last_heartbeat_sent_at: Now,
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
@@ -350,16 +350,13 @@
     /// still reaches. It can restart their tasks only after their leases have expired, so this
     /// daemon must stop renewing them.
     fn is_partitioned(&self, cx: &Cx) -> bool {
-        if cx.now < self.last_commit_sent_at + cx.options.placer.partition_grace {
+        let renewal_wait = self.renewal_wait(cx);
+        if cx.now < self.last_heartbeat_sent_at + cx.options.renewal_grace(renewal_wait) {
             return false;
         }
-        let silent = self
-            .fleet
-            .vms
-            .values()
-            .filter(|vm| vm.renewal.failures > 0)
-            .count();
-        silent * PARTITION_DIVISOR >= self.fleet.vms.len()
+        let vms = self.fleet.vms.values();
+        let silent = vms.filter(|vm| vm.renewal.failures > 0).count();
+        is_minority(silent, self.fleet.vms.len())
     }
 
     fn schedule_round(&mut self, at: Now) {
@@ -394,6 +391,12 @@
             waiting: self.missing.is_empty().then_some(waiting),
             waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
             waits: self.wait_rows(),
+            renews_ms: Some(millis(cx.options.renewal_grace(self.renewal_wait(cx)))),
+            former_renews_ms: if self.settled {
+                0
+            } else {
+                millis(self.former_renews_until.saturating_sub(cx.now))
+            },
         }
     }
 
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -115,6 +115,7 @@
             jobs_known_at: rows.read_since,
             former_renews_until: former.renews_until,
             last_commit_sent_at: cx.now,
+            last_heartbeat_sent_at: cx.now,
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
             lost_vms: LostVms::default(),
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -66,6 +66,8 @@
 struct Batch {
     jobs: Vec<JobKey>,
     sent: Now,
+    /// Send time of the heartbeat, if the transaction writes it.
+    heartbeat_sent: Option<Now>,
     /// Whether the transaction releases the role.
     releases_role: bool,
     /// VM, start of its lifetime, and sequence number of its last ended run whose effects are
@@ -203,6 +205,7 @@
         jobs.truncate(included);
         self.progress.in_flight = Some(Batch {
             sent: cx.now,
+            heartbeat_sent: heartbeat_due.then_some(cx.now),
             releases_role: heartbeat_due && self.release == Release::InProgress,
             jobs,
             // Ended runs are acknowledged only after all their effects are written.
@@ -230,6 +233,9 @@
             self.progress.sequence = *version;
             self.progress.late_heartbeat_at = None;
             self.last_commit_sent_at = batch.sent;
+            if let Some(sent) = batch.heartbeat_sent {
+                self.last_heartbeat_sent_at = sent;
+            }
             if batch.releases_role {
                 self.release = Release::Done;
             }
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -126,7 +126,7 @@
                     *self = if *table_failed {
                         Self::probe_table(cx)
                     } else {
-                        Self::Claiming(Takeover::start(cx, heartbeats))
+                        Self::Claiming(Takeover::start(cx, feeds, heartbeats))
                     };
                 }
             }
@@ -384,7 +384,7 @@
 }
 
 impl Takeover {
-    fn start(cx: &mut Cx, heartbeats: &HeartbeatMonitor) -> Self {
+    fn start(cx: &mut Cx, feeds: &Feeds, heartbeats: &HeartbeatMonitor) -> Self {
         read_owner(cx, ReadPurpose::Owner);
         let last = heartbeats.heartbeat();
         Self {
@@ -395,7 +395,7 @@
                 .map(|last| last.received_at),
             heartbeat_version: last.map_or(0, |last| last.version),
             replaced_epoch: last.map_or(0, |last| last.row.owner.epoch),
-            former: Former::new(cx, heartbeats),
+            former: Former::new(cx, feeds, heartbeats),
             heartbeat_age: last.map_or(Duration::ZERO, |last| {
                 cx.now.saturating_sub(last.received_at)
             }),
@@ -424,14 +424,11 @@
         };
         let part = &cx.options.part;
         let row = RowId::new(JOBS, part, OWNER_KEY);
-        let heartbeat = HeartbeatRow {
-            owner: claim.clone(),
-            released: false,
-            loading: true,
-            waiting: None,
-            waiting_age_ms: 0,
-            waits: Vec::new(),
-        };
+        let heartbeat = HeartbeatRow::loading(
+            claim.clone(),
+            cx.options.max_renewal_grace(),
+            self.former.renews_for(cx.now),
+        );
         let heartbeat_row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
         let sequence = RowId::new(PROGRESS, part, SEQUENCE_KEY);
         let txn = Transaction {
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -10,6 +10,7 @@
 
 use super::capacity::HostCapacity;
 use super::catalog::QueueId;
+use super::cx::millis;
 use super::effect::JobState;
 use super::submission::OccurrenceIndex;
 use super::submission::StepIndex;
@@ -182,6 +183,20 @@
     /// Estimated waits of new jobs, for the queues and teams whose wait is worth reporting.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub waits: Vec<WaitRow>,
+    /// Time in milliseconds for which the placer may renew leases after this heartbeat without
+    /// storing another one; `None` from an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub renews_ms: Option<u64>,
+    /// Time in milliseconds for which earlier placers may renew leases after this heartbeat; zero
+    /// once no run of theirs can be unknown.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub former_renews_ms: u64,
+}
+
+/// Returns whether a number is zero, for serde.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// Estimated wait of a new job of a queue and team.
@@ -225,6 +240,22 @@
 }
 
 impl HeartbeatRow {
+    /// Returns a heartbeat of a placer that loads its rows and renews no lease yet. When it has
+    /// loaded them, it may renew leases for at most `renews`. Earlier placers may do so for at most
+    /// `former_renews`.
+    pub fn loading(owner: OwnerRow, renews: Duration, former_renews: Duration) -> Self {
+        Self {
+            owner,
+            released: false,
+            loading: true,
+            waiting: None,
+            waiting_age_ms: 0,
+            waits: Vec::new(),
+            renews_ms: Some(millis(renews)),
+            former_renews_ms: millis(former_renews),
+        }
+    }
+
     /// Returns the number of jobs of a queue without a started task, and its age when the heartbeat
     /// was written; `None` if it is not known. The row has no entry for a queue where none waits.
     pub fn waiting_jobs(&self, queue: &str) -> Option<(u64, Duration)> {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -26,6 +26,7 @@
 mod preemption;
 mod random_outages;
 mod relay;
+mod renewal_grace;
 mod resizes;
 mod silent_vms;
 mod slow_link;
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -84,6 +84,15 @@
         }
     }
 
+    /// Returns the time that has passed.
+    pub(crate) fn now(&self) -> Now {
+        self.now
+    }
+
+    pub(crate) fn apply_answer(&mut self, answer: Answer) {
+        self.apply(Event::Answer(answer));
+    }
+
     /// Takes the first request that matches.
     pub(crate) fn take(&mut self, matches: impl Fn(&Request) -> bool) -> Request {
         let ix = self.requests.iter().position(matches);
