Leave the load balancer at once where the zone is cut off, and say when to return

Cause: daemons of a zone that was cut off went on reporting that they were ready for 2.5 s and refused their callers, who used up all tries with a flat Retry-After of 0.5 s before the balancer sent them to another zone.

Change: while the table does not answer, a daemon probes one daemon in each other zone. If none listens, it reports at once that it is not ready, refuses calls without waiting for the table, and suggests the time after which the balancer has removed it. If one listens, the table is slow, down or turns it away; then it stays, as other zones serve no better or calls are relayed. A caller whose earlier submission may still take effect is told that the outcome is unknown, here and while the table is down for this daemon, instead of that the job has not run. Address rows name the zone.

--- a/src/core/workload/address.rs
+++ b/src/core/workload/address.rs
@@ -37,6 +37,7 @@
         let row = RowId::new(HEARTBEATS, DAEMONS_PART, &cx.options.daemon);
         let address = AddressRow {
             peer: cx.options.peer_address.clone(),
+            zone: Some(cx.options.zone.clone()),
             capacity: cx.options.capacity,
         };
         let txn = Transaction {
--- a/src/core/workload/callers/batcher.rs
+++ b/src/core/workload/callers/batcher.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::calls::UNAVAILABLE_RETRY_AFTER;
 use super::recent_ids::RecentIds;
 use crate::core::model::JobId;
 use crate::core::model::Now;
@@ -247,11 +246,7 @@
         config: pending.config_version,
         table_age_ms: cx.table_age_ms(),
     });
-    reply(
-        cx,
-        &pending.tickets,
-        &Reply::Unavailable(UNAVAILABLE_RETRY_AFTER),
-    );
+    reply(cx, &pending.tickets, &cx.unavailable());
 }
 
 fn reply(cx: &mut Cx, tickets: &[Ticket], reply: &Reply) {
--- a/src/core/workload/callers/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -2,7 +2,6 @@
 //! the table is accessed.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
@@ -42,9 +41,6 @@
 use crate::core::workload::table::Range;
 use crate::core::workload::table::Transaction;
 
-/// Delay before a retry that is suggested to callers while the table is unavailable.
-pub(in crate::core::workload) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Length of a job identifier, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
 
@@ -238,7 +234,7 @@
                 return read_job_for_cancel(cx, ticket, id);
             }
             CommitOutcome::Conflict(_) => Reply::NoJob,
-            CommitOutcome::Refused(_) => Reply::Unavailable(UNAVAILABLE_RETRY_AFTER),
+            CommitOutcome::Refused(_) => cx.unavailable(),
             CommitOutcome::Unknown(reason) => {
                 cx.log(Decision::Unsettled {
                     id: id.clone(),
@@ -282,7 +278,7 @@
                     config: cx.catalog.map_or(0, |catalog| catalog.version),
                     table_age_ms: cx.table_age_ms(),
                 });
-                self.reply(cx, ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
+                self.reply(cx, ticket, cx.unavailable());
                 None
             }
         }
@@ -334,14 +330,19 @@
     if let Err(reason) = job.validate() {
         return cx.reply(ticket, Reply::Invalid(reason));
     }
+    let may_be_stored =
+        components.batcher.may_be_stored(&id) || components.relays.may_have_submitted(&id);
     if !components.feeds.is_up(Feed::Heartbeats) {
+        if may_be_stored {
+            return cx.reply(ticket, Reply::Unknown);
+        }
         cx.log(Decision::Refused {
             id,
             reason: "the table does not answer".into(),
             config: config_version,
             table_age_ms: cx.table_age_ms(),
         });
-        return cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
+        return cx.reply(ticket, cx.unavailable());
     }
     let admission = &mut *components.admission;
     let row = JobRow {
@@ -351,8 +352,6 @@
         at: admission.acceptance_time(cx, &id, queue, &job),
         job: Some(job),
     };
-    let may_be_stored =
-        components.batcher.may_be_stored(&id) || components.relays.may_have_submitted(&id);
     let submitted = Submitted {
         id,
         row,
@@ -374,7 +373,7 @@
         beat_age_ms: heartbeat
             .map(|heartbeat| millis(cx.now.saturating_sub(heartbeat.received_at))),
     });
-    let unknown = Reply::Unavailable(UNAVAILABLE_RETRY_AFTER);
+    let unknown = cx.unavailable();
     cx.reply(ticket, waiting.map_or(unknown, Reply::Waiting));
 }
 
@@ -391,12 +390,26 @@
         config: cx.catalog.map_or(0, |catalog| catalog.version),
         table_age_ms: cx.table_age_ms(),
     });
-    cx.reply(ticket, Reply::Unavailable(UNAVAILABLE_RETRY_AFTER));
+    cx.reply(ticket, cx.unavailable());
+}
+
+/// Refuses a call as this daemon is cut off. The outcome of a call whose earlier submission may still
+/// take effect is unknown.
+pub(in crate::core::workload) fn reply_cut_off(
+    cx: &mut Cx,
+    ticket: Ticket,
+    call: &Call,
+    may_run: bool,
+) {
+    if may_run {
+        return cx.reply(ticket, Reply::Unknown);
+    }
+    reply_unavailable(cx, ticket, call, "cut off from the table and other zones");
 }
 
 fn report_unreadable_row(cx: &mut Cx, id: JobId, reason: Box<str>) -> Reply {
     cx.log(Decision::RowUnreadable { key: id, reason });
-    Reply::Unavailable(UNAVAILABLE_RETRY_AFTER)
+    cx.unavailable()
 }
 
 fn team_for_key(catalog: &Catalog, key: Option<&str>) -> Option<TeamId> {
@@ -410,7 +423,7 @@
 }
 
 /// Returns the id at the end of a job's path, without the query string; empty if it is too short.
-pub(super) fn job_id_in_path(path: &str) -> &str {
+pub(in crate::core::workload) fn job_id_in_path(path: &str) -> &str {
     let path = path.split('?').next().unwrap_or_default();
     let start = path.len().checked_sub(JOB_ID_DIGITS);
     start
--- a/src/core/workload/callers/relay.rs
+++ b/src/core/workload/callers/relay.rs
@@ -8,7 +8,6 @@
 
 use rustc_hash::FxHashMap;
 
-use super::calls::UNAVAILABLE_RETRY_AFTER;
 use super::calls::job_id_in_path;
 use super::recent_ids::RecentIds;
 use crate::core::model::DaemonId;
@@ -145,7 +144,7 @@
             self.unsettled.add(id, ());
             Reply::Unknown
         } else {
-            Reply::Unavailable(UNAVAILABLE_RETRY_AFTER)
+            cx.unavailable()
         };
         cx.reply(ticket, reply);
     }
--- a/src/core/workload/cx.rs
+++ b/src/core/workload/cx.rs
@@ -34,6 +34,8 @@
     pub evacuation: &'a Evacuation,
     /// Time of the last answer of the table to a daemon's watch; `None` before the first.
     pub table_answered_at: Option<Now>,
+    /// Delay before a retry that is suggested to callers who cannot be served now.
+    pub retry_after: Duration,
     /// Effects so far.
     pub effects: &'a mut Effects,
 }
@@ -79,6 +81,11 @@
         Some(bound.saturating_sub(ORDER_MARGIN + age))
     }
 
+    /// Returns the reply to a caller who cannot be served now and whose call has no effect.
+    pub fn unavailable(&self) -> Reply {
+        Reply::Unavailable(self.retry_after)
+    }
+
     /// Replies to a caller.
     pub fn reply(&mut self, ticket: Ticket, reply: Reply) {
         self.effects.push(Effect::Reply(ticket, reply));
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -189,6 +189,12 @@
     FinalStateMissing { id: JobId },
     /// A table row could not be decoded.
     RowUnreadable { key: Box<str>, reason: Box<str> },
+    /// This daemon is cut off together with its zone, or is so no longer.
+    Isolation {
+        cut_off: bool,
+        lasted_ms: u64,
+        reason: Box<str>,
+    },
     /// The placer's process has ended, as its host refuses connections.
     HolderEnded {
         daemon: DaemonId,
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -428,6 +428,9 @@
     /// Finds out for the placer of an epoch whether the process of this daemon, whose host is fit
     /// for the role, runs.
     FitDaemon(Epoch, DaemonId),
+    /// Finds out whether a daemon of another zone can be reached. Has the time at which the probe was
+    /// sent.
+    OtherZone(Now),
 }
 
 /// Result of probing a daemon's address.
--- a/src/core/workload/heartbeat.rs
+++ b/src/core/workload/heartbeat.rs
@@ -1,6 +1,8 @@
 //! Monitor of the placer's heartbeat and the daemons' addresses and hosts, which every daemon
 //! follows.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -25,6 +27,7 @@
 use crate::core::model::Now;
 use crate::core::model::Rev;
 use crate::core::model::TeamId;
+use crate::core::model::ZoneId;
 
 /// Maximum age of a number of waiting jobs that is returned to callers.
 ///
@@ -42,6 +45,8 @@
     probe: HolderProbe,
     /// Addresses of the daemons for calls between them.
     pub addresses: FxHashMap<DaemonId, Box<str>>,
+    /// Availability zones of the daemons that have published theirs.
+    zones: BTreeMap<ZoneId, BTreeSet<DaemonId>>,
     /// Hosts of the daemons.
     pub hosts: Hosts,
 }
@@ -101,6 +106,22 @@
         Some(PublishedWait { wait, age })
     }
 
+    /// Returns the address of one daemon in each zone but `zone`. The `turn` selects among the
+    /// daemons of a zone.
+    pub fn addresses_in_other_zones(&self, zone: &ZoneId, turn: usize) -> Vec<Box<str>> {
+        let others = self.zones.iter().filter(|(other, _)| *other != zone);
+        let daemons = others.filter_map(|(_, daemons)| daemons.iter().nth(turn % daemons.len()));
+        let addresses = daemons.filter_map(|daemon| self.addresses.get(daemon));
+        addresses.cloned().collect()
+    }
+
+    fn remove_from_zones(&mut self, daemon: &DaemonId) {
+        self.zones.retain(|_, daemons| {
+            daemons.remove(daemon);
+            !daemons.is_empty()
+        });
+    }
+
     /// Probes the holder's process if its heartbeat is late.
     pub fn poll(&mut self, cx: &mut Cx) {
         if let Some(last) = &self.last {
@@ -154,9 +175,14 @@
                 self.hosts
                     .update(&row.key, row.version, address.capacity, cx.now);
                 self.addresses.insert(row.key.clone(), address.peer);
+                self.remove_from_zones(&row.key);
+                if let Some(zone) = address.zone {
+                    self.zones.entry(zone).or_default().insert(row.key.clone());
+                }
             } else {
                 self.hosts.remove(&row.key);
                 self.addresses.remove(&row.key);
+                self.remove_from_zones(&row.key);
             }
         } else if row.part == cx.options.part && &*row.key == HEARTBEAT_KEY {
             self.last = match &row.value {
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -26,6 +26,7 @@
 mod former;
 mod heartbeat;
 mod hosts;
+mod isolation;
 mod loading;
 mod placer;
 mod probe;
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -24,6 +24,9 @@
     /// Name of the part of the cell whose VMs are managed by one placer, which is this daemon or
     /// another daemon of the part. The placer's rows are in the table parts of the same name.
     pub part: Box<str>,
+    /// Longest time from when this daemon reports that it is not ready until the load balancer
+    /// sends new callers elsewhere.
+    pub removal_delay: Duration,
     /// Maximum time from the start of the drain to the exit of the process.
     pub drain_timeout: Duration,
     /// Options of table calls.
@@ -127,6 +130,7 @@
             capacity: HostCapacity::default(),
             nonce,
             part: "p0".into(),
+            removal_delay: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(4),
             table: TableOptions::default(),
             placer: PlacerOptions::default(),
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod estimates;
 pub mod evacuation;
 pub mod forwarders;
+pub mod isolation;
 pub mod preemption;
 pub mod shares;
 pub mod stall;
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -26,6 +26,7 @@
 use crate::core::model::TaskIndex;
 use crate::core::model::TeamId;
 use crate::core::model::VmId;
+use crate::core::model::ZoneId;
 
 /// Result of decoding a row's value.
 pub(super) type Result<T, E = Box<str>> = std::result::Result<T, E>;
@@ -223,6 +224,9 @@
 pub(super) struct AddressRow {
     /// Address for calls between daemons.
     pub peer: Box<str>,
+    /// Availability zone; `None` from an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneId>,
     /// Capacity of the daemon's host.
     #[serde(default)]
     pub capacity: HostCapacity,
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -8,6 +8,8 @@
 use super::callers::batcher::SubmissionBatcher;
 use super::callers::calls::CallHandler;
 use super::callers::calls::Components;
+use super::callers::calls::job_id_in_path;
+use super::callers::calls::reply_cut_off;
 use super::callers::calls::reply_unavailable;
 use super::callers::relay::Relays;
 use super::catalog::Catalog;
@@ -18,6 +20,7 @@
 use super::effect::Effect;
 use super::effect::Effects;
 use super::evacuation::Evacuation;
+use super::event::Action;
 use super::event::Answer;
 use super::event::Call;
 use super::event::CommitPurpose;
@@ -32,6 +35,7 @@
 use super::feeds::Feeds;
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
+use super::isolation::IsolationMonitor;
 use super::options::Options;
 use super::role::Role;
 use super::status::Status;
@@ -50,6 +54,7 @@
             catalog: $state.catalog.as_ref(),
             evacuation: &$state.evacuation,
             table_answered_at: $state.feeds.last_answer_at(),
+            retry_after: $state.isolation.retry_after($now, &$state.options),
             effects: $out,
         }
     };
@@ -71,6 +76,7 @@
     admission: AdmissionControl,
     calls: CallHandler,
     relays: Relays,
+    isolation: IsolationMonitor,
     role: Role,
     address_state: AddressState,
     /// Start of the drain, if one was requested.
@@ -97,6 +103,7 @@
             admission: AdmissionControl::default(),
             calls: CallHandler::default(),
             relays: Relays::default(),
+            isolation: IsolationMonitor::default(),
             role: Role::new(),
             address_state: AddressState::Due(Now::ZERO),
             drain_started_at: None,
@@ -125,16 +132,17 @@
             at = earliest(at, self.heartbeats.wake_at(&cx));
         }
         at = earliest(at, self.address_state.wake_at());
-        at
+        earliest(at, self.isolation.wake_at(&cx))
     }
 
     /// Returns whether this daemon can serve callers: it has a configuration, a recent answer of
-    /// the table service, and is not draining.
+    /// the table service, and is neither cut off with its zone nor draining.
     #[must_use]
     pub fn is_ready(&self, now: Now) -> bool {
         let last_answer_at = self.feeds.last_answer_at();
         let fresh = last_answer_at.is_some_and(|at| now < at + self.options.table.stale_after);
-        self.catalog.is_some() && fresh && self.drain_started_at.is_none()
+        let serves = !self.isolation.is_cut_off() && self.drain_started_at.is_none();
+        self.catalog.is_some() && fresh && serves
     }
 
     /// Returns the version of the configuration in force; zero before the first one.
@@ -185,6 +193,10 @@
 
     fn handle_call(&mut self, now: Now, out: &mut Effects, ticket: Ticket, call: Call) {
         let mut cx = context!(self, now, out);
+        if self.isolation.is_cut_off() {
+            let may_run = self.may_have_submitted(&call);
+            return reply_cut_off(&mut cx, ticket, &call, may_run);
+        }
         let table_is_up = self.feeds.is_up(Feed::Heartbeats);
         if !table_is_up && self.relays.start(&mut cx, &self.heartbeats, ticket, &call) {
             return;
@@ -208,6 +220,13 @@
         self.calls.handle(&mut cx, components, ticket, call);
     }
 
+    /// Returns whether an earlier submission of the job that a call submits may still take effect.
+    fn may_have_submitted(&self, call: &Call) -> bool {
+        let id = job_id_in_path(&call.path);
+        let may_run = self.batcher.may_be_stored(id) || self.relays.may_have_submitted(id);
+        matches!(call.action, Action::Submit(_)) && may_run
+    }
+
     fn handle_answer(&mut self, now: Now, out: &mut Effects, answer: Answer) {
         if let Answer::Feed(call, answer) = answer {
             return self.handle_feed_answer(now, out, call, answer);
@@ -222,6 +241,10 @@
                 self.heartbeats.handle_probe_result(cx, version, &result);
                 None
             }
+            Answer::Probed(ProbePurpose::OtherZone(sent), result) => {
+                self.isolation.handle_probe_result(cx, sent, result);
+                None
+            }
             Answer::Relayed(ticket, result) => {
                 let heartbeats = &self.heartbeats;
                 self.relays.handle_result(cx, heartbeats, ticket, result);
@@ -420,6 +443,7 @@
     fn poll(&mut self, now: Now, out: &mut Effects) {
         let mut cx = context!(self, now, out);
         self.feeds.poll(&mut cx);
+        self.isolation.poll(&mut cx, &self.heartbeats);
         if !self.feeds.is_up(Feed::Heartbeats) {
             self.batcher.refuse_queued(&mut cx);
         }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod estimates;
 mod evacuation;
 mod forwarders;
+mod isolation;
 mod preemption;
 mod shares;
 mod stall;
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -15,6 +15,7 @@
 mod evacuation_view;
 mod faults;
 mod harness;
+mod isolation;
 mod jobs;
 mod late_answers;
 mod late_parts;
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -5,13 +5,16 @@
 
 use ragwortstall::core::model::Now;
 use ragwortstall::core::model::Resources;
+use ragwortstall::core::model::Ticket;
 use ragwortstall::core::workload::Effect;
 use ragwortstall::core::workload::Event;
 use ragwortstall::core::workload::Options;
 use ragwortstall::core::workload::Workload;
 use ragwortstall::core::workload::decision::Decision;
+use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::Call;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
@@ -44,6 +47,7 @@
     /// Requests without an answer, in the order in which they were sent.
     pub requests: Vec<Request>,
     pub decisions: Vec<Decision>,
+    replies: Vec<Reply>,
 }
 
 impl Daemon {
@@ -55,6 +59,7 @@
             version: 1,
             requests: Vec::new(),
             decisions: Vec::new(),
+            replies: Vec::new(),
         };
         daemon.tick(Duration::ZERO);
         let config = FeedRow::Config(Box::new(catalog(Resources::ZERO, None)));
@@ -79,7 +84,8 @@
             match effect {
                 Effect::Send(req) => self.requests.push(req),
                 Effect::Log(decision) => self.decisions.push(decision),
-                Effect::Reply(..) | Effect::Exit => {}
+                Effect::Reply(_, reply) => self.replies.push(reply),
+                Effect::Exit => {}
             }
         }
     }
@@ -89,6 +95,18 @@
         self.now
     }
 
+    /// Returns whether the daemon reports that it is ready.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.state.is_ready(self.now)
+    }
+
+    /// Sends a call and returns the reply, if the daemon replies at once.
+    pub(crate) fn call(&mut self, call: Call) -> Option<Reply> {
+        let ticket = Ticket::default();
+        self.apply(Event::Call { ticket, call });
+        self.replies.pop()
+    }
+
     pub(crate) fn apply_answer(&mut self, answer: Answer) {
         self.apply(Event::Answer(answer));
     }
