--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -15,16 +15,15 @@
 use crate::core::workload::event::VmRow;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::STOP_MARGIN;
 use crate::core::workload::placer::state::fleet::ClockReading;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
-use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::task::RunNumber;
-use crate::core::workload::task::RunningTask;
 use crate::core::workload::task::TaskName;
 
 /// Longest delay of the next renewal while ended runs of the last report are not yet stored in the
@@ -35,9 +34,6 @@
 /// report.
 const MAX_ENDED_PER_REPORT: usize = 500;
 
-/// Margin beyond the stop timeout after which a run that the VM does not report counts as gone.
-const STOP_MARGIN: Duration = Duration::from_millis(100);
-
 /// Time after a takeover before the VMs that have not answered yet are logged.
 const SETTLING_LOG_DELAY: Duration = Duration::from_millis(300);
 
@@ -365,125 +361,6 @@
         }
         dropped
     }
-
-    /// Compares the runs that a VM reports with those that the placer expects there.
-    fn reconcile(
-        &mut self,
-        cx: &mut Cx,
-        key: VmKey,
-        sent: Now,
-        listed: &[RunningTask],
-        is_complete: bool,
-    ) {
-        for running in listed {
-            self.reconcile_run(cx, key, running);
-        }
-        if !is_complete {
-            return;
-        }
-        let Some(vm) = self.fleet.vms.get(&key) else {
-            return;
-        };
-        let missing = vm.runs.iter().filter(|(task, run)| {
-            let name = self.registry.task_name(**task);
-            let is_listed =
-                |row: &RunningTask| Some(&row.task) == name.as_ref() && row.run == run.number;
-            would_be_listed(run, sent, cx) && !listed.iter().any(is_listed)
-        });
-        let mut missing: Vec<(TaskKey, Run)> = missing.map(|(&task, &run)| (task, run)).collect();
-        missing.sort_unstable_by_key(|(task, _)| *task);
-        for (task, run) in missing {
-            match run.phase {
-                // The start may still arrive. A stop with the same run number makes the VM reject
-                // it.
-                Phase::Starting | Phase::Unconfirmed | Phase::StopPending(_) => {
-                    self.order_stop(cx, key, task, "start request was not answered");
-                }
-                Phase::Running { .. } | Phase::Stopping { .. } => {
-                    if run.may_have_crashed {
-                        self.record_unconfirmed_crash(cx, key, task, run.number);
-                    }
-                    self.release_and_requeue(cx, key, task);
-                }
-            }
-        }
-    }
-
-    /// Compares a run that a VM reports with the one that the placer expects there.
-    pub(in crate::core::workload::placer) fn reconcile_run(
-        &mut self,
-        cx: &mut Cx,
-        key: VmKey,
-        row: &RunningTask,
-    ) {
-        if self.is_unread(&row.task.job) {
-            return self.missing.keep_run(key, row);
-        }
-        let Some(task) = self.registry.find_task(&row.task) else {
-            if self.is_surplus_run(key, row) {
-                return;
-            }
-            return self.stop_unexpected(cx, key, row, "job is unknown");
-        };
-        let Some(vm) = self.fleet.vms.get_mut(&key) else {
-            return;
-        };
-        if let Some(run) = vm.runs.get_mut(&task)
-            && run.number == row.run
-        {
-            run.measurement = row.measurement;
-            run.may_have_crashed = false;
-            if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
-                run.phase = Phase::Running { since: cx.now };
-                self.record_start(cx, task);
-            }
-            if let Some(state) = self.registry.task_mut(task)
-                && !row.checkpoint.is_empty()
-            {
-                state.checkpoint.clone_from(&row.checkpoint);
-            }
-            return;
-        }
-        let is_active = self
-            .registry
-            .jobs
-            .get(&task.step.job)
-            .is_some_and(crate::core::workload::placer::state::job_registry::Job::is_active);
-        let is_waiting = self
-            .registry
-            .task(task)
-            .is_some_and(|task| task.placement == Placement::Waiting);
-        if !is_waiting {
-            return self.stop_unexpected(cx, key, row, "run is not assigned to this VM");
-        }
-        // A run of a job that has ended counts for its VM and its team until it has stopped.
-        self.adopt_run(cx, key, task, row);
-        if !is_active {
-            self.order_stop(cx, key, task, "job has ended");
-        }
-    }
-}
-
-impl Placer {
-    /// Returns whether a run of a task whose occurrence is done is known, and so is being stopped.
-    fn is_surplus_run(&self, key: VmKey, row: &RunningTask) -> bool {
-        let task = self.registry.task_key(&row.task);
-        let vm = self.fleet.vms.get(&key);
-        let run = task.and_then(|task| vm?.runs.get(&task));
-        run.is_some_and(|run| run.number == row.run)
-    }
-}
-
-/// Returns whether the answer to a renewal sent at `sent` would list the run if the VM had it.
-fn would_be_listed(run: &Run, sent: Now, cx: &Cx) -> bool {
-    match run.phase {
-        Phase::Starting | Phase::StopPending(_) => false,
-        Phase::Unconfirmed => sent > run.sent_at + cx.options.vms.order_timeout,
-        Phase::Running { since } => sent > since,
-        // A run that is being stopped may be in neither list, and uses its resources until it ends.
-        Phase::Stopping { acked_at, .. } => acked_at
-            .is_some_and(|acked_at| sent > acked_at + cx.options.vms.stop_timeout + STOP_MARGIN),
-    }
 }
 
 /// Records that a VM has answered, and logs it if renewals had failed before.
--- a/tests/policy/isolation.rs
+++ b/tests/policy/isolation.rs
@@ -54,7 +54,10 @@
         let mut at = first_try;
         let mut tries = 1;
         while at < removed && tries < TRIES {
-            at += whole_seconds(retry_after(Some(at.saturating_sub(detected)), REMOVAL_DELAY));
+            at += whole_seconds(retry_after(
+                Some(at.saturating_sub(detected)),
+                REMOVAL_DELAY,
+            ));
             tries += 1;
         }
         assert!(at >= removed, "all tries are used up at {at:?}");
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod partial_outage;
 mod preemption;
+mod preemption_log;
 mod random_outages;
 mod relay;
 mod renewal_grace;
--- a/tests/workload/preemption.rs
+++ b/tests/workload/preemption.rs
@@ -4,7 +4,6 @@
 
 use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::catalog::AdviceTiming;
-use ragwortstall::core::workload::catalog::QueueId;
 use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
@@ -24,7 +23,7 @@
 const VMS: usize = 4;
 
 /// Id of the batch job that fills the VMs.
-const BATCH: &str = "00000000000000b0";
+pub(crate) const BATCH: &str = "00000000000000b0";
 
 /// Number of tasks of the batch job, each of which takes half a VM.
 const BATCH_TASKS: u32 = 8;
@@ -33,7 +32,7 @@
 const BATCH_MILLIS: u64 = 20_000;
 
 /// Run time after which runs may be stopped, and a margin, in milliseconds.
-const MIN_RUN_MILLIS: u64 = 2_500;
+pub(crate) const MIN_RUN_MILLIS: u64 = 2_500;
 
 /// Time of several rounds with the messages that they send, in milliseconds.
 const ROUNDS_MILLIS: u64 = 300;
@@ -44,7 +43,7 @@
 }
 
 /// Returns a step of half-VM tasks that save checkpoints.
-fn batch_step() -> Step {
+pub(crate) fn batch_step() -> Step {
     let mut batch = step(BATCH_TASKS, BATCH_MILLIS, &[]);
     batch.demand = Resources::new(8_000, 8_000, 0, 1);
     batch.traits.checkpointing = true;
@@ -58,7 +57,7 @@
 }
 
 /// Returns a cell with a batch queue of this priority.
-fn cell(advice: Option<AdviceTiming>, priority: u32, batch_priority: u32) -> Harness {
+pub(crate) fn cell(advice: Option<AdviceTiming>, priority: u32, batch_priority: u32) -> Harness {
     let mut harness = Harness::new(2, VMS);
     harness.advice = advice;
     harness.priority = priority;
@@ -69,13 +68,13 @@
 
 /// Returns a cell whose VMs run a batch job that fills them, for long enough that its runs may be
 /// stopped.
-fn full_cell() -> Harness {
+pub(crate) fn full_cell() -> Harness {
     let mut harness = cell(None, 0, 2);
     fill(&mut harness, batch_step());
     harness
 }
 
-fn fill(harness: &mut Harness, batch: Step) {
+pub(crate) fn fill(harness: &mut Harness, batch: Step) {
     let reply = harness.submit_batch(0, BATCH, job(vec![batch]));
     assert_eq!(reply, Reply::Accepted);
     harness.run_for(MIN_RUN_MILLIS);
@@ -83,7 +82,7 @@
     assert_eq!(running, BATCH_TASKS as usize);
 }
 
-fn submit_urgent(harness: &mut Harness, id: &str, tasks: u32) {
+pub(crate) fn submit_urgent(harness: &mut Harness, id: &str, tasks: u32) {
     let reply = harness.submit_as(OTHER_KEY, 1, id, urgent_job(tasks));
     assert_eq!(reply, Reply::Accepted);
 }
@@ -450,53 +449,3 @@
     harness.run_for(3_000);
     assert_eq!(preemptions(&harness), 0);
 }
-
-/// Guards against preemption that a configuration switches on unnoticed, and against a line in each
-/// round.
-#[test]
-fn the_log_names_the_queues_that_may_preempt_others_once() {
-    let mut harness = cell(None, 0, 2);
-    harness.decisions.clear();
-    harness.restart_all();
-    fill(&mut harness, batch_step());
-    submit_urgent(&mut harness, ID, 2);
-    harness.run_for(2_000);
-    let urgent = harness
-        .decisions
-        .iter()
-        .filter_map(|decision| match decision {
-            Decision::PreemptionChanged { urgent } => Some(urgent.clone()),
-            _ => None,
-        });
-    let urgent: Vec<Box<[QueueId]>> = urgent.collect();
-    assert_eq!(urgent, [vec!["labels".into()].into()]);
-}
-
-/// Guards against operators who cannot see who stopped a run, for whom, and at what loss.
-#[test]
-fn the_log_names_both_sides_of_a_preemption() {
-    let mut harness = full_cell();
-    submit_urgent(&mut harness, ID, 2);
-    harness.run_for(1_000);
-    let found = harness
-        .decisions
-        .iter()
-        .find_map(|decision| match decision {
-            Decision::Preempted {
-                id,
-                claimant,
-                queue,
-                lost_core_ms,
-                ..
-            } => Some((id.clone(), claimant.clone(), queue.clone(), *lost_core_ms)),
-            _ => None,
-        });
-    let (id, claimant, queue, lost_core_ms) = found.expect("a preemption");
-    assert_eq!((&*id, &*claimant, &*queue), (BATCH, ID, "labels"));
-    assert!(lost_core_ms > MIN_RUN_MILLIS * 8 / 2, "{lost_core_ms}");
-    let is_stop = |decision: &Decision| matches!(decision, Decision::StopOrdered { reason, .. } if *reason == "preempted");
-    assert!(harness.decisions.iter().any(is_stop));
-    let placer = harness.placer().expect("a placer");
-    let status = harness.status(placer).placer.expect("a placer's status");
-    assert_eq!(status.preempted_runs, 1);
-}
