--- a/tests/workload/isolation.rs
+++ b/tests/workload/isolation.rs
@@ -120,6 +120,18 @@
     assert_eq!(daemon.call(submission()), Some(Reply::Unknown));
 }
 
+/// Guards against the same while the table does not answer and no cut is known.
+#[test]
+fn a_daemon_without_the_table_does_not_refuse_a_job_that_may_be_stored() {
+    let mut daemon = Daemon::new();
+    daemon.claim(None);
+    daemon.load(&[]);
+    assert_eq!(daemon.call(submission()), None);
+    daemon.tick(Duration::from_millis(10));
+    daemon.fail_feed(Feed::Heartbeats);
+    assert_eq!(daemon.call(submission()), Some(Reply::Unknown));
+}
+
 /// Guards against a daemon that stays away after the cut has ended.
 #[test]
 fn a_daemon_is_ready_again_once_the_table_answers() {
--- a/tests/workload/renewal_grace.rs
+++ b/tests/workload/renewal_grace.rs
@@ -244,7 +244,7 @@
 }
 
 impl Daemon {
-    fn fail_feed(&mut self, feed: Feed) {
+    pub(crate) fn fail_feed(&mut self, feed: Feed) {
         let req = self.take(|req| matches!(req, Request::Watch { call, .. } if call.feed == feed));
         let Request::Watch { call, .. } = req else {
             return;
