Benchmark the placer's rounds with full VMs and a long queue

Cause: the placer's load was known only from plays, where it cannot be told apart from the rest of the process.

--- a/tests/workload/harness/callers.rs
+++ b/tests/workload/harness/callers.rs
@@ -89,11 +89,20 @@
 
     /// Sends a submission without waiting for its reply.
     pub(crate) fn send_submission(&mut self, daemon: usize, id: &str, job: Submission) {
+        self.send_to(daemon, &format!("/jobs/{id}"), id, job);
+    }
+
+    /// Sends a submission to the batch queue without waiting for its reply.
+    pub(crate) fn send_batch(&mut self, daemon: usize, id: &str, job: Submission) {
+        self.send_to(daemon, &format!("{BATCH_PATH}{id}"), id, job);
+    }
+
+    fn send_to(&mut self, daemon: usize, path: &str, id: &str, job: Submission) {
         self.submissions.insert(id.into(), job.clone());
         self.last_ticket += 1;
         let call = Call {
             host: "labels.example".into(),
-            path: format!("/jobs/{id}").into(),
+            path: path.into(),
             key: Some(KEY.into()),
             action: Action::Submit(Ok(job)),
             relayed_with: None,
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use ragwortstall::core::model::Now;
 use ragwortstall::core::model::Resources;
@@ -41,6 +42,7 @@
 use self::options::options;
 pub(crate) use self::processor::Costs;
 use self::processor::Processor;
+pub(crate) use self::processor::StepTimes;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
 use crate::vm::SimVm;
@@ -421,7 +423,9 @@
     /// Applies an event to a daemon and performs the effects.
     fn apply(&mut self, ix: usize, event: Event) {
         let daemon = &mut self.daemons[ix];
+        let started_at = Instant::now();
         let effects = daemon.state.step(self.now, event);
+        daemon.processor.record_step(started_at.elapsed());
         daemon.wake_at = daemon.state.wake_at(self.now);
         let lifetime = daemon.lifetime;
         let sends = |effect: &&Effect| matches!(effect, Effect::Send(_));
--- a/tests/workload/harness/processor.rs
+++ b/tests/workload/harness/processor.rs
@@ -15,6 +15,13 @@
     pub search: Duration,
 }
 
+/// Processor time that the steps of a daemon's reducer took on this machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StepTimes {
+    pub total: Duration,
+    pub longest: Duration,
+}
+
 /// Processor of a daemon's host; it takes no time before its costs are set.
 #[derive(Debug, Default)]
 pub(super) struct Processor {
@@ -23,6 +30,7 @@
     busy_until: Now,
     /// Searches since the start of the process that are accounted for.
     searches: u64,
+    step_times: StepTimes,
 }
 
 impl Processor {
@@ -36,6 +44,12 @@
         self.busy_until = self.busy_until.max(until);
     }
 
+    /// Records the time that a step of the reducer took on this machine.
+    pub(super) fn record_step(&mut self, time: Duration) {
+        self.step_times.total += time;
+        self.step_times.longest = self.step_times.longest.max(time);
+    }
+
     /// Accounts for an event. `searches` is their number since the start of the process.
     pub(super) fn handle(&mut self, now: Now, requests: u32, searches: u64) {
         let Some(costs) = self.costs else {
@@ -55,3 +69,13 @@
         self.daemons[daemon].processor.pause(until);
     }
 }
+
+    /// Returns the times of a daemon's steps since the last call.
+    pub(crate) fn take_step_times(&mut self, daemon: usize) -> StepTimes {
+        std::mem::take(&mut self.daemons[daemon].processor.step_times)
+    }
+
+    /// Returns the number of searches of the fleet by a daemon.
+    pub(crate) fn vm_scans(&mut self, daemon: usize) -> u64 {
+        self.daemons[daemon].state.vm_scans()
+    }
