Bound the share of time that placement rounds take

Ways: the fixed interval as it stood; an interval of three times what the last round took on this process, at most half a second. The new test busy_placer::a_placer_whose_rounds_take_long_sends_heartbeats_and_renewals_in_time had 53 of 540 VMs usable and a heartbeat 5.2 s old with the fixed interval, all 540 with the bound.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -29,6 +29,7 @@
 use super::policy::admission::WaitEstimator;
 use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
+use super::policy::round_interval::round_interval;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
@@ -96,6 +97,10 @@
     /// Time of the next placement round, if one is scheduled.
     next_round_at: Option<Now>,
     last_round_at: Now,
+    /// Whether the step of the reducer that is not yet timed has run a round.
+    in_round: bool,
+    /// Time that the step with the last round took.
+    round_time: Duration,
     /// Number of searches of the fleet for VMs on which a step fits.
     vm_scans: u64,
     /// Number of placement rounds.
@@ -363,8 +368,16 @@
         self.next_round_at = Some(self.next_round_at.map_or(at, |other| other.min(at)));
     }
 
+    /// Records the processor time that this process has spent on a step of the reducer, so that
+    /// rounds leave time for renewals and heartbeats.
+    pub fn record_step_time(&mut self, time: Duration) {
+        if std::mem::take(&mut self.in_round) {
+            self.round_time = time;
+        }
+    }
+
     fn earliest_round_at(&self, cx: &Cx) -> Now {
-        self.last_round_at + cx.options.placer.dispatch_interval
+        self.last_round_at + round_interval(cx.options.placer.dispatch_interval, self.round_time)
     }
 
     /// Returns the purpose of a transaction of this placer.
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -67,6 +67,7 @@
         }
         self.next_round_at = None;
         self.last_round_at = cx.now;
+        self.in_round = true;
         self.rounds += 1;
         self.retry_stops(cx);
         self.count_recent_losses(cx.now);
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -127,6 +127,8 @@
             estimates_writer: EstimatesWriter::default(),
             stall_checks: StallChecks::new(cx.now),
             waits: WaitEstimator::default(),
+            in_round: false,
+            round_time: Duration::ZERO,
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod forwarders;
 pub mod isolation;
 pub mod preemption;
+pub mod round_interval;
 pub mod shares;
 pub mod stall;
 pub mod timeliness;
--- /dev/null
+++ b/src/core/workload/policy/round_interval.rs
@@ -0,0 +1,21 @@
+//! Interval of placement rounds.
+//!
+//! A round looks at all waiting steps, so that it takes longer the more of them wait and the more VMs
+//! there are. A placer that runs rounds at a fixed interval has no time left for renewals, heartbeats
+//! and the ends of runs once a round takes as long as the interval.
+
+use std::time::Duration;
+
+/// Largest fraction of the time that rounds take, as a divisor.
+const ROUND_TIME_DIVISOR: u32 = 3;
+
+/// Longest interval, so that one slow round, during which the process was paused, does not delay the
+/// next for long.
+const MAX_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Returns the least time between the starts of two rounds, if the last one took `round_time`.
+#[must_use]
+pub fn round_interval(min_interval: Duration, round_time: Duration) -> Duration {
+    let interval = round_time * ROUND_TIME_DIVISOR;
+    interval.min(MAX_INTERVAL).max(min_interval)
+}
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -163,6 +163,13 @@
         self.role.placer().map_or(0, |placer| placer.vm_scans())
     }
 
+    /// Records the processor time that the last step took.
+    pub fn record_step_time(&mut self, time: Duration) {
+        if let Some(placer) = self.role.placer() {
+            placer.record_step_time(time);
+        }
+    }
+
     /// Returns the status reported in metrics.
     #[must_use]
     pub fn status(&mut self, now: Now) -> Status {
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -99,7 +99,9 @@
         let started_at = std::time::Instant::now();
         let now = self.clock.now();
         let effects = self.state.borrow_mut().step(now, event);
-        self.load.record_step(started_at.elapsed());
+        let step_time = started_at.elapsed();
+        self.state.borrow_mut().record_step_time(step_time);
+        self.load.record_step(step_time);
         for effect in effects {
             self.perform(effect);
         }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -7,6 +7,7 @@
 mod forwarders;
 mod isolation;
 mod preemption;
+mod round_interval;
 mod shares;
 mod stall;
 mod timeliness;
--- a/tests/workload/busy_placer.rs
+++ b/tests/workload/busy_placer.rs
@@ -37,6 +37,18 @@
     search: Duration::from_micros(190),
 };
 
+/// Time of a burst in which rounds take long.
+const BURST_MS: u64 = 5_000;
+
+/// Time of a search on a fleet that is many times as large, as a multiple of that of [`COSTS`].
+const SLOW_SEARCH_FACTOR: u32 = 20;
+
+/// Age of a heartbeat at which its sender is replaced.
+const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(1_100);
+
+/// Jobs of that burst, each of another size.
+const SIZES: u32 = 300;
+
 const ADVICE: AdviceTiming = AdviceTiming {
     base_latency: Duration::from_millis(28),
     latency_per_vm: Duration::from_micros(400),
@@ -102,6 +114,39 @@
     }
 }
 
+/// Guards against a placer whose rounds leave it no time for heartbeats and renewals, so that it is
+/// taken for dead, and its VMs for silent.
+#[test]
+fn a_placer_whose_rounds_take_long_sends_heartbeats_and_renewals_in_time() {
+    let mut harness = Harness::new(DAEMONS, VMS);
+    harness.decisions.clear();
+    harness.set_costs(Costs {
+        search: COSTS.search * SLOW_SEARCH_FACTOR,
+        ..COSTS
+    });
+    for number in 0..SIZES {
+        let daemon = number as usize % DAEMONS;
+        let step = step_of_another_size(number);
+        harness.send_submission(daemon, &format!("{number:016x}"), job(vec![step]));
+    }
+    harness.run_for(BURST_MS);
+    let placer = harness.placer().expect("a placer");
+    let follower = (placer + 1) % DAEMONS;
+    let (_, heartbeat_age) = harness.status(follower).heartbeat.expect("a heartbeat");
+    let usable_vms = harness.status(placer).placer.expect("a placer").usable_vms;
+    assert!(heartbeat_age < MAX_HEARTBEAT_AGE, "{heartbeat_age:?}");
+    assert_eq!(usable_vms, VMS as u64);
+}
+
+/// Returns a step that is smaller than those of lower numbers, so that the fleet is searched for it
+/// although it had no room for those.
+fn step_of_another_size(number: u32) -> Step {
+    Step {
+        demand: Resources::new(16_000 - number * 10, 10_000, 0, 1),
+        ..step(6, 800, &[])
+    }
+}
+
 /// Guards against a placer that gets ever later after a burst, as it searches the fleet for each
 /// waiting job: it notes the ends of runs late, so that VMs are idle while jobs wait.
 #[test]
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -432,7 +432,8 @@
         let requests = effects.iter().filter(sends).count();
         let requests = u32::try_from(requests).expect("few requests");
         let searches = daemon.state.vm_scans();
-        daemon.processor.handle(self.now, requests, searches);
+        let step_time = daemon.processor.handle(self.now, requests, searches);
+        daemon.state.record_step_time(step_time);
         for effect in effects {
             match effect {
                 Effect::Send(req) => {
--- a/tests/workload/harness/processor.rs
+++ b/tests/workload/harness/processor.rs
@@ -51,14 +51,17 @@
     }
 
     /// Accounts for an event. `searches` is their number since the start of the process.
-    pub(super) fn handle(&mut self, now: Now, requests: u32, searches: u64) {
+    /// Returns the time that the reducer took.
+    pub(super) fn handle(&mut self, now: Now, requests: u32, searches: u64) -> Duration {
         let Some(costs) = self.costs else {
-            return;
+            return Duration::ZERO;
         };
         let new = u32::try_from(searches.saturating_sub(self.searches)).expect("few searches");
         self.searches = searches;
-        let work = costs.event + costs.request * requests + costs.search * new;
+        let step = costs.event + costs.search * new;
+        let work = step + costs.request * requests;
         self.busy_until = self.busy_until.max(now) + work;
+        step
     }
 }
 
@@ -68,7 +71,6 @@
         let until = self.now + Duration::from_millis(millis);
         self.daemons[daemon].processor.pause(until);
     }
-}
 
     /// Returns the times of a daemon's steps since the last call.
     pub(crate) fn take_step_times(&mut self, daemon: usize) -> StepTimes {
@@ -79,3 +81,4 @@
     pub(crate) fn vm_scans(&mut self, daemon: usize) -> u64 {
         self.daemons[daemon].state.vm_scans()
     }
+}
