--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -4,9 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::Rev;
+use crate::core::model::ServiceId;
 use crate::core::workload::catalog::Queue;
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
@@ -241,49 +244,65 @@
     }
 
     /// Fails a job that has not started if one of its tasks fits on no VM.
-    ///
-    /// Does nothing before all VMs are known: within `VM_LISTING_GRACE` of the grant, while the
-    /// placer is not settled, and while the capacity of a VM is unknown. It also waits for missing
-    /// parts of the jobs table.
-    pub(in crate::core::workload::placer) fn fail_if_unplaceable(
-        &mut self,
-        cx: &mut Cx,
-        key: JobKey,
-    ) {
-        let Some(job) = self
-            .registry
-            .jobs
-            .get(&key)
-            .filter(|job| job.is_unstarted())
-        else {
-            return;
-        };
-        let vms = self.fleet.vms.values();
-        let capacity_unknown = vms.clone().any(|vm| vm.capacity == Resources::ZERO);
-        let listing = cx.now < self.granted_at + VM_LISTING_GRACE;
-        if capacity_unknown || listing || !self.settled || !self.missing.is_empty() {
-            return;
-        }
-        // Includes VMs without a row in the table, as they may be listed again soon, and the room of
-        // VMs that have shrunk, as they may grow again.
-        let largest = vms
-            .filter(|vm| vm.service == job.queue.service)
-            .fold(Resources::ZERO, |max, vm| max.max(&vm.full_capacity));
-        let fits_nowhere = |step: &Step| !largest.holds(&step.reservation());
-        if largest != Resources::ZERO && job.submission.steps.iter().any(fits_nowhere) {
-            self.finish_job(cx, key, JobState::Failed, "a task fits on no VM");
+    fn fail_if_unplaceable(&mut self, cx: &mut Cx, key: JobKey) {
+        if self.knows_all_vms(cx) {
+            let largest = self.largest_capacities();
+            self.fail_beyond(cx, key, &largest);
         }
     }
 
     /// Fails all unstarted jobs with a task that fits on no VM.
     pub(in crate::core::workload::placer) fn fail_unplaceable_jobs(&mut self, cx: &mut Cx) {
-        let unstarted = self
-            .registry
-            .active_jobs()
-            .filter(|(_, job)| job.is_unstarted());
-        let keys: Vec<JobKey> = unstarted.map(|(key, _)| key).collect();
+        if !self.knows_all_vms(cx) {
+            return;
+        }
+        let largest = self.largest_capacities();
+        let jobs = self.registry.active_jobs();
+        let keys: Vec<JobKey> = jobs.map(|(key, _)| key).collect();
         for key in keys {
-            self.fail_if_unplaceable(cx, key);
+            self.fail_beyond(cx, key, &largest);
+        }
+    }
+
+    /// Returns whether all VMs are known with their capacities: not within `VM_LISTING_GRACE` of the
+    /// grant, while the placer is not settled, or while parts of the jobs table are missing.
+    fn knows_all_vms(&self, cx: &Cx) -> bool {
+        let mut vms = self.fleet.vms.values();
+        cx.now >= self.granted_at + VM_LISTING_GRACE
+            && self.settled
+            && self.missing.is_empty()
+            && vms.all(|vm| vm.capacity != Resources::ZERO)
+    }
+
+    /// Returns the largest capacities of the VMs of each service.
+    ///
+    /// Includes VMs without a row in the table, as they may be listed again soon, and the room of
+    /// VMs that have shrunk, as they may grow again.
+    fn largest_capacities(&self) -> FxHashMap<ServiceId, Resources> {
+        let mut largest: FxHashMap<ServiceId, Resources> = FxHashMap::default();
+        for vm in self.fleet.vms.values() {
+            match largest.get_mut(&vm.service) {
+                Some(max) => *max = max.max(&vm.full_capacity),
+                None => {
+                    largest.insert(vm.service.clone(), vm.full_capacity);
+                }
+            }
+        }
+        largest
+    }
+
+    /// Fails a job that has not started if one of its tasks exceeds the largest VM of its service.
+    fn fail_beyond(&mut self, cx: &mut Cx, key: JobKey, largest: &FxHashMap<ServiceId, Resources>) {
+        let job = self.registry.jobs.get(&key);
+        let Some(job) = job.filter(|job| job.is_unstarted()) else {
+            return;
+        };
+        let Some(largest) = largest.get(&job.queue.service) else {
+            return;
+        };
+        let fits_nowhere = |step: &Step| !largest.holds(&step.reservation());
+        if job.submission.steps.iter().any(fits_nowhere) {
+            self.finish_job(cx, key, JobState::Failed, "a task fits on no VM");
         }
     }
 
