Look only at VMs with tickets for steps that ask nothing; say why tasks wait

And the logs did not tell why a task waits.

Change: a step that finds no room asks only about the room of runs that may be stopped; one with tickets that asks nothing is looked at on their VMs only; the preemption of a step with advice starts from its tickets. place_step says why the remaining tasks wait: a line step_waits once a reason has lasted half a second, task-seconds by queue and reason in placer_load and as a metric, and explain names them.

--- a/benches/placer/main.rs
+++ b/benches/placer/main.rs
@@ -34,7 +34,6 @@
 use ragwortstall::core::workload::submission::Step;
 
 use crate::harness::Harness;
-use crate::harness::StepTimes;
 use crate::jobs::job;
 
 /// Numbers of VMs.
@@ -97,7 +96,7 @@
     let (scans, starts) = (cell.vm_scans(placer), cell.starts.len());
     cell.take_step_times(placer);
     cell.run_for(MEASURED_MS);
-    let StepTimes { total, longest } = cell.take_step_times(placer);
+    let times = cell.take_step_times(placer);
     let seconds = Duration::from_millis(MEASURED_MS).as_secs_f64();
     let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
     let searches = cell.vm_scans(placer) - scans;
@@ -105,8 +104,8 @@
     println!(
         "{vms:<5} {waiting:<8} {:<7} {:<13.1} {:<16.2} {:<11} {}",
         if advice.is_some() { "yes" } else { "no" },
-        millis(total) / seconds,
-        millis(longest),
+        millis(times.total) / seconds,
+        millis(times.longest),
         searches / 3,
         starts / 3,
     );
--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -1,5 +1,6 @@
 //! `ragwortstall explain`
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -233,12 +234,25 @@
         .filter(|(count, _)| *count > 0)
         .map(|(count, description)| format!("{count} {description}"))
         .collect();
+    reasons.extend(wait_reasons(lines));
     if longest_wait_ms >= LONG_WAIT_MS {
         reasons.push(format!("a task waited {longest_wait_ms} ms for a VM"));
     }
     reasons
 }
 
+/// Returns the reasons for which tasks of the job waited for long, each with its number of lines.
+fn wait_reasons(lines: &[LogLine]) -> Vec<String> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for line in lines.iter().filter(|line| &*line.kind == "step_waits") {
+        let count = counts.entry(line.str_field_or_empty("reason"));
+        *count.or_default() += 1;
+    }
+    let reasons = counts.into_iter();
+    let reasons = reasons.map(|(reason, count)| format!("{count} long waits for {reason}"));
+    reasons.collect()
+}
+
 impl LogLine {
     /// Returns whether the line is about the job or task `id`, which may be given without its team
     /// prefix, about a task of the job, or about a run that was preempted for the job.
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -6,6 +6,7 @@
 use super::catalog::QueueId;
 use super::effect::JobState;
 use super::event::Feed;
+use super::policy::wait_reasons::WaitReason;
 use super::task::RunNumber;
 use super::task::RunOutcome;
 use crate::core::model::DaemonId;
@@ -71,6 +72,14 @@
         waited_ms: u64,
         crashes: usize,
     },
+    /// Tasks of a step have waited for a while for the same reason.
+    StepWaits {
+        id: JobId,
+        queue: QueueId,
+        step: u16,
+        tasks: u32,
+        reason: WaitReason,
+    },
     /// A start failed or may have failed.
     NotStarted {
         id: JobId,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -29,7 +29,8 @@
 use super::policy::admission::WaitEstimator;
 use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
-use super::policy::round_interval::round_interval;
+use super::policy::round_interval::RoundTimer;
+use super::policy::wait_reasons::WaitTimes;
 use super::rows::HeartbeatRow;
 use super::rows::OWNER_KEY;
 use super::rows::OwnerRow;
@@ -78,6 +79,8 @@
     stall_checks: state::stall::StallChecks,
     /// Estimated waits of new jobs, and the started work that they are based on.
     waits: WaitEstimator,
+    /// Reasons for which ready tasks have waited since the role was granted.
+    wait_times: WaitTimes,
     forwarders: rounds::advice::AdviceForwarders,
     progress: storage::progress::ProgressWriter,
     archive: storage::archive::ArchiveState,
@@ -97,10 +100,7 @@
     /// Time of the next placement round, if one is scheduled.
     next_round_at: Option<Now>,
     last_round_at: Now,
-    /// Whether the step of the reducer that is not yet timed has run a round.
-    in_round: bool,
-    /// Time that the step with the last round took.
-    round_time: Duration,
+    round_timer: RoundTimer,
     /// Number of searches of the fleet for VMs on which a step fits.
     vm_scans: u64,
     /// Number of placement rounds.
@@ -152,6 +152,7 @@
             rounds: self.rounds,
             preempted_runs: self.preempted_runs,
             waits: self.listed_waits(),
+            wait_times: self.wait_times.times().clone(),
             ..PlacerStatus::default()
         };
         for vm in self.fleet.vms.values() {
@@ -371,13 +372,12 @@
     /// Records the processor time that this process has spent on a step of the reducer, so that
     /// rounds leave time for renewals and heartbeats.
     pub fn record_step_time(&mut self, time: Duration) {
-        if std::mem::take(&mut self.in_round) {
-            self.round_time = time;
-        }
+        self.round_timer.record_step(time);
     }
 
     fn earliest_round_at(&self, cx: &Cx) -> Now {
-        self.last_round_at + round_interval(cx.options.placer.dispatch_interval, self.round_time)
+        let min_interval = cx.options.placer.dispatch_interval;
+        self.last_round_at + self.round_timer.interval(min_interval)
     }
 
     /// Returns the purpose of a transaction of this placer.
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -64,6 +64,11 @@
         self.tickets.get(&vm).filter(|ticket| now < ticket.until)
     }
 
+    /// Returns whether a query has been answered.
+    pub fn has_answers(&self) -> bool {
+        !self.tickets.is_empty() || !self.rejected.is_empty()
+    }
+
     /// Returns whether a VM may run the step; a ticket for it may have expired.
     pub fn is_approved(&self, vm: VmKey) -> bool {
         self.tickets.contains_key(&vm)
@@ -74,6 +79,12 @@
         self.tickets.values().any(|ticket| now < ticket.until)
     }
 
+    /// Returns the VMs with valid tickets, in any order.
+    pub fn valid_vms(&self, now: Now) -> Vec<VmKey> {
+        let valid = self.tickets.iter().filter(|(_, ticket)| now < ticket.until);
+        valid.map(|(&vm, _)| vm).collect()
+    }
+
     /// Returns the number of tasks of a step for which the VMs with valid tickets have room.
     pub fn open_slots(&self, pool: &Pool, spec: &Step, now: Now) -> u32 {
         let valid = self.tickets.iter().filter(|(_, ticket)| now < ticket.until);
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -123,10 +123,29 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let vms = self.visible_vms(cx, pool, key).map(|vm| (vm, vm.free));
+        let vms = self.visible_vms(cx, pool.vms().iter(), key);
+        let vms = vms.map(|vm| (vm, vm.free));
         self.fitting(vms, key, spec)
     }
 
+    /// Returns the VMs of a pool on which tasks of a step fit and for which it has a valid ticket.
+    ///
+    /// A step has tickets for few VMs, so that this takes much less time than a search of the fleet.
+    pub(in crate::core::workload::placer) fn ticketed_candidates(
+        &self,
+        cx: &Cx,
+        pool: &Pool,
+        key: StepKey,
+        spec: &Step,
+    ) -> Vec<Candidate> {
+        let Some(step) = self.registry.step(key) else {
+            return Vec::new();
+        };
+        let vms = pool.ticketed(&step.advice, cx.now);
+        let open = self.visible_vms(cx, vms.into_iter(), key);
+        self.fitting(open.map(|vm| (vm, vm.free)), key, spec)
+    }
+
     /// Returns the VMs of a pool on which tasks of a step fit once the runs there have ended that do
     /// not last until they are cancelled.
     pub(in crate::core::workload::placer) fn drained_candidates(
@@ -136,20 +155,20 @@
         key: StepKey,
         spec: &Step,
     ) -> Vec<Candidate> {
-        let drained = self.visible_vms(cx, pool, key).map(|vm| (vm, vm.drained));
+        let vms = self.visible_vms(cx, pool.vms().iter(), key);
+        let drained = vms.map(|vm| (vm, vm.drained));
         self.fitting(drained, key, spec)
     }
 
-    /// Returns the VMs of a pool on which tasks of a step may be placed.
-    fn visible_vms<'a>(
+    /// Returns those VMs on which tasks of a step may be placed.
+    fn visible_vms<'a, I: Iterator<Item = &'a Candidate>>(
         &self,
         cx: &Cx,
-        pool: &'a Pool,
+        vms: I,
         key: StepKey,
-    ) -> impl Iterator<Item = &'a Candidate> + use<'a> {
+    ) -> impl Iterator<Item = &'a Candidate> + use<'a, I> {
         let is_urgent = self.is_urgent(key);
         let has_lone_tasks = self.has_lone_tasks(cx.now, key);
-        let vms = pool.vms().iter();
         vms.filter(move |vm| match vm.open_to {
             OpenTo::All => true,
             OpenTo::Urgent => is_urgent,
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::CandidateList;
 use crate::core::workload::placer::rounds::evacuation::MOVE_ROUND_INTERVAL;
+use crate::core::workload::placer::rounds::preempt::Among;
 use crate::core::workload::placer::rounds::rank::Rank;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -26,6 +27,7 @@
 use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::policy::crashes::Caution;
+use crate::core::workload::policy::wait_reasons::WaitReason;
 use crate::core::workload::submission::Step;
 
 /// Number of task slots for which advice is requested per waiting task, as the advice service
@@ -43,6 +45,16 @@
 /// Delay before a failed advice query is repeated.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Room on which a step asks for advice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AskFor {
+    FreeRoom,
+    /// Free room, otherwise that of runs that may be stopped.
+    AnyRoom,
+    /// The room of runs that may be stopped.
+    RoomOfOthers,
+}
+
 /// Start of a task that a round has planned.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::core::workload::placer) struct PlannedStart {
@@ -67,13 +79,14 @@
         }
         self.next_round_at = None;
         self.last_round_at = cx.now;
-        self.in_round = true;
+        self.round_timer.begin();
         self.rounds += 1;
         self.retry_stops(cx);
         self.count_recent_losses(cx.now);
         self.count_inherited_tasks();
         self.count_unread_runs(cx);
         let steps = self.ready_steps(cx);
+        self.record_inherited_waits(cx);
         if steps.is_empty() && cx.evacuation.is_empty() {
             return;
         }
@@ -96,14 +109,20 @@
                 self.preempt(cx, &mut round);
             }
             let may_preempt = preempts && self.may_preempt(rank, key);
-            self.place_step(cx, &mut round, key, may_preempt);
+            let reason = self.place_step(cx, &mut round, key, may_preempt);
+            self.record_wait(cx, key, reason);
             if may_preempt {
                 self.claim_preemption(cx, &mut round, &shares, key);
             }
         }
         self.preempt(cx, &mut round);
         for key in over_share {
-            self.place_step(cx, &mut round, key, false);
+            let reason = self.place_step(cx, &mut round, key, false);
+            let reason = match reason {
+                WaitReason::Room | WaitReason::AdviceClaims => WaitReason::Share,
+                other => other,
+            };
+            self.record_wait(cx, key, reason);
         }
         self.release_preempted_vms(cx);
         let has_moves = self.move_out_of_zones(cx, &mut round);
@@ -137,6 +156,21 @@
         }
     }
 
+    /// Records the wait of the steps that are not placed until the placer is settled.
+    fn record_inherited_waits(&mut self, cx: &mut Cx) {
+        if self.settled {
+            return;
+        }
+        let jobs = self.registry.active_jobs();
+        let inherited = jobs.filter(|(_, job)| job.version <= self.grant_version);
+        let steps: Vec<StepKey> = inherited
+            .flat_map(|(key, job)| job.ready_steps(key))
+            .collect();
+        for key in steps {
+            self.record_wait(cx, key, WaitReason::Settling);
+        }
+    }
+
     /// Handles the answer to an advice query.
     pub(in crate::core::workload::placer) fn handle_advice(
         &mut self,
@@ -216,30 +250,59 @@
     }
 
     /// Starts waiting tasks of a step on the VMs that have room; asks for the advice that it needs,
-    /// also on VMs whose runs may be stopped for it if it may preempt.
-    fn place_step(&mut self, cx: &mut Cx, round: &mut Round, key: StepKey, may_preempt: bool) {
+    /// also on VMs whose runs may be stopped for it if it may preempt. Returns why the remaining
+    /// tasks wait, if there are any.
+    fn place_step(
+        &mut self,
+        cx: &mut Cx,
+        round: &mut Round,
+        key: StepKey,
+        may_preempt: bool,
+    ) -> WaitReason {
         let Some(job) = self.registry.jobs.get(&key.job) else {
-            return;
+            return WaitReason::Room;
         };
         let (submission, service) = (job.submission.clone(), job.queue.service.clone());
-        let is_advised = job.queue.advice.is_some();
+        let (is_advised, priority) = (job.queue.advice.is_some(), job.queue.priority);
         let spec = &submission.steps[usize::from(key.step)];
-        let is_capped = !self.usage.allows(cx, job.team.as_ref(), &spec.demand);
-        if is_capped || self.is_held(cx.now, key) {
-            return;
+        if !self.usage.allows(cx, job.team.as_ref(), &spec.demand) {
+            return WaitReason::Cap;
+        }
+        if self.is_held(cx.now, key) {
+            return WaitReason::CrashHold;
         }
         if spec.traits.gang {
-            return self.place_gang(cx, round, key, spec, &service, is_advised);
+            self.place_gang(cx, round, key, spec, &service, is_advised);
+            return WaitReason::GangRoom;
         }
         // VMs that are cleared for tasks that are to run alone have no room for other steps.
         let has_lone_tasks = self.has_lone_tasks(cx.now, key);
         let is_unmet = !has_lone_tasks && round.is_unmet(&service, spec);
         if is_unmet && !(may_preempt && is_advised) {
-            return;
+            return WaitReason::Room;
         }
-        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, may_preempt);
-        if !asks && (is_unmet || is_advised && !self.has_ticket(cx, key)) {
-            return;
+        let ask_for = if is_unmet {
+            AskFor::RoomOfOthers
+        } else if may_preempt {
+            AskFor::AnyRoom
+        } else {
+            AskFor::FreeRoom
+        };
+        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, ask_for);
+        if is_unmet && !asks {
+            return WaitReason::Room;
+        }
+        if is_advised && !asks {
+            let pool = round.pool(&service, || self.open_vms(cx, &service));
+            if !pool.has_room_for(spec) {
+                round.record_unmet(&service, spec);
+                return WaitReason::Room;
+            }
+            if self.has_ticket(cx, key) {
+                let candidates = self.ticketed_candidates(cx, pool, key, spec);
+                self.start_on(cx, round, key, spec, &service, &candidates);
+            }
+            return self.reason_without_ticket(round, key, priority);
         }
         let mut candidates = Vec::new();
         if !is_unmet {
@@ -247,16 +310,20 @@
             let pool = round.pool(&service, || self.open_vms(cx, &service));
             candidates = self.candidates(cx, pool, key, spec);
         }
-        if candidates.is_empty() && spec.max_per_vm == 0 {
+        let has_room = !candidates.is_empty();
+        if !has_room && spec.max_per_vm == 0 {
             round.record_unmet(&service, spec);
         }
-        // Tickets for VMs that have room now are of use at once.
-        if asks && may_preempt && candidates.is_empty() {
-            let usable =
-                self.preemptible_candidates(cx, round, key, spec, &service, |_: &Candidate| true);
-            self.query_advice(cx, round, key, spec, &usable);
-        } else if asks {
-            self.query_advice(cx, round, key, spec, &candidates);
+        if asks {
+            // Tickets for VMs that have room now are of use at once.
+            if may_preempt && !has_room {
+                self.vm_scans += 1;
+                let usable =
+                    self.preemptible_candidates(cx, round, key, spec, &service, Among::AllVms);
+                self.query_advice(cx, round, key, spec, &usable);
+            } else {
+                self.query_advice(cx, round, key, spec, &candidates);
+            }
         }
         if is_advised {
             let step = self.registry.step(key);
@@ -264,11 +331,42 @@
                 step.is_some_and(|step| step.advice.ticket(candidate.vm, cx.now).is_some())
             });
         }
+        self.start_on(cx, round, key, spec, &service, &candidates);
+        if is_advised && has_room {
+            return self.reason_without_ticket(round, key, priority);
+        }
+        WaitReason::Room
+    }
+
+    /// Returns why a step that needs advice waits beside VMs with room.
+    fn reason_without_ticket(&self, round: &Round, key: StepKey, priority: u32) -> WaitReason {
+        let step = self.registry.step(key);
+        if step.is_some_and(|step| step.advice.asked.is_some()) {
+            WaitReason::Advice
+        } else if !round.may_query(priority) {
+            WaitReason::AdviceDaemons
+        } else if step.is_some_and(|step| step.advice.has_answers()) {
+            WaitReason::Approval
+        } else {
+            WaitReason::AdviceClaims
+        }
+    }
+
+    /// Starts waiting tasks of a step on some of the candidates.
+    fn start_on(
+        &mut self,
+        cx: &mut Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+        candidates: &[Candidate],
+    ) {
         if candidates.is_empty() {
             return;
         }
         let planned = self.plan_tasks(cx, key, spec, candidates.iter().cloned());
-        self.clear_vms(cx, round, key, &service, &candidates, &planned);
+        self.clear_vms(cx, round, key, service, candidates, &planned);
         for start in planned {
             let task = TaskKey {
                 step: key,
@@ -276,7 +374,7 @@
             };
             let run = self.next_run_number(task);
             self.start_task(cx, task, start, run);
-            let pool = round.pool(&service, Vec::new);
+            let pool = round.pool(service, Vec::new);
             pool.reserve(start.vm, spec);
         }
     }
@@ -291,7 +389,7 @@
         key: StepKey,
         spec: &Step,
         service: &ServiceId,
-        may_preempt: bool,
+        ask_for: AskFor,
     ) -> bool {
         let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
         else {
@@ -308,9 +406,11 @@
             pool.record_asked(vms);
         }
         let needed = step.waiting.saturating_sub(approved);
-        let mut has_claim = needed > 0 && pool.claim(spec, needed);
+        // Room that no single VM has for a task is of no use to the step.
+        let mut has_claim =
+            ask_for != AskFor::RoomOfOthers && needed > 0 && pool.claim(spec, needed);
         let has_spare = self.forwarders.has_spare(round.heartbeats);
-        if may_preempt && needed > 0 && !has_claim && has_spare {
+        if ask_for != AskFor::FreeRoom && needed > 0 && !has_claim && has_spare {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
         }
         has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -11,3 +11,4 @@
 pub(in crate::core::workload::placer) mod rank;
 pub(in crate::core::workload::placer) mod round;
 pub(in crate::core::workload::placer) mod shares;
+mod wait_times;
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -31,6 +31,14 @@
 use crate::core::workload::policy::timeliness::Timeliness;
 use crate::core::workload::submission::Step;
 
+/// VMs that are considered for a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Among {
+    AllVms,
+    /// Those for which the step has a valid ticket.
+    Ticketed,
+}
+
 /// Time beyond the longest stop for which a VM is kept for urgent tasks.
 const HOLD_MARGIN: Duration = Duration::from_millis(300);
 
@@ -95,14 +103,18 @@
         key: StepKey,
         spec: &Step,
         service: &ServiceId,
-        may_use: impl Fn(&Candidate) -> bool,
+        among: Among,
     ) -> Vec<Candidate> {
         self.preemptible(cx, round, service);
         let preemptible = &round.preemption.services[service];
-        let Some(pool) = round.known_pool(service) else {
+        let (Some(pool), Some(step)) = (round.known_pool(service), self.registry.step(key)) else {
             return Vec::new();
         };
-        let vms = pool.vms_without_gang().filter(|vm| may_use(vm));
+        let vms: Vec<&Candidate> = match among {
+            Among::AllVms => pool.vms_without_gang().collect(),
+            Among::Ticketed => pool.ticketed_without_gang(&step.advice, cx.now),
+        };
+        let vms = vms.into_iter();
         let vms = vms.map(|vm| (vm, vm.free.plus(&preemptible.room(vm.vm))));
         self.fitting(vms, key, spec)
     }
@@ -131,7 +143,6 @@
             return;
         }
         let allowed = self.claimable_tasks(cx, round, shares, team.as_ref(), spec, waiting);
-        self.vm_scans += 1;
         let sites = self.claim_sites(cx, round, key, spec, &service, is_advised);
         let slots = |sum: u32, (_, site): &(VmKey, Site)| sum.saturating_add(site.limit);
         let tasks = allowed.min(sites.iter().fold(0, slots));
@@ -152,7 +163,7 @@
     /// A step that needs advice has runs stopped only on VMs for which it has a valid ticket. Room
     /// that is free now on others counts as well, as it may get tickets for them.
     fn claim_sites(
-        &self,
+        &mut self,
         cx: &Cx,
         round: &mut Round,
         key: StepKey,
@@ -160,28 +171,38 @@
         service: &ServiceId,
         is_advised: bool,
     ) -> Vec<(VmKey, Site)> {
-        let Some(step) = self.registry.step(key) else {
-            return Vec::new();
+        let among = if is_advised {
+            Among::Ticketed
+        } else {
+            self.vm_scans += 1;
+            Among::AllVms
         };
-        let may_stop = |vm| !is_advised || step.advice.ticket(vm, cx.now).is_some();
-        let is_rejected = |vm: VmKey| step.advice.rejected.contains(&vm);
-        let may_use =
-            |vm: &Candidate| may_stop(vm.vm) || vm.has_room_for(spec) && !is_rejected(vm.vm);
-        let vms = self.preemptible_candidates(cx, round, key, spec, service, may_use);
-        let pool = round.pool(service, Vec::new);
-        let sites = vms.iter().enumerate().map(|(ix, vm)| {
-            let may_stop = may_stop(vm.vm);
-            let limit = if may_stop {
-                vm.max_tasks(spec)
-            } else {
-                pool.open_slots(vm.vm, spec)
+        let vms = self.preemptible_candidates(cx, round, key, spec, service, among);
+        let stoppable = vms.iter().map(|vm| (vm.vm, vm.max_tasks(spec), true));
+        let mut sites: Vec<(VmKey, u32, bool)> = stoppable.collect();
+        if is_advised && !round.is_unmet(service, spec) {
+            self.vm_scans += 1;
+            let step = self.registry.step(key);
+            let may_get_ticket = |vm: &Candidate| {
+                step.is_some_and(|step| {
+                    step.advice.ticket(vm.vm, cx.now).is_none()
+                        && !step.advice.rejected.contains(&vm.vm)
+                })
             };
+            let pool = round.pool(service, Vec::new);
+            let with_room = pool
+                .vms_without_gang()
+                .filter(|vm| vm.has_room_for(spec) && may_get_ticket(vm));
+            sites.extend(with_room.map(|vm| (vm.vm, vm.max_tasks(spec), false)));
+            sites.sort_unstable_by_key(|(vm, ..)| *vm);
+        }
+        let sites = (0..).zip(sites).map(|(ix, (key, limit, may_stop))| {
             let site = Site {
                 vm: ix,
                 limit,
                 may_stop,
             };
-            (vm.vm, site)
+            (key, site)
         });
         sites.collect()
     }
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -5,10 +5,12 @@
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
+use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::workload::catalog::URGENT_PRIORITY;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::rounds::advice::StepAdvice;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::OpenTo;
 use crate::core::workload::placer::rounds::preemptible::PreemptionRound;
@@ -166,6 +168,31 @@
         ix.map_or(0, |ix| self.vms[ix].max_tasks(spec))
     }
 
+    /// Returns whether any VM may have room for a task of a step, whatever its labels.
+    pub fn has_room_for(&self, spec: &Step) -> bool {
+        let reservation = spec.reservation();
+        self.vms.iter().any(|vm| vm.free.holds(&reservation))
+    }
+
+    /// Returns the VMs for which a step has valid tickets, in ascending order of their keys.
+    pub fn ticketed(&self, advice: &StepAdvice, now: Now) -> Vec<&Candidate> {
+        let mut keys = advice.valid_vms(now);
+        keys.sort_unstable();
+        let find = |key| {
+            self.vms
+                .binary_search_by_key(&key, |candidate| candidate.vm)
+        };
+        let found = keys.into_iter().filter_map(|key| find(key).ok());
+        found.map(|ix| &self.vms[ix]).collect()
+    }
+
+    /// Returns the VMs for which a step has valid tickets and that are not held for a gang.
+    pub fn ticketed_without_gang(&self, advice: &StepAdvice, now: Now) -> Vec<&Candidate> {
+        let mut vms = self.ticketed(advice, now);
+        vms.retain(|candidate| !self.held.contains(&candidate.vm));
+        vms
+    }
+
     /// Returns the VMs, with the resources that the round has left so far.
     pub fn vms(&self) -> &[Candidate] {
         &self.vms
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -18,6 +18,7 @@
 use crate::core::workload::placer::rounds::advice::StepAdvice;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::policy::crashes::Losses;
+use crate::core::workload::policy::wait_reasons::StepWait;
 use crate::core::workload::submission::OccurrenceIndex;
 use crate::core::workload::submission::Step;
 use crate::core::workload::submission::StepIndex;
@@ -99,6 +100,8 @@
     /// Time at which all dependencies were done; `None` before that.
     pub ready_at: Option<Now>,
     pub advice: StepAdvice,
+    /// Wait of the tasks at the end of the last round; `None` if none waited.
+    pub wait: Option<StepWait>,
     /// VM and duration of each completed run that counts for speed estimates.
     pub done_runs: Vec<(VmKey, Duration)>,
 }
@@ -369,6 +372,7 @@
             waiting: step.count,
             ready_at: step.after.is_empty().then_some(now),
             advice: StepAdvice::default(),
+            wait: None,
             done_runs: Vec::new(),
         });
         let steps = steps.collect();
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -38,6 +38,8 @@
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::policy::admission::WaitEstimator;
 use crate::core::workload::policy::estimates::RunTimeEstimates;
+use crate::core::workload::policy::round_interval::RoundTimer;
+use crate::core::workload::policy::wait_reasons::WaitTimes;
 use crate::core::workload::ranges::RangeReader;
 use crate::core::workload::rows::ESTIMATES_KEY;
 use crate::core::workload::rows::JobRow;
@@ -130,8 +132,8 @@
             estimates_writer: EstimatesWriter::default(),
             stall_checks: StallChecks::new(cx.now),
             waits: WaitEstimator::default(),
-            in_round: false,
-            round_time: Duration::ZERO,
+            wait_times: WaitTimes::default(),
+            round_timer: RoundTimer::default(),
             forwarders: AdviceForwarders::default(),
             progress: ProgressWriter::new(version),
             archive: ArchiveState::default(),
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -13,3 +13,4 @@
 pub mod shares;
 pub mod stall;
 pub mod timeliness;
+pub mod wait_reasons;
--- a/src/core/workload/policy/round_interval.rs
+++ b/src/core/workload/policy/round_interval.rs
@@ -13,6 +13,35 @@
 /// next for long.
 const MAX_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time that the last round took.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundTimer {
+    /// Whether a round has begun whose time is not known yet.
+    pending: bool,
+    last: Duration,
+}
+
+impl RoundTimer {
+    /// Records that a round begins.
+    pub fn begin(&mut self) {
+        self.pending = true;
+    }
+
+    /// Records the time that a step of the reducer took, if a round has begun in it.
+    pub fn record_step(&mut self, time: Duration) {
+        if self.pending {
+            self.pending = false;
+            self.last = time;
+        }
+    }
+
+    /// Returns the least time from the start of the last round to that of the next.
+    #[must_use]
+    pub fn interval(&self, min_interval: Duration) -> Duration {
+        round_interval(min_interval, self.last)
+    }
+}
+
 /// Returns the least time between the starts of two rounds, if the last one took `round_time`.
 #[must_use]
 pub fn round_interval(min_interval: Duration, round_time: Duration) -> Duration {
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -5,6 +5,7 @@
 
 use super::catalog::QueueId;
 use super::event::Feed;
+use super::policy::wait_reasons::WaitReason;
 use crate::core::model::Epoch;
 use crate::core::model::Resources;
 use crate::core::model::TeamId;
@@ -55,6 +56,9 @@
     pub runs: u64,
     /// Number of tasks that are ready to start, by queue and team; no team on a public queue.
     pub waiting: BTreeMap<(QueueId, Option<TeamId>), u64>,
+    /// Time for which tasks have waited since the role was granted, summed over tasks, by queue and
+    /// reason.
+    pub wait_times: BTreeMap<(QueueId, WaitReason), Duration>,
     /// Published waits of new jobs, by queue and team.
     pub waits: BTreeMap<(QueueId, Option<TeamId>), Duration>,
 }
--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -4,6 +4,7 @@
 //! number is logged.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -134,6 +135,9 @@
         runs: u64,
         /// Tasks that are ready to start.
         waiting: u64,
+        /// Time for which tasks have waited since the role was granted, in milliseconds summed over
+        /// tasks, by queue and reason.
+        wait_ms: BTreeMap<Box<str>, u64>,
     },
     /// Log lines were dropped.
     LinesDropped {
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -112,6 +112,7 @@
         gauge!("ragwortstall_room_milli_cores").set(f64::from(placer.capacity.cpu_milli));
         gauge!("ragwortstall_free_milli_cores").set(f64::from(placer.free.cpu_milli));
         gauge!("ragwortstall_free_mebibytes").set(f64::from(placer.free.mem_mib));
+        report_wait_times(&placer);
         self.report_waiting(&placer);
         self.report_waits(&placer);
     }
@@ -145,6 +146,18 @@
     }
 }
 
+/// Sets the gauges of the times for which tasks have waited. The cardinality of the labels is bounded
+/// by the configured queues and the kinds of reasons.
+fn report_wait_times(placer: &PlacerStatus) {
+    for ((queue, reason), time) in &placer.wait_times {
+        let labels = [
+            ("queue", queue.to_string()),
+            ("reason", reason.name().into()),
+        ];
+        gauge!("ragwortstall_task_wait_reason_seconds", &labels).set(time.as_secs_f64());
+    }
+}
+
 /// Sets the gauges of the followed tables' ages. A table that is not followed, or has not answered
 /// yet, has no age: its gauge is not a number, as zero would mean a fresh answer.
 fn report_feed_ages(status: &Status) {
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -236,6 +237,19 @@
     }
 }
 
+/// Returns the times for which tasks have waited, in milliseconds, by queue and reason.
+fn wait_ms(placer: &PlacerStatus) -> BTreeMap<Box<str>, u64> {
+    let times = placer.wait_times.iter();
+    let times = times.map(|((queue, reason), time)| {
+        let name = format!("{queue}/{}", reason.name());
+        (
+            name.into(),
+            u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        )
+    });
+    times.collect()
+}
+
 fn load_event(load: &Load, placer: &PlacerStatus) -> ProcessEvent {
     ProcessEvent::PlacerLoad {
         epoch: placer.epoch,
@@ -249,5 +263,6 @@
         vms_usable: placer.usable_vms,
         runs: placer.runs,
         waiting: placer.waiting.values().sum(),
+        wait_ms: wait_ms(placer),
     }
 }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -11,6 +11,7 @@
 mod shares;
 mod stall;
 mod timeliness;
+mod wait_reasons;
 
 #[path = "../support/mod.rs"]
 mod support;
--- a/tests/tool/explain.rs
+++ b/tests/tool/explain.rs
@@ -66,6 +66,16 @@
     );
 }
 
+/// Guards against a late job whose waits are told without their reasons.
+#[test]
+fn cause_of_a_job_that_waited_names_the_reasons() {
+    let cause = cause("5c1d9a04e7b3f628", "waits.jsonl");
+    assert!(
+        cause.ends_with("1 long waits for advice; 1 long waits for room"),
+        "{cause}"
+    );
+}
+
 /// Guards against a late job whose log does not tell that its VM hung.
 #[test]
 fn cause_of_moved_task_is_the_stalled_vm() {
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -42,7 +42,6 @@
 use self::options::options;
 pub(crate) use self::processor::Costs;
 use self::processor::Processor;
-pub(crate) use self::processor::StepTimes;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
 use crate::vm::SimVm;
--- a/tests/workload/harness/processor.rs
+++ b/tests/workload/harness/processor.rs
@@ -73,6 +73,7 @@
     }
 
     /// Returns the times of a daemon's steps since the last call.
+    #[allow(dead_code, reason = "used by the benchmark of the placer")]
     pub(crate) fn take_step_times(&mut self, daemon: usize) -> StepTimes {
         std::mem::take(&mut self.daemons[daemon].processor.step_times)
     }
