Place the steps of jobs that have begun before those of new jobs of the same timeliness

Cause: a job is of use once its last task has ended, and with the deadline alone the first tasks of new jobs take the room that the last tasks of begun ones wait for.

--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -68,10 +68,10 @@
     /// Returns whether runs may be stopped for a step: it is urgent, still of use to its caller,
     /// and not a gang, which holds whole VMs instead.
     pub(in crate::core::workload::placer) fn may_preempt(&self, rank: Rank, key: StepKey) -> bool {
-        let (priority, timeliness, ..) = rank;
+        let (order, _) = rank;
         let job = self.registry.jobs.get(&key.job);
         let is_gang = job.is_some_and(|job| job.spec(key.step).traits.gang);
-        priority == URGENT_PRIORITY && timeliness != Timeliness::Overdue && !is_gang
+        order.priority == URGENT_PRIORITY && order.timeliness != Timeliness::Overdue && !is_gang
     }
 
     /// Claims room for which a step that may preempt asks for advice, if the VMs for which it has
--- a/src/core/workload/placer/rounds/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -1,31 +1,26 @@
-//! Order of steps in a placement round when the VMs lack room for all of them.
-//!
-//! In a burst, more jobs are queued than the VMs can run in time. With earliest-deadline-first
-//! order alone, each job starts only when it is already late, and all callers are served late. Jobs
-//! that can still meet their objective therefore go first, then jobs that are late but still
-//! awaited by their callers, and last jobs that are long overdue, which run to completion all the
-//! same.
+//! Order of the steps of jobs in a placement round.
 
 use std::time::Duration;
 
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::JobKey;
+use crate::core::workload::policy::order::Order;
 use crate::core::workload::policy::timeliness::Timeliness;
 
-/// Sort key of a step in a placement round: priority of the queue, timeliness, deadline since the
-/// Unix epoch, and job. Lower ranks go first.
-pub(in crate::core::workload::placer) type Rank = (u32, Timeliness, Duration, JobKey);
+/// Sort key of a step in a placement round. Lower ranks go first.
+pub(in crate::core::workload::placer) type Rank = (Order, JobKey);
 
 impl Job {
     /// Returns the rank of the job's steps at a wall time since the Unix epoch.
     pub(in crate::core::workload::placer) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
         let deadline = self.accepted_at + self.objective();
-        (
-            self.queue.priority,
-            self.timeliness(unix_time),
+        let order = Order {
+            priority: self.queue.priority,
+            timeliness: self.timeliness(unix_time),
+            unstarted: self.is_unstarted(),
             deadline,
-            key,
-        )
+        };
+        (order, key)
     }
 
     /// Returns whether the job can still be of use to its caller, at a wall time since the Unix epoch.
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod evacuation;
 pub mod forwarders;
 pub mod isolation;
+pub mod order;
 pub mod preemption;
 pub mod round_interval;
 pub mod shares;
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod forwarders;
 mod isolation;
+mod order;
 mod preemption;
 mod round_interval;
 mod shares;
