Walk the fleet without look-ups for acknowledgements, stop retries and expired leases

Cause: with 3,000 VMs and no queue the reducer took 115 to 137 ms a second; by perf a quarter in a hash look-up for each VM at each event (what to acknowledge), a tenth each in retries of stops and in the check of leases, which looked each VM up by its key. The VMs are now filtered before anything is looked up.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -186,13 +186,11 @@
     }
 
     fn drop_runs_of_expired_leases(&mut self, cx: &mut Cx) {
-        for key in self.fleet.keys() {
-            let is_expired = self.fleet.vms.get(&key).is_some_and(|vm| {
-                vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
-            });
-            if is_expired {
-                self.drop_lost_runs(cx, key, "lease expired", |_| true);
-            }
+        let is_expired = |vm: &Vm| {
+            vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
+        };
+        for key in self.fleet.select(is_expired, usize::MAX) {
+            self.drop_lost_runs(cx, key, "lease expired", |_| true);
         }
     }
 
--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -219,22 +219,19 @@
 
     /// Repeats the stops that were not acknowledged in time.
     pub(in crate::core::workload::placer) fn retry_stops(&mut self, cx: &mut Cx) {
-        for key in self.fleet.keys() {
-            let Some(vm) = self.fleet.vms.get(&key) else {
-                continue;
-            };
-            let is_due = |run: &Run| {
-                matches!(
-                    run.phase,
-                    Phase::Stopping { acked_at: None, retry_at } if cx.now >= retry_at
-                )
-            };
-            let due = vm.runs.iter().filter(|(_, run)| is_due(run));
-            let mut tasks: Vec<TaskKey> = due.map(|(&task, _)| task).collect();
-            tasks.sort_unstable();
-            for task in tasks {
-                self.order_stop(cx, key, task, "previous stop request was not answered");
-            }
+        let is_due = |run: &Run| {
+            matches!(
+                run.phase,
+                Phase::Stopping { acked_at: None, retry_at } if cx.now >= retry_at
+            )
+        };
+        let runs = self.fleet.vms.iter();
+        let runs = runs.flat_map(|(&key, vm)| vm.runs.iter().map(move |run| (key, run)));
+        let due = runs.filter(|(_, (_, run))| is_due(run));
+        let mut due: Vec<(VmKey, TaskKey)> = due.map(|(key, (&task, _))| (key, task)).collect();
+        due.sort_unstable();
+        for (key, task) in due {
+            self.order_stop(cx, key, task, "previous stop request was not answered");
         }
     }
 
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -318,6 +318,7 @@
     /// form of [`Batch::ack_cursors`]. Those of jobs that are not loaded are not recorded.
     fn ack_cursors(&self) -> Vec<(VmKey, u64, u64)> {
         let vms = self.fleet.vms.iter();
+        let vms = vms.filter(|(_, vm)| vm.processed_seq > vm.stored_seq);
         let cursors = vms.map(|(&key, vm)| {
             let max = self.missing.max_ack(key, vm.started_ms);
             let seq = max.map_or(vm.processed_seq, |max| max.min(vm.processed_seq));
