Reserve as many daemons for urgent advice as urgent queries used lately

A quarter of the daemons was kept for urgent queries, which last some 25 ms and occupy one or two of 31.

Ways: a quarter as it stood; an eighth (trial); one more than urgent queries in flight lately, at most a quarter.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -186,9 +186,8 @@
     }
 
     fn drop_runs_of_expired_leases(&mut self, cx: &mut Cx) {
-        let is_expired = |vm: &Vm| {
-            vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now)
-        };
+        let is_expired =
+            |vm: &Vm| vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now);
         for key in self.fleet.select(is_expired, usize::MAX) {
             self.drop_lost_runs(cx, key, "lease expired", |_| true);
         }
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::core::model::DaemonId;
+use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::VmId;
 use crate::core::workload::catalog::AdviceTiming;
@@ -18,8 +19,11 @@
 use crate::core::workload::placer::rounds::round::Pool;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::policy::forwarders::UrgentQueries;
 use crate::core::workload::policy::forwarders::shared_forwarders;
+use crate::core::workload::submission::OccurrenceIndex;
 use crate::core::workload::submission::Step;
+use crate::core::workload::submission::StepIndex;
 
 /// Fraction of a ticket's validity period in which the ticket is used, so that the start order
 /// arrives before it expires.
@@ -56,6 +60,9 @@
 pub(in crate::core::workload::placer) struct AdviceForwarders {
     in_flight: FxHashMap<Option<DaemonId>, u32>,
     paused_until: FxHashMap<DaemonId, Now>,
+    urgent: UrgentQueries,
+    /// Steps of urgent queues with a query in flight.
+    urgent_steps: FxHashSet<(JobId, OccurrenceIndex, StepIndex)>,
 }
 
 impl StepAdvice {
@@ -139,7 +146,8 @@
     ) -> Option<(Option<DaemonId>, Option<Box<str>>)> {
         if priority > URGENT_PRIORITY && reserves_forwarders(cx) {
             let forwarders = heartbeats.addresses.len().max(1);
-            if self.busy_count() >= shared_forwarders(forwarders) {
+            let urgent = self.urgent.recent_peak(cx.now);
+            if self.busy_count() >= shared_forwarders(forwarders, urgent) {
                 return None;
             }
         }
@@ -185,10 +193,14 @@
         cx: &mut Cx,
         (forwarder, via): (Option<DaemonId>, Option<Box<str>>),
         key: StepKey,
-        job: &str,
+        (job, priority): (&str, u32),
         vms: Rc<[VmId]>,
         timing: &AdviceTiming,
     ) {
+        let step = (job.into(), key.occurrence, key.step);
+        if priority == URGENT_PRIORITY && self.urgent_steps.insert(step) {
+            self.urgent.start(cx.now);
+        }
         let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
         let timeout =
             timing.base_latency + timing.latency_per_vm * count + cx.options.vms.advice_margin;
@@ -208,9 +220,13 @@
         });
     }
 
-    /// Records the end of a query through a daemon.
-    pub fn finish(&mut self, forwarder: Option<&DaemonId>, failed: bool, now: Now) {
-        let forwarder = forwarder.cloned();
+    /// Records the end of a query.
+    pub fn finish(&mut self, query: &AdviceQuery, failed: bool, now: Now) {
+        let step = (query.job.clone(), query.occurrence, query.step);
+        if self.urgent_steps.remove(&step) {
+            self.urgent.finish();
+        }
+        let forwarder = query.forwarder.clone();
         if let (true, Some(id)) = (failed, forwarder.clone()) {
             self.paused_until.insert(id, now + FORWARDER_PAUSE);
         }
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -178,8 +178,7 @@
         query: &AdviceQuery,
         result: Result<Vec<AdvisedVm>, Box<str>>,
     ) {
-        self.forwarders
-            .finish(query.forwarder.as_ref(), result.is_err(), cx.now);
+        self.forwarders.finish(query, result.is_err(), cx.now);
         self.schedule_round(cx.now);
         let Some(job_key) = self.registry.key(&query.job) else {
             return;
@@ -511,7 +510,8 @@
         if let Some(step) = self.registry.step_mut(key) {
             step.advice.asked = Some(vms.into());
         }
-        self.forwarders.send(cx, forwarder, key, &id, ids, &timing);
+        let job = (&*id, priority);
+        self.forwarders.send(cx, forwarder, key, job, ids, &timing);
     }
 }
 
