Count the grace of a cut-off placer by what its heartbeats have named

If the fleet has grown since its last heartbeat, its successor counts a shorter one, and both act for some 10 ms a VM. The placer now counts the shortest grace that its successor may have received.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -27,6 +27,7 @@
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::policy::admission::WaitEstimator;
+use super::policy::authority::NamedGrace;
 use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
 use super::policy::round_interval::RoundTimer;
@@ -66,6 +67,8 @@
     /// Send time of the last heartbeat that was stored; initially the time of the grant. A successor
     /// counts from its receipt how long this placer may renew leases.
     last_heartbeat_sent_at: Now,
+    /// Grace that the heartbeats since then have named.
+    named_grace: NamedGrace,
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
@@ -356,8 +359,8 @@
     /// still reaches. It can restart their tasks only after their leases have expired, so this
     /// daemon must stop renewing them.
     fn is_partitioned(&self, cx: &Cx) -> bool {
-        let renewal_wait = self.renewal_wait(cx);
-        if cx.now < self.last_heartbeat_sent_at + cx.options.renewal_grace(renewal_wait) {
+        let grace = self.renewal_grace(cx).min(self.named_grace.shortest());
+        if cx.now < self.last_heartbeat_sent_at + grace {
             return false;
         }
         let vms = self.fleet.vms.values();
@@ -365,6 +368,11 @@
         is_minority(silent, self.fleet.vms.len())
     }
 
+    /// Returns the time for which leases may be renewed after a heartbeat, in the present fleet.
+    fn renewal_grace(&self, cx: &Cx) -> Duration {
+        cx.options.renewal_grace(self.renewal_wait(cx))
+    }
+
     fn schedule_round(&mut self, at: Now) {
         self.next_round_at = Some(self.next_round_at.map_or(at, |other| other.min(at)));
     }
@@ -404,7 +412,7 @@
             waiting: self.missing.is_empty().then_some(waiting),
             waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
             waits: self.wait_rows(),
-            renews_ms: Some(millis(cx.options.renewal_grace(self.renewal_wait(cx)))),
+            renews_ms: Some(millis(self.renewal_grace(cx))),
             former_renews_ms: if self.settled {
                 0
             } else {
--- a/src/core/workload/placer/storage/heartbeat.rs
+++ b/src/core/workload/placer/storage/heartbeat.rs
@@ -28,6 +28,7 @@
             return;
         }
         self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
+        self.named_grace.send_late(self.renewal_grace(cx));
         let part = &cx.options.part;
         let row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
         let txn = Transaction {
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -37,6 +37,7 @@
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::policy::admission::WaitEstimator;
+use crate::core::workload::policy::authority::NamedGrace;
 use crate::core::workload::policy::estimates::RunTimeEstimates;
 use crate::core::workload::policy::round_interval::RoundTimer;
 use crate::core::workload::policy::wait_reasons::WaitTimes;
@@ -121,6 +122,7 @@
             former_renews_until: former.renews_until,
             last_commit_sent_at: cx.now,
             last_heartbeat_sent_at: cx.now,
+            named_grace: NamedGrace::new(),
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
             lost_vms: LostVms::default(),
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -180,6 +180,7 @@
         }
         if heartbeat_due {
             self.next_heartbeat_at = cx.now + cx.options.placer.heartbeat_interval;
+            self.named_grace.send(self.renewal_grace(cx));
             let row = RowId::new(HEARTBEATS, part, HEARTBEAT_KEY);
             txn.put.push((row, encode(&self.heartbeat_row(cx))));
         }
@@ -235,6 +236,7 @@
             self.last_commit_sent_at = batch.sent;
             if let Some(sent) = batch.heartbeat_sent {
                 self.last_heartbeat_sent_at = sent;
+                self.named_grace.confirm();
             }
             if batch.releases_role {
                 self.release = Release::Done;
--- a/src/core/workload/policy/authority.rs
+++ b/src/core/workload/policy/authority.rs
@@ -19,6 +19,56 @@
     grace.max(detection + heartbeat_interval * 2)
 }
 
+/// Shortest grace that a successor may count from, as heartbeats name it: a heartbeat whose answer is
+/// not known may have been received, and one that was sent before the fleet grew names less than a
+/// later one.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedGrace {
+    shortest: Duration,
+    /// The same without the heartbeats before the one in flight.
+    since_in_flight: Duration,
+}
+
+impl NamedGrace {
+    /// Returns the state before any heartbeat has named a grace.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            shortest: Duration::MAX,
+            since_in_flight: Duration::MAX,
+        }
+    }
+
+    /// Records a heartbeat whose outcome will be known.
+    pub fn send(&mut self, grace: Duration) {
+        self.since_in_flight = Duration::MAX;
+        self.send_late(grace);
+    }
+
+    /// Records a heartbeat beside the one in flight.
+    pub fn send_late(&mut self, grace: Duration) {
+        self.shortest = self.shortest.min(grace);
+        self.since_in_flight = self.since_in_flight.min(grace);
+    }
+
+    /// Records that the heartbeat in flight is stored, so that no successor counts from earlier ones.
+    pub fn confirm(&mut self) {
+        self.shortest = self.since_in_flight;
+    }
+
+    /// Returns the shortest grace that a successor may count from.
+    #[must_use]
+    pub fn shortest(&self) -> Duration {
+        self.shortest
+    }
+}
+
+impl Default for NamedGrace {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Returns whether so many VMs are silent that the placer may be cut off from a successor that can
 /// reach them.
 #[must_use]
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the workload reducer's decisions under load, each on plain values.
 
 mod admission;
+mod authority;
 mod crashes;
 mod estimates;
 mod evacuation;
