--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -52,7 +52,7 @@
     /// Free room, otherwise that of runs that may be stopped.
     AnyRoom,
     /// The room of runs that may be stopped.
-    RoomOfOthers,
+    PreemptibleRoom,
 }
 
 /// Start of a task that a round has planned.
@@ -281,7 +281,7 @@
             return WaitReason::Room;
         }
         let ask_for = if is_unmet {
-            AskFor::RoomOfOthers
+            AskFor::PreemptibleRoom
         } else if may_preempt {
             AskFor::AnyRoom
         } else {
@@ -407,7 +407,7 @@
         let needed = step.waiting.saturating_sub(approved);
         // Room that no single VM has for a task is of no use to the step.
         let mut has_claim =
-            ask_for != AskFor::RoomOfOthers && needed > 0 && pool.claim(spec, needed);
+            ask_for != AskFor::PreemptibleRoom && needed > 0 && pool.claim(spec, needed);
         let has_spare = self.forwarders.has_spare(round.heartbeats);
         if ask_for != AskFor::FreeRoom && needed > 0 && !has_claim && has_spare {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
