--- a/src/core/workload/placer/rounds/mod.rs
+++ b/src/core/workload/placer/rounds/mod.rs
@@ -8,6 +8,7 @@
 pub(in crate::core::workload::placer) mod gang;
 pub(in crate::core::workload::placer) mod preempt;
 pub(in crate::core::workload::placer) mod preemptible;
+mod queries;
 pub(in crate::core::workload::placer) mod rank;
 pub(in crate::core::workload::placer) mod round;
 pub(in crate::core::workload::placer) mod shares;
--- /dev/null
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -0,0 +1,266 @@
+//! Advice queries of a placement round: which steps ask, about which VMs, and the answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::core::model::Now;
+use crate::core::model::ServiceId;
+use crate::core::model::VmId;
+use crate::core::workload::cx::Cx;
+use crate::core::workload::decision::Decision;
+use crate::core::workload::event::AdviceQuery;
+use crate::core::workload::event::AdvisedVm;
+use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::round::Round;
+use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::StepKey;
+use crate::core::workload::placer::state::job_registry::StepProgress;
+use crate::core::workload::policy::wait_reasons::WaitReason;
+use crate::core::workload::submission::Step;
+
+/// Number of task slots for which advice is requested per waiting task, as the advice service
+/// rejects some VMs.
+const ADVICE_OVERSAMPLING: u32 = 3;
+
+/// Minimum number of VMs in an advice query, if there are that many candidates. It does not apply
+/// to a query that only renews the tickets of VMs approved before.
+const MIN_ADVICE_VMS: u32 = 8;
+
+/// Slowness above which a VM is queried for advice only after faster ones. Slowness is the natural
+/// logarithm of the run time relative to other VMs.
+const SLOWNESS_THRESHOLD: f64 = 0.08;
+
+/// Delay before a failed advice query is repeated.
+const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Room on which a step asks for advice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum AskFor {
+    FreeRoom,
+    /// Free room, otherwise that of runs that may be stopped.
+    AnyRoom,
+    /// The room of runs that may be stopped.
+    PreemptibleRoom,
+}
+
+impl Placer {
+    /// Handles the answer to an advice query.
+    pub(in crate::core::workload::placer) fn handle_advice(
+        &mut self,
+        cx: &mut Cx,
+        query: &AdviceQuery,
+        result: Result<Vec<AdvisedVm>, Box<str>>,
+    ) {
+        self.forwarders.finish(query, result.is_err(), cx.now);
+        self.schedule_round(cx.now);
+        let Some(job_key) = self.registry.key(&query.job) else {
+            return;
+        };
+        let key = StepKey {
+            job: job_key,
+            occurrence: query.occurrence,
+            step: query.step,
+        };
+        let timing = self
+            .registry
+            .jobs
+            .get(&job_key)
+            .and_then(|job| job.queue.advice);
+        let vms: Vec<(VmId, Option<VmKey>)> = query
+            .vms
+            .iter()
+            .map(|id| (id.clone(), self.fleet.key(id)))
+            .collect();
+        let (Some(step), Some(timing)) = (self.registry.step_mut(key), timing) else {
+            return;
+        };
+        step.advice.asked = None;
+        match result {
+            Ok(approved) => {
+                let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+                let decided_at = query.sent + timing.base_latency + timing.latency_per_vm * count;
+                for (id, vm) in vms {
+                    let ticket = approved.iter().find(|advised| advised.vm == id);
+                    let ticket = ticket.map(|advised| advised.ticket.clone());
+                    if let Some(vm) = vm {
+                        step.advice.record(vm, ticket, decided_at, &timing);
+                    }
+                }
+            }
+            Err(reason) => {
+                step.advice.retry_at = cx.now + ADVICE_RETRY_DELAY;
+                let forwarder = query.forwarder.clone().unwrap_or_default();
+                cx.log(Decision::AdviceFailed {
+                    id: query.job.clone(),
+                    step: query.step,
+                    helper: forwarder,
+                    reason,
+                });
+            }
+        }
+    }
+
+    /// Returns whether a step may ask for advice in this round: it needs more VMs than it has
+    /// tickets for, and the steps before it leave room. Claims that room, also for a query that is
+    /// in flight.
+    pub(in crate::core::workload::placer) fn may_ask(
+        &self,
+        cx: &Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        service: &ServiceId,
+        ask_for: AskFor,
+    ) -> bool {
+        let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
+        else {
+            return false;
+        };
+        let pool = round.pool(service, || self.open_vms(cx, service));
+        // Runs of a step with a limit per VM occupy VMs that its tickets name.
+        let approved = if spec.max_per_vm == 0 {
+            step.advice.open_slots(pool, spec, cx.now)
+        } else {
+            0
+        };
+        if let Some(vms) = &step.advice.asked {
+            pool.record_asked(vms);
+        }
+        let needed = step.waiting.saturating_sub(approved);
+        // Room that no single VM has for a task is of no use to the step.
+        let mut has_claim =
+            ask_for != AskFor::PreemptibleRoom && needed > 0 && pool.claim(spec, needed);
+        let has_spare = self.forwarders.has_spare(round.heartbeats);
+        if ask_for != AskFor::FreeRoom && needed > 0 && !has_claim && has_spare {
+            has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
+        }
+        has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
+    }
+
+    /// Returns whether a step has a valid ticket for any VM.
+    pub(in crate::core::workload::placer) fn has_ticket(&self, cx: &Cx, key: StepKey) -> bool {
+        let step = self.registry.step(key);
+        step.is_some_and(|step| step.advice.has_ticket(cx.now))
+    }
+
+    /// Returns why a step that needs advice waits beside VMs with room.
+    pub(in crate::core::workload::placer) fn reason_without_ticket(
+        &self,
+        round: &Round,
+        key: StepKey,
+        priority: u32,
+    ) -> WaitReason {
+        let step = self.registry.step(key);
+        if step.is_some_and(|step| step.advice.asked.is_some()) {
+            WaitReason::Advice
+        } else if !round.may_query(priority) {
+            WaitReason::AdviceDaemons
+        } else if step.is_some_and(|step| step.advice.has_answers()) {
+            WaitReason::Approval
+        } else {
+            WaitReason::AdviceClaims
+        }
+    }
+
+    /// Sends an advice query if the VMs with valid tickets have no room for all waiting tasks.
+    pub(in crate::core::workload::placer) fn query_advice(
+        &mut self,
+        cx: &mut Cx,
+        round: &mut Round,
+        key: StepKey,
+        spec: &Step,
+        candidates: &[Candidate],
+    ) {
+        let Some(job) = self.registry.jobs.get(&key.job) else {
+            return;
+        };
+        let service = job.queue.service.clone();
+        let (Some(timing), Some(step)) = (job.queue.advice, self.registry.step(key)) else {
+            return;
+        };
+        let id = job.id.clone();
+        let Some(vms) = vms_to_query(cx, spec, step, candidates) else {
+            return;
+        };
+        let priority = job.queue.priority;
+        let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats, priority) else {
+            round.record_busy_forwarders(priority);
+            return;
+        };
+        let pool = round.pool(&service, Vec::new);
+        pool.record_asked(&vms);
+        let ids = vms.iter();
+        let ids = ids.filter_map(|vm| Some(self.fleet.vms.get(vm)?.id.clone()));
+        let ids: Rc<[VmId]> = ids.collect();
+        if let Some(step) = self.registry.step_mut(key) {
+            step.advice.asked = Some(vms.into());
+        }
+        let job = (&*id, priority);
+        self.forwarders.send(cx, forwarder, key, job, ids, &timing);
+    }
+}
+
+/// Returns the VMs to query advice for, the best first.
+///
+/// VMs that were approved before and whose tickets have expired come first, and their slots are not
+/// oversampled. VMs that are not slow come next, first those on which fewer other steps wait for
+/// advice, as these would take the same room. Returns `None` if the VMs with valid tickets have
+/// room for all waiting tasks or if no other VM is left.
+fn vms_to_query(
+    cx: &Cx,
+    spec: &Step,
+    step: &StepProgress,
+    candidates: &[Candidate],
+) -> Option<Vec<VmKey>> {
+    let now: Now = cx.now;
+    let has_ticket = |candidate: &&Candidate| step.advice.ticket(candidate.vm, now).is_some();
+    let approved: u32 = candidates
+        .iter()
+        .filter(has_ticket)
+        .fold(0, |sum, candidate| {
+            sum.saturating_add(candidate.max_tasks(spec))
+        });
+    if approved >= step.waiting {
+        return None;
+    }
+    let unapproved = |candidate: &&Candidate| {
+        !has_ticket(candidate) && !step.advice.rejected.contains(&candidate.vm)
+    };
+    let mut unapproved: Vec<&Candidate> = candidates.iter().filter(unapproved).collect();
+    if unapproved.is_empty() {
+        return None;
+    }
+    let approved_before = |candidate: &Candidate| step.advice.tickets.contains_key(&candidate.vm);
+    let is_slow = |candidate: &Candidate| {
+        !spec.traits.long_running && candidate.slowness > SLOWNESS_THRESHOLD
+    };
+    unapproved.sort_by_key(|candidate| {
+        let fits = std::cmp::Reverse(candidate.max_tasks(spec));
+        (
+            !approved_before(candidate),
+            is_slow(candidate),
+            candidate.asked,
+            fits,
+            candidate.vm,
+        )
+    });
+    let mut list = Vec::new();
+    let mut slots = 0_u32;
+    let needed = step.waiting - approved;
+    for candidate in unapproved {
+        let weight = if approved_before(candidate) {
+            ADVICE_OVERSAMPLING
+        } else {
+            1
+        };
+        slots = slots.saturating_add(candidate.max_tasks(spec).saturating_mul(weight));
+        list.push(candidate.vm);
+        let enough_slots = slots >= needed.saturating_mul(ADVICE_OVERSAMPLING);
+        let enough_vms = approved_before(candidate) || list.len() >= MIN_ADVICE_VMS as usize;
+        if (enough_slots && enough_vms) || list.len() >= cx.options.vms.max_advice_vms {
+            break;
+        }
+    }
+    Some(list)
+}
