--- a/benches/placer/main.rs
+++ b/benches/placer/main.rs
@@ -54,8 +54,8 @@
 /// One job of this many belongs to the batch queue, whose runs may be stopped for the other queue.
 const BATCH_JOBS: usize = 2;
 
-/// Simulated time that is measured, in milliseconds.
-const MEASURED_MS: u64 = 3_000;
+/// Simulated time that is measured, in seconds.
+const MEASURED_SECONDS: u32 = 3;
 
 const ADVICE: AdviceTiming = AdviceTiming {
     base_latency: Duration::from_millis(18),
@@ -95,19 +95,18 @@
     let placer = cell.placer().expect("a placer");
     let (scans, starts) = (cell.vm_scans(placer), cell.starts.len());
     cell.take_step_times(placer);
-    cell.run_for(MEASURED_MS);
+    cell.run_for(u64::from(MEASURED_SECONDS) * 1_000);
     let times = cell.take_step_times(placer);
-    let seconds = Duration::from_millis(MEASURED_MS).as_secs_f64();
     let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
     let searches = cell.vm_scans(placer) - scans;
     let starts = cell.starts.len() - starts;
     println!(
         "{vms:<5} {waiting:<8} {:<7} {:<13.1} {:<16.2} {:<11} {}",
         if advice.is_some() { "yes" } else { "no" },
-        millis(times.total) / seconds,
+        millis(times.total / MEASURED_SECONDS),
         millis(times.longest),
-        searches / 3,
-        starts / 3,
+        searches / u64::from(MEASURED_SECONDS),
+        starts / MEASURED_SECONDS as usize,
     );
 }
 
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::core::workload::placer::rounds::candidates::CandidateList;
 use crate::core::workload::placer::rounds::evacuation::MOVE_ROUND_INTERVAL;
 use crate::core::workload::placer::rounds::preempt::Among;
-use crate::core::workload::placer::rounds::queries::AskFor;
+use crate::core::workload::placer::rounds::queries::Room;
 use crate::core::workload::placer::rounds::rank::Rank;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -191,14 +191,14 @@
         if is_unmet && !(may_preempt && is_advised) {
             return WaitReason::Room;
         }
-        let ask_for = if is_unmet {
-            AskFor::PreemptibleRoom
+        let room = if is_unmet {
+            Room::Preemptible
         } else if may_preempt {
-            AskFor::AnyRoom
+            Room::Any
         } else {
-            AskFor::FreeRoom
+            Room::Free
         };
-        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, ask_for);
+        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, room);
         if is_unmet && !asks {
             return WaitReason::Room;
         }
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -36,12 +36,12 @@
 
 /// Room on which a step asks for advice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(in crate::core::workload::placer) enum AskFor {
-    FreeRoom,
+pub(in crate::core::workload::placer) enum Room {
+    Free,
     /// Free room, otherwise that of runs that may be stopped.
-    AnyRoom,
+    Any,
     /// The room of runs that may be stopped.
-    PreemptibleRoom,
+    Preemptible,
 }
 
 impl Placer {
@@ -111,7 +111,7 @@
         key: StepKey,
         spec: &Step,
         service: &ServiceId,
-        ask_for: AskFor,
+        room: Room,
     ) -> bool {
         let (Some(job), Some(step)) = (self.registry.jobs.get(&key.job), self.registry.step(key))
         else {
@@ -129,10 +129,9 @@
         }
         let needed = step.waiting.saturating_sub(approved);
         // Room that no single VM has for a task is of no use to the step.
-        let mut has_claim =
-            ask_for != AskFor::PreemptibleRoom && needed > 0 && pool.claim(spec, needed);
+        let mut has_claim = room != Room::Preemptible && needed > 0 && pool.claim(spec, needed);
         let has_spare = self.forwarders.has_spare(round.heartbeats);
-        if ask_for != AskFor::FreeRoom && needed > 0 && !has_claim && has_spare {
+        if room != Room::Free && needed > 0 && !has_claim && has_spare {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
         }
         has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
