--- /dev/null
+++ b/review/standins/cases.rs
@@ -0,0 +1,312 @@
+//! The cases.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::Verdict;
+use crate::cell::Cell;
+use crate::cell::Route;
+use crate::cell::SERVICE;
+use crate::minion::Begun;
+use crate::minion::Kind;
+use crate::record::Record;
+use crate::store::Fate;
+
+const ZONES: [&str; 4] = ["llano-yard", "blanco-yard", "pedernales", "san-saba"];
+const ROUTE: Route = Route { name: "r-ddedev3", prefix: "/pufi791/", max_attempts: 4 };
+const OTHER: Route = Route { name: "r-ihhacru", prefix: "/lohu930/", max_attempts: 4 };
+
+/// `ackMs` of a small deployment.
+const ACK: Duration = Duration::from_millis(4_000);
+/// Length of the cut of a zone, as in the days of the small deployments.
+const CUT_TIME: Duration = Duration::from_millis(6_200);
+/// Longest time for which a job may have nothing running while its turn has come.
+const IDLE: Duration = Duration::from_secs(3);
+/// `cancel_ms` and `stopTimeoutMs` of a small deployment.
+const CANCEL: Duration = Duration::from_millis(3_000 + 200);
+
+fn minions(count: usize) -> Vec<Kind> {
+    let kind = |ix: usize| Kind {
+        id: format!("i-7f3a91{ix:02x}"),
+        machine: format!("m-0a3f{ix:02x}"),
+        zone: ZONES[ix % ZONES.len()].to_string(),
+        service: SERVICE.to_string(),
+        cpu: 32_000,
+        mem_mb: 131_072,
+        labels: vec!["a".to_string(), format!("r1-{}", ix / 6)],
+    };
+    (0..count).map(kind).collect()
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Waits until `is_over` returns true, for `limit` at most; returns whether it did.
+fn wait_for(limit: Duration, mut is_over: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if is_over() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    false
+}
+
+fn start(record: Record, count: usize) -> Cell {
+    Cell::start(record, minions(count), &[ROUTE, OTHER], &ZONES[..3])
+}
+
+fn path(route: &Route, id: &str) -> String {
+    format!("{}{id}", route.prefix)
+}
+
+/// Submits a job that has to be accepted.
+fn submit(cell: &mut Cell, route: &Route, id: &str, body: &str) {
+    let path = path(route, id);
+    for ix in [0, 1, 2, 0, 1, 2] {
+        if cell.call(ix, "POST", &path, body).is_some_and(|answer| answer.0 == 200) {
+            return;
+        }
+        thread::sleep(seconds(0.5));
+    }
+    cell.fail("a job was not accepted");
+}
+
+/// One large job comes: its progress does not fit into a row of the store.
+pub fn large_job(record: Record, trouble: bool) -> Verdict {
+    let mut cell = start(record, 12);
+    let small = r#"{"spec":"ms=800","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":800},{"count":4,"cpu":500,"memMb":256,"estimateMs":800,"after":[0]}]}"#;
+    submit(&mut cell, &OTHER, "00000000000000a1", small);
+    let first = path(&OTHER, "00000000000000a1");
+    if !wait_for(seconds(15.0), || cell.state(&first).as_deref() == Some("completed")) {
+        cell.fail("the first small job was not completed");
+    }
+    let count = if trouble { 2_400 } else { 240 };
+    let large = format!(
+        r#"{{"spec":"ms=4000 spread=160000 save=1","steps":[{{"count":{count},"cpu":50,"memMb":64,"estimateMs":20000,"checkpointing":true}}]}}"#
+    );
+    submit(&mut cell, &ROUTE, "00000000000000b2", &large);
+    thread::sleep(seconds(10.0));
+    submit(&mut cell, &OTHER, "00000000000000c3", small);
+    let accepted_at = Instant::now();
+    let second = path(&OTHER, "00000000000000c3");
+    let mut idle_since = accepted_at;
+    let mut longest_idle = Duration::ZERO;
+    let mut completed = false;
+    let mut next_look = accepted_at;
+    while !completed && accepted_at.elapsed() < seconds(30.0) {
+        if has_running(&cell, "00000000000000c3") {
+            idle_since = Instant::now();
+        }
+        longest_idle = longest_idle.max(idle_since.elapsed());
+        if Instant::now() >= next_look {
+            next_look = Instant::now() + seconds(1.0);
+            completed = cell.state(&second).as_deref() == Some("completed");
+        }
+        thread::sleep(seconds(0.02));
+    }
+    let (listed, unnoted) = {
+        let runs = cell.runs.lock().unwrap();
+        let is_old = |run: &&Begun| run.ended.as_ref().is_some_and(|end| end.0.elapsed() > ACK);
+        let old: Vec<bool> = runs.iter().filter(is_old).map(|run| run.noted).collect();
+        (old.len(), old.iter().filter(|noted| !**noted).count())
+    };
+    let refused = cell.store.too_large();
+    if let Some((row, size)) = refused.last() {
+        let count = refused.len();
+        cell.record.line(&format!(
+            "the store refused {count} transactions; the last had a value of {size} bytes for {row:?}"
+        ));
+    }
+    cell.record.line(&format!(
+        "the second small job had nothing running for {longest_idle:.1?} on end; completed: {completed}"
+    ));
+    cell.record.line(&format!(
+        "{listed} ends were listed over {ACK:?} ago, {unnoted} of them are not taken note of"
+    ));
+    if !completed && longest_idle > IDLE {
+        return Verdict::Broken(format!(
+            "LOST: a small job had nothing running for {longest_idle:.1?} while its turn had come; \
+             Acks: {unnoted} of {listed} ends are not taken note of"
+        ));
+    }
+    if unnoted * 5 > listed {
+        return Verdict::Broken(format!("Acks: {unnoted} of {listed} ends are not taken note of"));
+    }
+    if !completed {
+        cell.fail("the second small job is not completed");
+    }
+    Verdict::Held
+}
+
+/// Returns whether a task of a job is running.
+fn has_running(cell: &Cell, id: &str) -> bool {
+    let runs = cell.runs.lock().unwrap();
+    runs.iter().any(|run| run.ended.is_none() && run.task.starts_with(id))
+}
+
+/// A cancel call is answered with 410 while the job's own submission may still take effect.
+pub fn late_submission(record: Record, trouble: bool) -> Verdict {
+    let mut cell = start(record, 8);
+    let id = "00000000000000d4";
+    if trouble {
+        let is_lost = std::sync::atomic::AtomicBool::new(false);
+        let log = cell.record.clone();
+        cell.store.choose(Box::new(move |rows| {
+            let has_job = rows.iter().any(|row| row.0 == "jobs" && row.2 == id);
+            if has_job && !is_lost.swap(true, std::sync::atomic::Ordering::Relaxed) {
+                log.line("the store does not answer the transaction with the job and performs it 5.8 s later");
+                return Fate::LateAndLost(seconds(5.8));
+            }
+            Fate::Usual
+        }));
+    }
+    thread::sleep(seconds(3.0));
+    let path = path(&ROUTE, id);
+    let body = r#"{"spec":"ms=3600000","steps":[{"count":4,"cpu":1000,"memMb":1024,"longRunning":true}]}"#;
+    let accepted = cell.call(0, "POST", &path, body);
+    if !trouble && accepted.as_ref().is_none_or(|answer| answer.0 != 200) {
+        cell.fail("the job was not accepted");
+    }
+    let mut acked = None;
+    for ix in [0, 1, 2, 0, 1, 2] {
+        if let Some((200 | 410, _)) = cell.call(ix, "DELETE", &path, "") {
+            acked = Some(Instant::now());
+            break;
+        }
+        thread::sleep(seconds(0.5));
+    }
+    let Some(acked) = acked else {
+        cell.fail("the cancel call got no 2xx or 410");
+    };
+    thread::sleep(seconds(15.0));
+    cell.state(&path);
+    let runs = cell.runs.lock().unwrap();
+    let late = runs.iter().filter(|run| run.at > acked + CANCEL).count();
+    let alive = runs.iter().filter(|run| run.ended.is_none()).count();
+    drop(runs);
+    if alive > 0 {
+        return Verdict::Broken(format!(
+            "UNASKED: {late} tasks began over {CANCEL:?} after the cancel was acknowledged, and {alive} run on 15 s after it"
+        ));
+    }
+    Verdict::Held
+}
+
+/// The operator drops a route and restores it; meanwhile the holder is killed.
+pub fn dropped_route(record: Record, trouble: bool) -> Verdict {
+    let mut cell = start(record, 8);
+    let body = r#"{"spec":"ms=6000 fail=1","steps":[{"count":4,"cpu":1000,"memMb":1024,"estimateMs":6000}]}"#;
+    let id = "00000000000000e5";
+    submit(&mut cell, &ROUTE, id, body);
+    let path = path(&ROUTE, id);
+    let has_begun = |cell: &Cell| cell.runs.lock().unwrap().len() >= 4;
+    if !wait_for(seconds(10.0), || has_begun(&cell)) {
+        cell.fail("the tasks did not begin");
+    }
+    cell.configure(2, &[OTHER]);
+    thread::sleep(seconds(1.0));
+    if trouble {
+        let Some(holder) = cell.holder() else {
+            cell.fail("no process holds the role");
+        };
+        cell.kill(holder);
+        thread::sleep(seconds(0.5));
+        cell.spawn(holder);
+    }
+    let has_failed = |cell: &Cell| cell.runs.lock().unwrap().iter().filter(|run| run.ended.is_some()).count() >= 4;
+    if !wait_for(seconds(15.0), || has_failed(&cell)) {
+        cell.fail("the first runs did not end");
+    }
+    thread::sleep(seconds(1.0));
+    cell.configure(3, &[ROUTE, OTHER]);
+    let mut last = None;
+    wait_for(seconds(30.0), || {
+        last = cell.state(&path);
+        matches!(last.as_deref(), Some("completed" | "failed"))
+    });
+    let failures = |how: &str| {
+        let runs = cell.runs.lock().unwrap();
+        runs.iter().filter(|run| run.ended.as_ref().is_some_and(|end| end.1 == how)).count()
+    };
+    cell.record.line(&format!("{} runs ended failed, {} done", failures("failed"), failures("done")));
+    match last.as_deref() {
+        Some("completed") => Verdict::Held,
+        Some("failed") => Verdict::Broken("LOST: the job is shown as failed after one failed run of each task; the route has maxAttempts 4".to_string()),
+        other => cell.fail(&format!("the job's state is {other:?}")),
+    }
+}
+
+/// The zone with the large minions is cut off, and the holder is killed meanwhile.
+pub fn cut_zone(record: Record, trouble: bool) -> Verdict {
+    const CUT_ZONE: usize = 3;
+    let mut kinds = minions(8);
+    for kind in &mut kinds {
+        let is_large = kind.zone == ZONES[CUT_ZONE];
+        kind.cpu = if is_large { 64_000 } else { 16_000 };
+    }
+    let mut cell = Cell::start(record, kinds, &[ROUTE, OTHER], &ZONES);
+    let is_large = |ix: &usize| cell.minions[*ix].kind.zone == ZONES[CUT_ZONE];
+    let large: Vec<usize> = (0..cell.minions.len()).filter(is_large).collect();
+    let body = r#"{"spec":"ms=800","steps":[{"count":2,"cpu":40000,"memMb":4096,"estimateMs":800}]}"#;
+    submit(&mut cell, &ROUTE, "00000000000000f6", body);
+    let first = path(&ROUTE, "00000000000000f6");
+    if !wait_for(seconds(10.0), || cell.state(&first).as_deref() == Some("completed")) {
+        cell.fail("the first job was not completed");
+    }
+    // The holder has to be outside the zone that will be cut.
+    if cell.holder() == Some(CUT_ZONE) {
+        cell.kill(CUT_ZONE);
+        thread::sleep(seconds(3.0));
+        cell.spawn(CUT_ZONE);
+    }
+    thread::sleep(seconds(5.0));
+    let is_due = |cell: &Cell| large.iter().all(|ix| cell.minions[*ix].beat_age() > seconds(1.35));
+    let until = Instant::now() + seconds(10.0);
+    while !is_due(&cell) && Instant::now() < until {
+        thread::sleep(seconds(0.005));
+    }
+    let cut_at = Instant::now();
+    let set_cut = |cell: &Cell, is_cut: bool| {
+        cell.record.line(&format!("zone {} is cut off: {is_cut}", ZONES[CUT_ZONE]));
+        cell.store.set_cut(CUT_ZONE, is_cut);
+        for ix in &large {
+            cell.minions[*ix].set_cut(is_cut);
+        }
+    };
+    if trouble {
+        set_cut(&cell, true);
+    }
+    thread::sleep(seconds(1.0));
+    submit(&mut cell, &ROUTE, "0000000000000107", body);
+    let second = path(&ROUTE, "0000000000000107");
+    if trouble {
+        let ids: Vec<String> = large.iter().map(|ix| cell.minions[*ix].kind.id.clone()).collect();
+        let is_listed = |cell: &Cell| {
+            ids.iter().any(|id| cell.store.has("roster", "p0", id) || cell.store.has("servers", "", id))
+        };
+        wait_for(seconds(3.5).saturating_sub(seconds(0.0)), || !is_listed(&cell));
+        let Some(holder) = cell.holder().filter(|holder| *holder != CUT_ZONE) else {
+            cell.fail("no process outside the zone holds the role");
+        };
+        cell.kill(holder);
+        thread::sleep(seconds(0.3));
+        cell.spawn(holder);
+        thread::sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
+        set_cut(&cell, false);
+    }
+    let mut last = None;
+    wait_for(seconds(20.0), || {
+        last = cell.state(&second);
+        matches!(last.as_deref(), Some("completed" | "failed"))
+    });
+    let runs = cell.runs.lock().unwrap().iter().filter(|run| run.task.starts_with("0000000000000107")).count();
+    match last.as_deref() {
+        Some("completed") => Verdict::Held,
+        Some("failed") => Verdict::Broken(format!("LOST: the job is shown as failed after {runs} runs; its tasks fit on the minions of the zone that was cut off")),
+        other => cell.fail(&format!("the job's state is {other:?}")),
+    }
+}
