--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -46,8 +46,8 @@
     let run = match &**case {
         "large-job" => cases::large_job,
         "late-submission" => cases::late_submission,
-        "dropped-route" => cases::dropped_route,
         "quick-restart" => cases::quick_restart,
+        "former-cursor" => cases::former_cursor,
         "crashing-minions" => cases::crashing_minions,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/standins/minion.rs
+++ b/review/standins/minion.rs
@@ -92,6 +92,8 @@
     highest: BTreeMap<String, u64>,
     fence: u64,
     lease_end_ms: u64,
+    /// When the lease was last seen to be over.
+    lapsed_at: Option<Instant>,
     sequence: u64,
     /// When the entry was last written.
     beat_at: Option<Instant>,
@@ -235,6 +237,9 @@
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
         let has_lapsed = state.clock_ms() > state.lease_end_ms;
+        if has_lapsed {
+            state.lapsed_at = Some(now);
+        }
         let mut ends = Vec::new();
         for ((task, number), run) in &state.running {
             let worked_ms = now.duration_since(run.started_at).as_millis() as u64;
@@ -381,14 +386,15 @@
         }
     }
 
-    /// Notes which ends the system has taken note of.
+    /// Notes which ends the system has taken note of: not those after which the lease was over.
     fn note(&self, state: &State, ack: u64) {
         let mut runs = self.runs.lock().unwrap();
         for (_, task, number, _, _) in state.ended.iter().filter(|end| end.0 <= ack) {
             let found = runs.iter_mut().rev();
             let mut found = found.filter(|run| run.task == *task && run.run == *number);
             if let Some(run) = found.find(|run| run.minion == self.kind.id) {
-                run.noted = true;
+                let ended_at = run.ended.as_ref().map(|end| end.0);
+                run.noted = state.lapsed_at <= ended_at;
             }
         }
     }
@@ -450,6 +456,7 @@
             highest: BTreeMap::new(),
             fence: 0,
             lease_end_ms: 0,
+            lapsed_at: None,
             sequence: 0,
             beat_at: None,
         }
