--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -12,10 +12,15 @@
   fi
 done
 export TROUBLE="${TROUBLE:-1}"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
 set -m
 target/review/standins "$case" "$folder/record.txt" &
 group=$!
-end() { kill -KILL -- "-$group" 2>/dev/null; }
+end() {
+  kill -KILL -- "-$group" 2>/dev/null
+  rm -rf "$TMPDIR"
+}
 trap end EXIT
 trap 'end; exit 2' INT TERM
 wait "$group"
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -186,6 +186,7 @@
     let Some(acked) = acked else {
         cell.fail("the cancel call got no 2xx or 410");
     };
+    cell.state(&path);
     thread::sleep(seconds(15.0));
     cell.state(&path);
     let runs = cell.runs.lock().unwrap();
