Keep the runs of a VM's new lifetime until that lifetime reports

Cause: a VM that restarts keeps its id, and the answer to a start names no lifetime. When the VM's row showed the new lifetime, all runs with an answered start were dropped as runs of the former one, also those that the new lifetime had begun, and their tasks started elsewhere at once.

Evidence: the record of the case (answers 200 after the restart, `run_lost reason="VM restarted"` when the row changes, then the second start), and the same order of events in a test without a network.

Each run now has a HostLifetime: unconfirmed, ambiguous or current. It is current once a report lists it, or if the clock in the answer to its start can only be that of the current lifetime. A new lifetime ends only the runs that are current; a report of the new lifetime decides on the others, and is asked for at once. Related paths: answers to stops and speed orders sent before the lifetime was known, the longest lease of a run in an unseen lifetime, the lease of a lifetime that never reports, and a crash that was counted under a run which the VM lists as running or ended.

Simulated VMs now have a clock for each lifetime and shorten leases, and calls of a former lifetime get no answer.

--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -56,6 +56,7 @@
             self.record_duration(cx, vm_key, task, &run, ended.outcome);
         }
         self.record_history(task, ended);
+        self.disprove_crash(task, ended.run);
         match ended.outcome {
             RunOutcome::Done => self.complete_task(cx, vm_key, task),
             RunOutcome::Failed => self.record_task_failure(cx, vm_key, task, ended.run),
--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -3,6 +3,7 @@
 use crate::core::workload::cx::Cx;
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
+use crate::core::workload::event::RenewalReport;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -64,13 +65,13 @@
         proven
     }
 
-    /// Handles a report of a VM in the lifetime that began at `started_ms`: a lost VM has not crashed
-    /// if this is the same lifetime, and has crashed if it is a later one.
+    /// Handles the lifetime that a VM reports: a lost VM has not crashed if this is the same lifetime,
+    /// and has crashed if it is a later one. It has not crashed under the runs that it still lists.
     pub(in crate::core::workload::placer) fn record_lifetime_of(
         &mut self,
         cx: &mut Cx,
         key: VmKey,
-        started_ms: u64,
+        report: &RenewalReport,
     ) {
         if self.lost_vms.is_empty() {
             return;
@@ -79,9 +80,10 @@
             return;
         };
         let seen = Lifetime {
-            started_ms,
+            started_ms: report.started_ms,
             ..vm.lifetime()
         };
+        self.lost_vms.remove_listed_runs(&seen.vm, report);
         self.lost_vms.remove_alive(&seen);
         self.record_crashes(cx, &seen);
     }
@@ -141,6 +143,20 @@
         }
     }
 
+    /// Handles a run that a VM lists: no VM has crashed under it.
+    pub(in crate::core::workload::placer) fn disprove_crash(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+    ) {
+        if let Some(state) = self.registry.task_mut(task)
+            && state.crashed.contains(&run)
+        {
+            state.crashed.retain(|&crashed| crashed != run);
+            self.registry.mark_dirty(task.step.job);
+        }
+    }
+
     /// Returns whether all lost runs are of one task or of one gang, whose tasks crash and end
     /// together.
     fn has_one_suspect(&self, lost: &LostVm) -> bool {
--- a/src/core/workload/placer/orders/reconcile.rs
+++ b/src/core/workload/placer/orders/reconcile.rs
@@ -8,6 +8,7 @@
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::HostLifetime;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::task::RunningTask;
@@ -72,6 +73,7 @@
             }
             return self.stop_unexpected(cx, key, row, "job is unknown");
         };
+        self.disprove_crash(task, row.run);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
         };
@@ -80,6 +82,7 @@
         {
             run.measurement = row.measurement;
             run.may_have_crashed = false;
+            run.host = HostLifetime::Current;
             if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
                 run.phase = Phase::Running { since: cx.now };
                 self.record_start(cx, task);
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -16,12 +16,11 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::placer::orders::STOP_MARGIN;
-use crate::core::workload::placer::state::fleet::ClockReading;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lifetime::ClockReading;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
-use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
@@ -162,10 +161,12 @@
         result: Result<RenewalReport, OrderError>,
     ) -> RoleLoss {
         let key = self.fleet.key(&renewal.vm)?;
-        self.fleet.end_renewal(key, renewal.sent);
+        let is_pending = self.fleet.end_renewal(key, renewal.sent);
         match result {
             Ok(report) => self.apply_report(cx, key, renewal.sent, &report),
             Err(OrderError::Fenced) => return Some(format!("fenced by VM {}", renewal.vm).into()),
+            // The VM has restarted since an abandoned call was sent.
+            Err(_) if !is_pending => {}
             Err(err) => self.record_renewal_failure(cx, key, &err),
         }
         None
@@ -186,10 +187,17 @@
     }
 
     fn drop_runs_of_expired_leases(&mut self, cx: &mut Cx) {
-        let is_expired =
-            |vm: &Vm| vm.renewal.failures > 0 && !vm.runs.is_empty() && vm.is_lease_expired(cx.now);
-        for key in self.fleet.select(is_expired, usize::MAX) {
-            self.drop_lost_runs(cx, key, "lease expired", |_| true);
+        let max_lease = cx.options.vms.max_lease.mul_f64(LEASE_DRIFT_FACTOR);
+        let late_order = cx.options.vms.order_timeout;
+        let is_expired = |vm: &Vm| {
+            vm.is_lease_expired(cx.now)
+                || vm.is_unreported_lease_expired(cx.now, max_lease + late_order)
+        };
+        let is_lost = |vm: &Vm| vm.renewal.failures > 0 && !vm.runs.is_empty() && is_expired(vm);
+        let now = cx.now;
+        for key in self.fleet.select(is_lost, usize::MAX) {
+            let is_over = |run: &Run| run.is_unknown_lease_over(now, max_lease);
+            self.drop_lost_runs(cx, key, "lease expired", is_over);
         }
     }
 
@@ -242,7 +250,7 @@
             }
             self.begin_vm_lifetime(cx, key, report.started_ms);
         }
-        self.record_lifetime_of(cx, key, report.started_ms);
+        self.record_lifetime_of(cx, key, report);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
         };
@@ -260,6 +268,7 @@
         }
         vm.clock = Some(ClockReading {
             ms: report.clock_ms,
+            requested_at: sent,
             received_at: cx.now,
         });
         record_contact(cx, vm);
@@ -308,17 +317,18 @@
         self.fleet.schedule_renewal(key, retry_at);
     }
 
-    /// Handles a restart of a VM, which begins a new lifetime: none of its former runs still
-    /// executes. A start without an answer may have arrived after the restart, so its run is kept.
+    /// Handles a restart of a VM, which begins a new lifetime: none of the runs of the former lifetime
+    /// still executes. The other runs may have begun after the restart: they are kept until a report
+    /// of the new lifetime lists them or does not.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
-        let is_confirmed = |run: &Run| !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
-        self.drop_lost_runs(cx, key, "VM restarted", is_confirmed);
+        self.drop_lost_runs(cx, key, "VM restarted", Run::is_in_current_lifetime);
         self.mark_unconfirmed_runs(key);
         self.clear_suspicion(cx, key, "VM restarted");
         self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
-            vm.begin_lifetime(started_ms);
+            vm.begin_lifetime(started_ms, cx.now);
         }
+        self.fleet.abandon_renewal(key);
         self.fleet.schedule_renewal(key, cx.now);
     }
 
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -16,6 +16,7 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::HostLifetime;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::placer::state::waits::started_work;
@@ -133,18 +134,18 @@
             vm.unanswered_since = None;
         }
         let task = self.registry.find_task(&order.task)?;
+        let err = match result {
+            Ok(clock_ms) => {
+                self.confirm_start(cx, vm_key, task, order, clock_ms);
+                return None;
+            }
+            Err(err) => err,
+        };
         let vm = self.fleet.vms.get_mut(&vm_key)?;
         let run = vm
             .runs
             .get_mut(&task)
             .filter(|run| run.number == order.run)?;
-        let Err(err) = result else {
-            if run.phase == Phase::Starting {
-                run.phase = Phase::Running { since: cx.now };
-                self.record_start(cx, task);
-            }
-            return None;
-        };
         cx.log(Decision::NotStarted {
             id: order.task.job.clone(),
             task: order.task.to_string().into(),
@@ -181,6 +182,36 @@
         None
     }
 
+    /// Records that a VM has confirmed a run, in the lifetime whose clock shows `clock_ms`.
+    fn confirm_start(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+        order: &OrderId,
+        clock_ms: u64,
+    ) {
+        let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
+            return;
+        };
+        let is_current = vm.is_current_lifetime(order.sent, clock_ms, cx.now);
+        let run = vm.runs.get_mut(&task);
+        let Some(run) = run.filter(|run| run.number == order.run) else {
+            return;
+        };
+        if run.host == HostLifetime::Unconfirmed {
+            run.host = if is_current {
+                HostLifetime::Current
+            } else {
+                HostLifetime::Ambiguous { since: cx.now }
+            };
+        }
+        if run.phase == Phase::Starting {
+            run.phase = Phase::Running { since: cx.now };
+            self.record_start(cx, task);
+        }
+    }
+
     /// Records that a task has started, which moves a queued job to the running state.
     pub(in crate::core::workload::placer) fn record_start(&mut self, cx: &mut Cx, task: TaskKey) {
         let Some(job) = self.registry.jobs.get_mut(&task.step.job) else {
@@ -217,6 +248,7 @@
             return;
         };
         run.phase = Phase::Running { since: cx.now };
+        run.host = HostLifetime::Current;
         run.measurement = row.measurement;
         vm.add_run(task, run);
         cx.log(Decision::RunAdopted {
--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -204,13 +204,15 @@
         self.fleet.hasten_renewal(key, cx.now + gap);
         let task = self.registry.task_key(&order.task)?;
         let vm = self.fleet.vms.get_mut(&key)?;
+        // A former lifetime of the VM may have answered an order that was sent before this one was known.
+        let is_acked = result.is_ok() && order.sent >= vm.lifetime_since;
         let run = vm
             .runs
             .get_mut(&task)
             .filter(|run| run.number == order.run)?;
         if let Phase::Stopping { .. } = run.phase {
             run.phase = Phase::Stopping {
-                acked_at: result.is_ok().then_some(cx.now),
+                acked_at: is_acked.then_some(cx.now),
                 retry_at: cx.now + cx.options.vms.retry_delay,
             };
         }
--- a/src/core/workload/placer/orders/throttle.rs
+++ b/src/core/workload/placer/orders/throttle.rs
@@ -83,11 +83,12 @@
         }
         let task = self.registry.find_task(&order.task)?;
         let (_, vm) = self.fleet.by_id(&order.vm)?;
+        let is_current = order.sent >= vm.lifetime_since;
         let run = vm
             .runs
             .get_mut(&task)
             .filter(|run| run.number == order.run)?;
-        if result.is_ok() {
+        if result.is_ok() && is_current {
             run.speed_percent = run
                 .requested_speed_percent
                 .take()
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -11,7 +11,6 @@
 use crate::core::model::ServiceId;
 use crate::core::model::VmId;
 use crate::core::model::ZoneId;
-use crate::core::workload::cx::millis;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::VmRow;
 use crate::core::workload::placer::orders::stops::StopRecord;
@@ -20,6 +19,7 @@
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lifetime::ClockReading;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::renewal_schedule::RenewalSchedule;
 use crate::core::workload::placer::state::run::Phase;
@@ -35,12 +35,6 @@
 /// Key of a VM in the fleet.
 pub(in crate::core::workload::placer) type VmKey = u32;
 
-/// Lowest rate of a VM's clock relative to true time.
-const MIN_CLOCK_RATE: f64 = 0.98;
-
-/// Time past the lease deadline, on the VM's clock, before the placer treats the lease as expired.
-const EXPIRY_MARGIN_MS: u64 = 60;
-
 /// Time within which a VM that works answers a start.
 const START_ANSWER_TIME: Duration = Duration::from_millis(250);
 
@@ -87,6 +81,9 @@
     /// Start of the current lifetime, in milliseconds since the Unix epoch; zero if unknown. A
     /// restart begins a new lifetime.
     pub started_ms: u64,
+    /// When the current lifetime became known. An answer to an order that was sent before may be of an
+    /// earlier one.
+    pub lifetime_since: Now,
     /// Last clock reading; `None` until the first report of this lifetime.
     pub clock: Option<ClockReading>,
     /// Latest lease deadline requested, in milliseconds of the VM's clock.
@@ -162,15 +159,6 @@
     pub failures: u32,
 }
 
-/// A reading of a VM's clock.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::core::workload::placer) struct ClockReading {
-    /// Time shown, in milliseconds.
-    pub ms: u64,
-    /// When the answer that carried the reading arrived.
-    pub received_at: Now,
-}
-
 impl Fleet {
     pub fn key(&self, id: &str) -> Option<VmKey> {
         self.ids.get(id).copied()
@@ -234,6 +222,7 @@
             drained_lifetime_ms: 0,
             roster_state: RosterState::Absent,
             started_ms: 0,
+            lifetime_since: now,
             clock: None,
             lease_end_ms: 0,
             fenced: false,
@@ -371,20 +360,6 @@
         self.capacity.minus(&self.used)
     }
 
-    /// Returns the deadline of a lease of `length` from `now`, in milliseconds of the VM's clock;
-    /// `None` if no clock reading is known.
-    pub fn lease_deadline_ms(&self, now: Now, length: Duration) -> Option<u64> {
-        let reading = self.clock?;
-        Some(reading.estimated_ms(now) + millis(length))
-    }
-
-    /// Returns whether every lease requested by this placer has expired, even if the VM's clock is
-    /// slow.
-    pub fn is_lease_expired(&self, now: Now) -> bool {
-        let reading = self.clock.as_ref();
-        reading.is_some_and(|reading| reading.min_ms(now) > self.lease_end_ms + EXPIRY_MARGIN_MS)
-    }
-
     /// Returns the number of runs of a step on this VM. Runs of tasks that are already done count
     /// until they have ended.
     pub fn siblings(&self, key: StepKey) -> u32 {
@@ -443,39 +418,4 @@
         }
         Some(run)
     }
-
-    /// Resets the state that belongs to the former lifetime: a restarted VM has no lease, no runs
-    /// and a new clock.
-    pub fn begin_lifetime(&mut self, started_ms: u64) {
-        self.started_ms = started_ms;
-        self.clock = None;
-        self.lease_end_ms = 0;
-        self.fenced = false;
-        self.roster_state = self.roster_state.after_restart();
-        self.capacity_uncertain_until = Now::ZERO;
-        self.uncounted_runs = 0;
-        self.inherits_stops = false;
-        self.inherited_stops_until = Now::ZERO;
-        self.unexpected_runs.clear();
-        self.unanswered_since = None;
-        self.preempted_until = Now::ZERO;
-        self.processed_seq = 0;
-        self.stored_seq = 0;
-        self.stall = StallState::default();
-    }
-}
-
-impl ClockReading {
-    /// Returns the lowest time that the clock can show at `now`, in milliseconds.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn min_ms(&self, now: Now) -> u64 {
-        let passed = now.saturating_sub(self.received_at).as_secs_f64() * MIN_CLOCK_RATE;
-        self.ms + (passed * 1_000.0) as u64
-    }
-
-    /// Returns the time that the clock shows at `now`, in milliseconds, if it runs at the true rate
-    /// and the reading was not delayed.
-    fn estimated_ms(&self, now: Now) -> u64 {
-        self.ms + millis(now.saturating_sub(self.received_at))
-    }
 }
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -8,6 +8,7 @@
 
 use crate::core::model::Now;
 use crate::core::model::VmId;
+use crate::core::workload::event::RenewalReport;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
 
@@ -87,6 +88,20 @@
         self.list.retain(|lost| !is_same(&lost.lifetime));
     }
 
+    /// Removes the runs that a VM lists: it has not crashed under them.
+    pub fn remove_listed_runs(&mut self, vm: &VmId, report: &RenewalReport) {
+        let is_listed = |(task, run): &(TaskName, RunNumber)| {
+            let mut running = report.running.iter();
+            let mut ended = report.ended.iter();
+            running.any(|row| row.task == *task && row.run == *run)
+                || ended.any(|row| row.task == *task && row.run == *run)
+        };
+        for lost in self.list.iter_mut().filter(|lost| lost.lifetime.vm == *vm) {
+            lost.runs.retain(|run| !is_listed(run));
+        }
+        self.list.retain(|lost| !lost.runs.is_empty());
+    }
+
     /// Keeps a crash under a run of a job that is not loaded yet.
     pub fn keep_crash(
         &mut self,
--- a/src/core/workload/placer/state/mod.rs
+++ b/src/core/workload/placer/state/mod.rs
@@ -3,6 +3,7 @@
 
 pub(in crate::core::workload::placer) mod fleet;
 pub(in crate::core::workload::placer) mod job_registry;
+pub(in crate::core::workload::placer) mod lifetime;
 pub(in crate::core::workload::placer) mod lost_vms;
 pub(in crate::core::workload::placer) mod renewal_schedule;
 pub(in crate::core::workload::placer) mod run;
--- a/src/core/workload/placer/state/renewal_schedule.rs
+++ b/src/core/workload/placer/state/renewal_schedule.rs
@@ -65,13 +65,22 @@
         }
     }
 
-    /// Records the answer or the failure of the renewal that was sent at `sent`. Does nothing if
-    /// that is not the pending one.
-    pub fn end_renewal(&mut self, key: VmKey, sent: Now) {
+    /// Records the answer or the failure of the renewal that was sent at `sent`. Returns whether that
+    /// was the pending one.
+    pub fn end_renewal(&mut self, key: VmKey, sent: Now) -> bool {
+        let vm = self.vms.get(&key);
+        let is_pending = vm.is_some_and(|vm| vm.renewal.sent_at == Some(sent));
+        if is_pending {
+            self.abandon_renewal(key);
+        }
+        is_pending
+    }
+
+    /// Ceases to wait for the pending renewal of a VM, if there is one.
+    pub fn abandon_renewal(&mut self, key: VmKey) {
         if let Some(vm) = self.vms.get_mut(&key)
-            && vm.renewal.sent_at == Some(sent)
+            && vm.renewal.sent_at.take().is_some()
         {
-            vm.renewal.sent_at = None;
             self.schedule.add(key, vm.renewal.next_at);
         }
     }
--- a/src/core/workload/placer/state/run.rs
+++ b/src/core/workload/placer/state/run.rs
@@ -1,5 +1,7 @@
 //! A run on a VM, from the order to start it to its end.
 
+use std::time::Duration;
+
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
@@ -23,6 +25,8 @@
     /// Whether the VM has restarted since the start was sent, which was not answered before: the VM
     /// may have crashed under the run.
     pub may_have_crashed: bool,
+    /// Lifetime of the VM in which the run executes.
+    pub host: HostLifetime,
     /// When the start order was sent, or when the run of an earlier placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
@@ -37,6 +41,21 @@
     pub measurement: u64,
 }
 
+/// What is known of the lifetime of the VM in which a run executes. A VM keeps its id when it restarts,
+/// so that an order may reach a lifetime that the placer does not know yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum HostLifetime {
+    /// The VM has not confirmed the run.
+    Unconfirmed,
+    /// The VM has confirmed the run, in its current lifetime, the one before or one that follows.
+    Ambiguous {
+        /// When the confirmation arrived.
+        since: Now,
+    },
+    /// The current lifetime of the VM.
+    Current,
+}
+
 /// Lifecycle phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::core::workload::placer) enum Phase {
@@ -71,6 +90,7 @@
             long_running: spec.traits.long_running,
             caution,
             may_have_crashed: false,
+            host: HostLifetime::Unconfirmed,
             sent_at: now,
             phase: Phase::Starting,
             speed_percent: FULL_SPEED_PERCENT,
@@ -85,6 +105,32 @@
         matches!(self.phase, Phase::Running { since } if since == self.sent_at)
     }
 
+    /// Returns whether the run executes in the VM's current lifetime for certain.
+    pub fn is_in_current_lifetime(&self) -> bool {
+        self.host == HostLifetime::Current
+    }
+
+    /// Returns whether the run cannot execute any more in a lifetime that the placer does not know.
+    /// The deadline of its start means nothing there, so that it may hold the longest lease.
+    pub fn is_unknown_lease_over(&self, now: Now, max_lease: Duration) -> bool {
+        match self.host {
+            HostLifetime::Ambiguous { since } => now > since + max_lease,
+            HostLifetime::Unconfirmed | HostLifetime::Current => true,
+        }
+    }
+
+    /// Discards what a former lifetime of the VM has answered to orders for the run.
+    pub fn discard_answers(&mut self, now: Now) {
+        self.speed_percent = FULL_SPEED_PERCENT;
+        self.requested_speed_percent = None;
+        if let Phase::Stopping { .. } = self.phase {
+            self.phase = Phase::Stopping {
+                acked_at: None,
+                retry_at: now,
+            };
+        }
+    }
+
     /// Returns whether the run is being stopped or is to be stopped.
     pub fn is_stopping(&self) -> bool {
         matches!(self.phase, Phase::StopPending(_) | Phase::Stopping { .. })
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -107,6 +107,7 @@
             } => {
                 let until = self.now + wait;
                 let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
+                let started_ms = vm.started_ms;
                 if vm.connected && !self.silent_vms.contains(&renewal.vm) {
                     vm.renew(self.now, epoch, deadline_ms);
                 }
@@ -115,6 +116,7 @@
                     lifetime,
                     req,
                     until,
+                    started_ms,
                 });
             }
             Request::Probe {
@@ -339,7 +341,9 @@
             else {
                 continue;
             };
-            let is_silent = self.silent_vms.contains(&renewal.vm);
+            let vm = &self.vms[&renewal.vm];
+            let is_silent =
+                self.silent_vms.contains(&renewal.vm) || vm.started_ms != pending.started_ms;
             if is_silent && now < pending.until + RENEWAL_MARGIN {
                 self.pending_renewals.push(pending);
                 continue;
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -106,6 +106,8 @@
     lifetime: u64,
     req: Request,
     until: Now,
+    /// Start of the VM's lifetime that received the request; a later one does not answer it.
+    started_ms: u64,
 }
 
 /// Simulated cell: daemons, VMs, table and messages in transit.
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -30,6 +30,7 @@
 mod relay;
 mod renewal_grace;
 mod resizes;
+mod restarts;
 mod silent_vms;
 mod slow_link;
 mod stall;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -21,6 +21,9 @@
 /// Default time that a VM takes to stop a run.
 pub(crate) const STOP_TIME: Duration = Duration::from_millis(700);
 
+/// Longest lease that a VM grants, in milliseconds of its clock.
+const MAX_LEASE_MS: u64 = 6_000;
+
 /// Simulated VM.
 #[derive(Debug)]
 #[allow(clippy::struct_excessive_bools)]
@@ -52,11 +55,13 @@
     pub hung: bool,
     /// Time to which the VM was advanced last.
     advanced_to: Now,
+    /// Time at which the VM's clock showed zero.
+    clock_start: Now,
     /// Tail latency reported for tasks with a latency target.
     pub tail_latency_ms: u64,
     /// Highest epoch seen; orders with a lower one are rejected.
     pub epoch: u64,
-    /// End of the lease, in milliseconds of the VM's clock, which equals simulated time.
+    /// End of the lease, in milliseconds of the VM's clock, which starts at zero with each lifetime.
     pub lease_end_ms: u64,
     pub runs: BTreeMap<TaskName, SimRun>,
     /// Ended runs that are not acknowledged yet.
@@ -103,6 +108,7 @@
             slowdown: 1,
             hung: false,
             advanced_to: Now::ZERO,
+            clock_start: Now::ZERO,
             tail_latency_ms: 0,
             epoch: 0,
             lease_end_ms: 0,
@@ -135,17 +141,31 @@
         let id = self.id.clone();
         let started_ms = self.started_ms + 1;
         let (zone, machine) = (self.zone, self.machine.clone());
+        let now = self.advanced_to;
         *self = Self::new(&id, self.capacity);
         self.zone = zone;
         self.machine = machine;
         self.started_ms = started_ms;
+        self.advanced_to = now;
+        self.clock_start = now;
+    }
+
+    /// Returns the time that the VM's clock shows, in milliseconds.
+    fn clock_ms(&self, now: Now) -> u64 {
+        ms(now.saturating_sub(self.clock_start))
+    }
+
+    /// Extends the lease to a deadline on the VM's clock, up to the longest lease.
+    fn extend_lease(&mut self, now: Now, deadline_ms: u64) {
+        let deadline_ms = deadline_ms.min(self.clock_ms(now) + MAX_LEASE_MS);
+        self.lease_end_ms = self.lease_end_ms.max(deadline_ms);
     }
 
     /// Advances the VM to `now`: ends runs that are done or stopped, and all runs once the lease
     /// has expired.
     pub(crate) fn advance(&mut self, now: Now) {
         self.delay_hung_runs(now);
-        let expired = ms(now) > self.lease_end_ms;
+        let expired = self.clock_ms(now) > self.lease_end_ms;
         let names: Vec<TaskName> = self.runs.keys().cloned().collect();
         for name in names {
             let run = self.runs[&name].clone();
@@ -180,7 +200,7 @@
     pub(crate) fn renew(&mut self, now: Now, epoch: u64, deadline_ms: Option<u64>) {
         self.advance(now);
         if self.check_epoch(epoch).is_ok() {
-            self.lease_end_ms = self.lease_end_ms.max(deadline_ms.unwrap_or(0));
+            self.extend_lease(now, deadline_ms.unwrap_or(0));
         }
     }
 
@@ -194,7 +214,7 @@
     ) -> Result<RenewalReport, OrderError> {
         self.check_epoch(epoch)?;
         self.advance(now);
-        self.lease_end_ms = self.lease_end_ms.max(deadline_ms.unwrap_or(0));
+        self.extend_lease(now, deadline_ms.unwrap_or(0));
         self.ended.retain(|ended| ended.seq > ack);
         let live = self.runs.iter().filter(|(_, run)| run.stopped_at.is_none());
         let running = live.map(|(task, run)| RunningTask {
@@ -210,7 +230,7 @@
         });
         Ok(RenewalReport {
             started_ms: self.started_ms,
-            clock_ms: ms(now),
+            clock_ms: self.clock_ms(now),
             running: running.collect(),
             ended: self.ended.clone(),
         })
@@ -249,7 +269,7 @@
         }
         let name = &order.order.task;
         let number = order.order.run;
-        if ms(now) > order.deadline_ms {
+        if self.clock_ms(now) > order.deadline_ms {
             return Err(StartError::Late);
         }
         if self
@@ -259,7 +279,7 @@
         {
             return Err(StartError::OldRun);
         }
-        self.lease_end_ms = self.lease_end_ms.max(order.deadline_ms);
+        self.extend_lease(now, order.deadline_ms);
         let run = SimRun {
             number,
             step: step.clone(),
@@ -271,7 +291,7 @@
         };
         self.runs.insert(name.clone(), run);
         self.assert_limits(name, step);
-        Ok(ms(now))
+        Ok(self.clock_ms(now))
     }
 
     /// Stops a run, or rejects its start if that has not arrived yet.
@@ -293,7 +313,7 @@
                 *highest_runs = (*highest_runs).max(run);
             }
         }
-        Ok(ms(now))
+        Ok(self.clock_ms(now))
     }
 
     /// Accepts the epoch of an order unless a higher one was seen.
