Acknowledge ended runs only on the connection that listed them

Cause: the numbers of ended runs begin anew with each lifetime of a VM, and the cursor of a renewal takes effect before the answer names the lifetime. A renewal that reached a new lifetime carried the cursor of the former one, so that the VM forgot ends which it had not reported yet. This needs no failed renewal: a VM that restarts between two renewals gets the cursor over a fresh connection.

A connection ends with the lifetime of the VM. A report now names the connection that carried it, and an Acknowledgement is sent on that connection only; on another one the cursor is 0.

--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -7,6 +7,7 @@
 use super::event::AdviceQuery;
 use super::event::Call;
 use super::event::CommitPurpose;
+use super::event::ConnectionId;
 use super::event::FeedCall;
 use super::event::OrderId;
 use super::event::ProbePurpose;
@@ -35,6 +36,28 @@
     Exit,
 }
 
+/// Acknowledgement of the ended runs that a VM has reported.
+///
+/// The sequence numbers begin anew with each lifetime of the VM. It is therefore sent only on the
+/// connection that carried the report: another one may reach a later lifetime, which would forget ends
+/// that it has not reported yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acknowledgement {
+    /// Highest sequence number that is acknowledged.
+    pub seq: u64,
+    /// Connection on which it may be sent.
+    pub connection: ConnectionId,
+}
+
+impl Acknowledgement {
+    /// Returns the sequence number to send on a connection; zero acknowledges nothing.
+    #[must_use]
+    pub fn seq_on(ack: Option<Self>, connection: ConnectionId) -> u64 {
+        let ack = ack.filter(|ack| ack.connection == connection);
+        ack.map_or(0, |ack| ack.seq)
+    }
+}
+
 /// Request to the table service, a VM, the advice service or another daemon.
 #[derive(Debug)]
 pub enum Request {
@@ -83,8 +106,8 @@
         /// End of the lease on the VM's clock, in milliseconds; `None` to read the report without
         /// renewing the lease.
         deadline_ms: Option<u64>,
-        /// Sequence number up to which ended runs are acknowledged; the VM stops listing these.
-        ack: u64,
+        /// Ended runs that are acknowledged; the VM stops listing these.
+        ack: Option<Acknowledgement>,
         /// Longest time that the VM waits for a run to end before it answers.
         wait: Duration,
         /// Timeout of the request.
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -337,9 +337,15 @@
     pub sent: Duration,
 }
 
+/// Identifies a connection to a VM. It ends with the lifetime of the VM at the latest, so that all that is
+/// sent on one connection reaches one lifetime.
+pub type ConnectionId = u64;
+
 /// Report with which a VM answers a renewal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RenewalReport {
+    /// Connection that carried the report.
+    pub connection: ConnectionId,
     /// Start of the VM's lifetime, in milliseconds since the Unix epoch; zero if unknown. A restart
     /// begins a new lifetime.
     pub started_ms: u64,
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -136,7 +136,7 @@
                 address: vm.address.clone(),
                 epoch: self.owner.epoch,
                 deadline_ms,
-                ack: vm.stored_seq,
+                ack: vm.acknowledgement(),
                 wait,
                 timeout: wait + options.renewal_margin,
             };
@@ -271,6 +271,7 @@
             requested_at: sent,
             received_at: cx.now,
         });
+        vm.report_connection = Some(report.connection);
         record_contact(cx, vm);
         vm.stall.reported_to = sent;
         for ended in report
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -11,6 +11,7 @@
 use crate::core::model::ServiceId;
 use crate::core::model::VmId;
 use crate::core::model::ZoneId;
+use crate::core::workload::event::ConnectionId;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::VmRow;
 use crate::core::workload::placer::orders::stops::StopRecord;
@@ -110,6 +111,8 @@
     /// Sequence number of the last ended run whose effects are stored in the table; acknowledged to
     /// the VM.
     pub stored_seq: u64,
+    /// Connection that carried the last report of this lifetime; `None` before the first.
+    pub report_connection: Option<ConnectionId>,
     /// Resources reserved by runs.
     pub used: Resources,
     /// Resources reserved by runs of tasks that run until their job is cancelled.
@@ -234,6 +237,7 @@
             stop_record: StopRecord::Absent,
             processed_seq: 0,
             stored_seq: 0,
+            report_connection: None,
             used: Resources::ZERO,
             lasting: Resources::ZERO,
             filler_cpu_milli: 0,
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -7,6 +7,7 @@
 
 use crate::core::model::Now;
 use crate::core::workload::cx::millis;
+use crate::core::workload::effect::Acknowledgement;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::stall::StallState;
 
@@ -46,12 +47,20 @@
         self.preempted_until = Now::ZERO;
         self.processed_seq = 0;
         self.stored_seq = 0;
+        self.report_connection = None;
         self.stall = StallState::default();
         for run in self.runs.values_mut() {
             run.discard_answers(now);
         }
     }
 
+    /// Returns the acknowledgement of the ended runs whose effects are stored, if there are any.
+    pub fn acknowledgement(&self) -> Option<Acknowledgement> {
+        let connection = self.report_connection?;
+        let seq = self.stored_seq;
+        (seq > 0).then_some(Acknowledgement { seq, connection })
+    }
+
     /// Returns whether the answer to an order that was sent at `sent` is of the current lifetime, by
     /// the time that it shows on the VM's clock. The clock of a later lifetime has started since the
     /// last reading, so that it shows less than the time since then.
--- a/src/shell/net/client.rs
+++ b/src/shell/net/client.rs
@@ -4,6 +4,7 @@
 //! response has been read. An abandoned exchange closes its connection, so that a late response
 //! cannot be delivered to another request.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -27,6 +28,7 @@
 use super::Result;
 use super::deadline::wait_until;
 use super::pool::Conn;
+use super::pool::ConnId;
 use super::pool::Pool;
 use super::progress::Limit;
 use super::progress::Progress;
@@ -70,6 +72,8 @@
 pub struct Client {
     options: ClientOptions,
     pool: RefCell<Pool>,
+    /// Identifier of the connection that was opened last.
+    last_conn: Cell<u64>,
 }
 
 impl Client {
@@ -79,6 +83,7 @@
         Self {
             pool: RefCell::new(Pool::new(options.idle_timeout, options.max_age)),
             options,
+            last_conn: Cell::new(0),
         }
     }
 
@@ -102,7 +107,24 @@
         timeout: Duration,
         max_idle: usize,
     ) -> Result<Response<Bytes>> {
-        self.run(addr, req, Limit::Total(timeout), max_idle).await
+        let label = req.extensions().get::<CallLabel>().copied();
+        let make = |_| req.clone();
+        let limit = Limit::Total(timeout);
+        self.run(addr, make, label, limit, max_idle).await
+    }
+
+    /// Sends the request that `make` returns for a connection on that connection, and reads the
+    /// complete response; fails after `timeout`. The response has the [`ConnId`] among its extensions.
+    pub async fn send_on(
+        &self,
+        addr: SocketAddr,
+        make: impl Fn(ConnId) -> Request<Full<Bytes>>,
+        timeout: Duration,
+        label: CallLabel,
+    ) -> Result<Response<Bytes>> {
+        let max_idle = self.options.max_idle;
+        let limit = Limit::Total(timeout);
+        self.run(addr, make, Some(label), limit, max_idle).await
     }
 
     /// Sends `req` to `addr` and reads the complete response, for as long as it arrives: fails if
@@ -118,7 +140,10 @@
             timeout,
             max_transfer: self.options.max_transfer,
         };
-        self.run(addr, req, limit, self.options.max_idle).await
+        let label = req.extensions().get::<CallLabel>().copied();
+        let make = |_| req.clone();
+        let max_idle = self.options.max_idle;
+        self.run(addr, make, label, limit, max_idle).await
     }
 
     /// Returns the number of idle connections to a server.
@@ -130,12 +155,13 @@
     async fn run(
         &self,
         addr: SocketAddr,
-        req: Request<Full<Bytes>>,
+        make: impl Fn(ConnId) -> Request<Full<Bytes>>,
+        label: Option<CallLabel>,
         limit: Limit,
         max_idle: usize,
     ) -> Result<Response<Bytes>> {
-        let progress = Progress::new(req.extensions().get::<CallLabel>().copied());
-        let exchange = self.exchange(addr, req, max_idle, &progress);
+        let progress = Progress::new(label);
+        let exchange = self.exchange(addr, make, max_idle, &progress);
         let result = match progress.run(limit, exchange).await {
             Some(result) => result,
             None => Err(progress.timeout_error(addr, limit)),
@@ -153,7 +179,7 @@
     async fn exchange(
         &self,
         addr: SocketAddr,
-        mut req: Request<Full<Bytes>>,
+        make: impl Fn(ConnId) -> Request<Full<Bytes>>,
         max_idle: usize,
         progress: &Progress,
     ) -> Result<Response<Bytes>> {
@@ -165,7 +191,7 @@
                 None => self.open(addr).await?,
             };
             progress.set_sent();
-            match conn.tx.try_send_request(req).await {
+            match conn.tx.try_send_request(make(conn.id)).await {
                 Ok(res) => {
                     progress.add_head();
                     return self
@@ -174,7 +200,7 @@
                 }
                 Err(mut err) => match err.take_message() {
                     // The pooled connection was already closed and nothing was sent on it.
-                    Some(unsent) if !fresh => req = unsent,
+                    Some(_) if !fresh => {}
                     Some(_) => return Err(Error::NotSent(addr, err.into_error())),
                     None => return Err(Error::IncompleteResponse(addr, err.into_error())),
                 },
@@ -191,7 +217,8 @@
         max_idle: usize,
         progress: &Progress,
     ) -> Result<Response<Bytes>> {
-        let (head, body) = res.into_parts();
+        let (mut head, body) = res.into_parts();
+        head.extensions.insert(conn.id);
         let body = self.read_body(addr, body, progress).await?;
         if max_idle > 0 && conn.tx.ready().await.is_ok() {
             self.pool.borrow_mut().put_back(addr, conn, max_idle);
@@ -232,7 +259,9 @@
         .detach();
         counter!("ragwortstall_connections_opened_total").increment(1);
         let now = Instant::now();
+        self.last_conn.set(self.last_conn.get() + 1);
         Ok(Conn {
+            id: ConnId(self.last_conn.get()),
             tx,
             opened_at: now,
             last_used: now,
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -21,6 +21,7 @@
 pub use label::CallLabel;
 pub use limiter::ExchangePermit;
 pub use limiter::PerServerLimiter;
+pub use pool::ConnId;
 pub use server::Body;
 pub use server::StopReceiver;
 pub use server::StopSender;
--- a/src/shell/net/pool.rs
+++ b/src/shell/net/pool.rs
@@ -13,8 +13,14 @@
 /// Minimum interval between removals of connections that can no longer be used.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Identifier of a connection, unique within its client. A request that is sent on the connection reaches
+/// the same process of the server as all others on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnId(pub u64);
+
 /// An open connection.
 pub(super) struct Conn {
+    pub id: ConnId,
     /// Sends requests on the connection.
     pub tx: SendRequest<Full<Bytes>>,
     /// Time at which the connection was opened.
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
+use ragwortstall::core::workload::effect::Acknowledgement;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::AdviceQuery;
 use ragwortstall::core::workload::event::AdvisedVm;
@@ -14,6 +15,7 @@
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::PlacerWrite;
 use ragwortstall::core::workload::event::ProbeResult;
+use ragwortstall::core::workload::event::RenewalReport;
 use ragwortstall::core::workload::event::StartError;
 use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::table::CommitOutcome;
@@ -23,6 +25,7 @@
 use ragwortstall::core::workload::task::RunOutcome;
 use ragwortstall::core::workload::task::TaskName;
 
+use super::Connection;
 use super::Harness;
 use super::Message;
 use super::PendingRenewal;
@@ -106,8 +109,8 @@
                 ..
             } => {
                 let until = self.now + wait;
+                let connection = self.connection(daemon, lifetime, &renewal.vm);
                 let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
-                let started_ms = vm.started_ms;
                 if vm.connected && !self.silent_vms.contains(&renewal.vm) {
                     vm.renew(self.now, epoch, deadline_ms);
                 }
@@ -116,7 +119,7 @@
                     lifetime,
                     req,
                     until,
-                    started_ms,
+                    connection,
                 });
             }
             Request::Probe {
@@ -342,8 +345,8 @@
                 continue;
             };
             let vm = &self.vms[&renewal.vm];
-            let is_silent =
-                self.silent_vms.contains(&renewal.vm) || vm.started_ms != pending.started_ms;
+            let is_open = vm.started_ms == pending.connection.started_ms;
+            let is_silent = self.silent_vms.contains(&renewal.vm) || !is_open;
             if is_silent && now < pending.until + RENEWAL_MARGIN {
                 self.pending_renewals.push(pending);
                 continue;
@@ -359,10 +362,18 @@
                 continue;
             }
             // The report no longer lists the ends that the renewal acknowledges.
-            let acknowledged = vm.completions_up_to(*ack);
+            let connection = pending.connection.id;
+            let ack = Acknowledgement::seq_on(*ack, connection);
+            let acknowledged = vm.completions_up_to(ack);
             let result = if vm.connected && !is_silent {
-                vm.report(now, *epoch, *deadline_ms, *ack)
+                let report = vm.report(now, *epoch, *deadline_ms, ack);
+                report.map(|report| RenewalReport {
+                    connection,
+                    ..report
+                })
             } else {
+                let key = (pending.daemon, pending.lifetime, renewal.vm.clone());
+                self.connections.remove(&key);
                 Err(OrderError::NoAnswer("no answer".into()))
             };
             if result.is_ok() {
@@ -377,6 +388,30 @@
         }
     }
 
+    /// Returns the connection for a daemon's renewal of a VM. The daemon opens a new one if the VM has
+    /// restarted or has not answered on the former one.
+    fn connection(&mut self, daemon: usize, lifetime: u64, vm: &str) -> Connection {
+        let started_ms = self.vms[vm].started_ms;
+        let key = (daemon, lifetime, vm.into());
+        let open = self.connections.get(&key);
+        if let Some(open) = open.filter(|open| open.started_ms == started_ms) {
+            return *open;
+        }
+        self.last_connection += 1;
+        let id = self.last_connection;
+        let connection = Connection { id, started_ms };
+        self.connections.insert(key, connection);
+        connection
+    }
+
+    /// Returns whether a renewal has reached a VM and waits for its answer.
+    pub(crate) fn has_pending_renewal(&self, vm: &str) -> bool {
+        let mut pending = self.pending_renewals.iter();
+        pending.any(
+            |pending| matches!(&pending.req, Request::Renew { renewal, .. } if &*renewal.vm == vm),
+        )
+    }
+
     /// Returns the rows of a followed table that have changed after a version; zero for all rows.
     fn rows(&mut self, feed: Feed, after: u64) -> Vec<FeedRow> {
         let table = match feed {
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -27,6 +27,7 @@
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::Answer;
+use ragwortstall::core::workload::event::ConnectionId;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedCall;
 use ragwortstall::core::workload::event::FeedRow;
@@ -106,7 +107,14 @@
     lifetime: u64,
     req: Request,
     until: Now,
-    /// Start of the VM's lifetime that received the request; a later one does not answer it.
+    connection: Connection,
+}
+
+/// Connection from a daemon to a VM for renewals.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Connection {
+    id: ConnectionId,
+    /// Start of the VM's lifetime that accepted the connection; a later one gets nothing over it.
     started_ms: u64,
 }
 
@@ -199,6 +207,9 @@
     last_message: u64,
     pending_watches: Vec<PendingWatch>,
     pending_renewals: Vec<PendingRenewal>,
+    /// Open connections for renewals, by daemon, lifetime of its process, and VM.
+    connections: BTreeMap<(usize, u64, Box<str>), Connection>,
+    last_connection: ConnectionId,
     replies: BTreeMap<Ticket, Reply>,
     /// Relayed calls, by the ticket at the daemon that handles them.
     relayed: BTreeMap<Ticket, RelayedCall>,
@@ -279,6 +290,8 @@
             last_message: 0,
             pending_watches: Vec::new(),
             pending_renewals: Vec::new(),
+            connections: BTreeMap::new(),
+            last_connection: 0,
             replies: BTreeMap::new(),
             relayed: BTreeMap::new(),
             last_ticket: 0,
--- a/tests/workload/random_outages.rs
+++ b/tests/workload/random_outages.rs
@@ -98,12 +98,19 @@
     harness.restart(placer);
 }
 
-/// Disconnects or reconnects a random VM. VMs do not restart here: a renewal that reaches a VM just
-/// after its restart acknowledges ends of its new lifetime (see `KNOWN-RED.txt`).
+/// Disconnects, reconnects or restarts a random VM. The row of a restarted VM changes at once or with
+/// that of the next one.
 fn disturb_vm(harness: &mut Harness, random: &mut Random) {
     let ix = usize::try_from(random.below(VMS as u64)).expect("few VMs");
     let vm = harness.vms.values_mut().nth(ix).expect("a VM");
-    vm.connected = random.below(3) > 0;
+    match random.below(6) {
+        0 | 1 => vm.connected = false,
+        2 | 3 => vm.connected = true,
+        _ => vm.restart(),
+    }
+    if random.below(2) == 0 {
+        harness.write_vm_rows();
+    }
 }
 
 fn run_seed(seed: u64) {
--- a/tests/workload/restarts.rs
+++ b/tests/workload/restarts.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use ragwortstall::core::model::Now;
 use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::table::PROGRESS;
+use ragwortstall::core::workload::task::TaskName;
 
 use crate::harness::Harness;
 use crate::jobs::ID;
@@ -17,7 +19,10 @@
 /// VM that gets the first tasks.
 const FIRST_VM: &str = "vm-0";
 
-/// Number of tasks of the job.
+/// Job that comes after a restart.
+const SECOND_ID: &str = "00000000000000b1";
+
+/// Number of tasks of a job.
 const TASKS: u32 = 2;
 
 /// Time within which the tasks of a restarted VM start again, once its row shows that.
@@ -136,3 +141,45 @@
     assert_eq!(harness.state(0, ID), Some(JobState::Completed));
     assert_eq!(harness.starts.len(), 2 * TASKS as usize);
 }
+
+/// Runs a job of short tasks on the first VM to its end, and acknowledges the ends.
+fn run_first_job(harness: &mut Harness) {
+    submit(harness, 100);
+    harness.run_for(1_000);
+    assert_eq!(harness.state(0, ID), Some(JobState::Completed));
+}
+
+/// Runs a second job on the first VM, which has just restarted, and asserts that its tasks run once.
+fn assert_second_job_runs_once(mut harness: Harness) {
+    let submission = job(vec![step(TASKS, 100, &[])]);
+    assert_eq!(harness.submit(0, SECOND_ID, submission), Reply::Accepted);
+    harness.run_for(6_000);
+    assert_eq!(harness.state(0, SECOND_ID), Some(JobState::Completed));
+    let is_second = |start: &&(Now, TaskName, u64, Box<str>)| &*start.1.job == SECOND_ID;
+    let starts: Vec<_> = harness.starts.iter().filter(is_second).collect();
+    assert_eq!(starts.len(), TASKS as usize);
+    assert!(starts.iter().all(|start| &*start.3 == FIRST_VM));
+}
+
+/// Guards against ends of a VM's new lifetime that are acknowledged by the cursor of the former one
+/// after a renewal without an answer, so that their tasks run again.
+#[test]
+fn a_renewal_after_an_unanswered_one_acknowledges_no_ends_of_a_new_lifetime() {
+    let mut harness = Harness::new(2, 3);
+    run_first_job(&mut harness);
+    first_vm(&mut harness).restart();
+    assert_second_job_runs_once(harness);
+}
+
+/// Guards against the same where no renewal fails: the VM restarts between two renewals, and the next
+/// one goes over a new connection.
+#[test]
+fn a_renewal_over_a_new_connection_acknowledges_no_ends_of_a_new_lifetime() {
+    let mut harness = Harness::new(2, 3);
+    run_first_job(&mut harness);
+    while harness.has_pending_renewal(FIRST_VM) {
+        harness.run_for(1);
+    }
+    first_vm(&mut harness).restart();
+    assert_second_job_runs_once(harness);
+}
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -275,6 +275,7 @@
             panic!("unexpected request {req:?}");
         };
         let report = RenewalReport {
+            connection: 1,
             started_ms: 0,
             clock_ms: u64::try_from(self.now.as_millis()).expect("a short test"),
             running: Vec::new(),
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -229,6 +229,7 @@
             },
         });
         Ok(RenewalReport {
+            connection: 0,
             started_ms: self.started_ms,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
