Bound the rows of the table, and set apart what it rejects

Cause: nothing in the code knew the maximum size of a row. The progress of a job of 2,400 tasks with checkpoints took 150,715 bytes; the table refused the transaction, and it was repeated unchanged, with it the heartbeat, the row without which no stop is sent, and the progress of all other jobs. Each new placer did the same.

A job whose progress exceeds a row now has its histories in rows of 64 tasks, written before the job's row that relies on them. Occurrences begin only as far as their bitmaps fit, failures of lasting tasks are not kept, and the heartbeat, stops, lost VMs and estimates are cut to the size. A job that cannot be stored is answered 400 before it reaches a batch. A transaction that is rejected for its contents is split until the job is found that cannot be stored; that one fails, the others go on. Ends are acknowledged once the changes up to a moment are stored, and no longer only while at most 90 jobs have changed.

--- a/src/core/workload/callers/batcher.rs
+++ b/src/core/workload/callers/batcher.rs
@@ -33,6 +33,9 @@
 /// Time for which new submissions to a part are refused after a transaction got no answer.
 const PART_BACKOFF: Duration = Duration::from_millis(300);
 
+/// Maximum total size of the rows in a transaction, in bytes, which stays below 1 MB in base64.
+const MAX_BATCH_BYTES: usize = 600_000;
+
 /// Submitted jobs that wait for a transaction or its outcome.
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct SubmissionBatcher {
@@ -51,6 +54,9 @@
     send_at: Now,
     /// Jobs of the transaction in flight.
     in_flight: Vec<Pending>,
+    /// Whether each job gets a transaction of its own until the queue is empty, as the table has
+    /// rejected one of several jobs.
+    is_split: bool,
     /// Time before which new submissions are refused, set when the part does not answer.
     refused_until: Option<Now>,
 }
@@ -126,14 +132,20 @@
             if !part.is_due(cx.now) {
                 continue;
             }
-            let count = part.queued.len().min(max_jobs);
-            part.in_flight = part.queued.drain(..count).collect();
+            let max_jobs = if part.is_split { 1 } else { max_jobs };
             let mut txn = Transaction::default();
-            for pending in &part.in_flight {
+            let mut bytes = 0;
+            for pending in part.queued.iter().take(max_jobs) {
+                let value = encode(&pending.row);
+                bytes += value.len();
+                if bytes > MAX_BATCH_BYTES && !txn.put.is_empty() {
+                    break;
+                }
                 let row = job_row(&pending.id, &pending.id);
                 txn.expect.push((row.clone(), 0));
-                txn.put.push((row, encode(&pending.row)));
+                txn.put.push((row, value));
             }
+            part.in_flight = part.queued.drain(..txn.put.len()).collect();
             cx.commit(CommitPurpose::Submissions(number), txn);
         }
     }
@@ -144,13 +156,22 @@
             return;
         };
         let batch = std::mem::take(&mut part.in_flight);
+        let is_single = batch.len() == 1;
+        let is_rejected = matches!(outcome, CommitOutcome::Rejected(_));
+        part.is_split = is_rejected && !is_single || part.is_split && !part.queued.is_empty();
         for mut pending in batch {
             match outcome {
                 CommitOutcome::Done(_) => accept(cx, &pending, false),
                 CommitOutcome::Conflict(rows) if contains_job(rows, &pending.id) => {
                     accept(cx, &pending, true);
                 }
-                CommitOutcome::Conflict(_) => part.queued.push(pending),
+                CommitOutcome::Rejected(reason) if is_single => {
+                    reject(cx, &mut self.unsettled, &pending, reason);
+                }
+                // The one that the table rejects is found by trying each alone.
+                CommitOutcome::Conflict(_) | CommitOutcome::Rejected(_) => {
+                    part.queued.push(pending);
+                }
                 CommitOutcome::Refused(reason) | CommitOutcome::Unknown(reason) => {
                     pending.may_be_stored |= matches!(outcome, CommitOutcome::Unknown(_));
                     if cx.now < pending.received_at + RETRY_WINDOW {
@@ -249,6 +270,21 @@
     reply(cx, &pending.tickets, &cx.unavailable());
 }
 
+/// Reports a submission that the table rejects for its contents.
+fn reject(cx: &mut Cx, unsettled: &mut RecentIds<()>, pending: &Pending, reason: &str) {
+    if pending.may_be_stored {
+        return refuse(cx, unsettled, pending, reason);
+    }
+    cx.log(Decision::Refused {
+        id: pending.id.clone(),
+        reason: reason.into(),
+        config: pending.config_version,
+        table_age_ms: cx.table_age_ms(),
+    });
+    let reason = format!("the job cannot be stored: {reason}");
+    reply(cx, &pending.tickets, &Reply::Invalid(reason.into()));
+}
+
 fn reply(cx: &mut Cx, tickets: &[Ticket], reply: &Reply) {
     for &ticket in tickets {
         cx.reply(ticket, reply.clone());
--- a/src/core/workload/callers/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -26,10 +26,12 @@
 use crate::core::workload::event::ReadPurpose;
 use crate::core::workload::feeds::Feeds;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::job_progress;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::ProgressRow;
 use crate::core::workload::rows::cancel_key;
 use crate::core::workload::rows::decode;
+use crate::core::workload::rows::encode;
 use crate::core::workload::rows::job_part;
 use crate::core::workload::rows::job_part_name;
 use crate::core::workload::rows::job_row;
@@ -234,7 +236,7 @@
                 return read_job_for_cancel(cx, ticket, id);
             }
             CommitOutcome::Conflict(_) => Reply::NoJob,
-            CommitOutcome::Refused(_) => cx.unavailable(),
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) => cx.unavailable(),
             CommitOutcome::Unknown(reason) => {
                 cx.log(Decision::Unsettled {
                     id: id.clone(),
@@ -330,6 +332,10 @@
     if let Err(reason) = job.validate() {
         return cx.reply(ticket, Reply::Invalid(reason));
     }
+    let max_value_bytes = cx.options.table.max_value_bytes;
+    if !job_progress::fits(&job, max_value_bytes) {
+        return cx.reply(ticket, Reply::Invalid("the job has too many tasks".into()));
+    }
     let may_be_stored =
         components.batcher.may_be_stored(&id) || components.relays.may_have_submitted(&id);
     if !components.feeds.is_up(Feed::Heartbeats) {
@@ -352,6 +358,10 @@
         at: admission.acceptance_time(cx, &id, queue, &job),
         job: Some(job),
     };
+    if encode(&row).len() > max_value_bytes {
+        let reason = format!("the job takes more than {max_value_bytes} bytes");
+        return cx.reply(ticket, Reply::Invalid(reason.into()));
+    }
     let submitted = Submitted {
         id,
         row,
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -196,6 +196,13 @@
     VmGone { vm: VmId, reason: &'static str },
     /// The small row of an ended job was found without its final state. Nothing of the job is run.
     FinalStateMissing { id: JobId },
+    /// The estimates of run times are not stored.
+    EstimatesNotStored { reason: Box<str> },
+    /// The progress of a job does not fit into one row, so that the histories of its tasks get rows of
+    /// their own.
+    ProgressSplit { id: JobId, tasks: u64 },
+    /// The table has rejected the progress of a job, which fails if it has not ended.
+    ProgressRejected { id: JobId, reason: Box<str> },
     /// A table row could not be decoded.
     RowUnreadable { key: Box<str>, reason: Box<str> },
     /// This daemon is cut off together with its zone, or is so no longer.
--- a/src/core/workload/loading.rs
+++ b/src/core/workload/loading.rs
@@ -103,7 +103,10 @@
         match outcome {
             CommitOutcome::Conflict(_) => Some("another daemon has claimed the role".into()),
             // Failures are logged with their purpose; the next heartbeat follows.
-            CommitOutcome::Done(_) | CommitOutcome::Refused(_) | CommitOutcome::Unknown(_) => None,
+            CommitOutcome::Done(_)
+            | CommitOutcome::Refused(_)
+            | CommitOutcome::Rejected(_)
+            | CommitOutcome::Unknown(_) => None,
         }
     }
 
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -54,6 +54,8 @@
     pub batch_delay: Duration,
     /// Maximum number of jobs in a transaction.
     pub batch_jobs: usize,
+    /// Maximum size of a row's value, in bytes.
+    pub max_value_bytes: usize,
     /// Time without an answer from the table after which the daemon reports that it is not ready.
     pub stale_after: Duration,
 }
@@ -177,6 +179,7 @@
             retry_delay: Duration::from_millis(150),
             batch_delay: Duration::from_millis(4),
             batch_jobs: 40,
+            max_value_bytes: 49_152,
             stale_after: Duration::from_millis(2_500),
         }
     }
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -10,6 +10,7 @@
 use state::fleet::Fleet;
 use state::job_registry::JobRegistry;
 use state::lost_vms::LostVms;
+pub(super) use storage::job_progress;
 pub(super) use storage::load::LoadedRows;
 pub(super) use storage::load::RoleGrant;
 
@@ -89,6 +90,7 @@
     archive: storage::archive::ArchiveState,
     retire: storage::retire::RetireState,
     missing: storage::missing::MissingParts,
+    loaded_histories: storage::histories::LoadedHistories,
     /// Ended runs that VMs have reported and that are not yet processed, with the key of the VM.
     pending_ended_tasks: Vec<(state::fleet::VmKey, EndedTask)>,
     next_heartbeat_at: Now,
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -192,6 +192,10 @@
             return;
         };
         let traits = job.spec(task.step.step).traits;
+        // Such a task starts again however often it fails.
+        if traits.long_running {
+            return;
+        }
         let max_attempts = job.queue.max_attempts.max(1) as usize;
         // The failures of a gang are counted on its first task.
         let counting_task = if traits.gang {
@@ -206,9 +210,7 @@
             return;
         }
         state.failed.push(run);
-        let job_failed = !traits.long_running
-            && state.failed.len() >= max_attempts
-            && state.placement != Placement::Done;
+        let job_failed = state.failed.len() >= max_attempts && state.placement != Placement::Done;
         let active = self
             .registry
             .jobs
--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -21,6 +21,7 @@
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::rows::StopsRow;
+use crate::core::workload::rows::encode_within;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
 use crate::core::workload::task::TaskName;
@@ -125,24 +126,32 @@
         self.send_stop(cx, order, address, unexpected.reason);
     }
 
-    /// Returns the stops row to write, with the keys of its VMs; `None` if the stored row is up to
-    /// date.
+    /// Returns the value of the stops row to write, with the keys of its VMs; `None` if the stored row
+    /// is up to date.
     pub(in crate::core::workload::placer) fn stops_row(
         &self,
-        now: Now,
-    ) -> Option<(Vec<VmKey>, StopsRow)> {
+        cx: &Cx,
+    ) -> Option<(Vec<VmKey>, Vec<u8>)> {
         let named = self
             .fleet
             .vms
             .iter()
-            .filter(|(_, vm)| vm.may_have_stopping_runs(now));
+            .filter(|(_, vm)| vm.may_have_stopping_runs(cx.now));
         let keys: Vec<VmKey> = named.map(|(&key, _)| key).collect();
         if self.progress.stopping_vms() == Some(&keys) {
             return None;
         }
         let vms = keys.iter().filter_map(|key| self.fleet.vms.get(key));
-        let vms = vms.map(|vm| vm.id.clone()).collect();
-        Some((keys, StopsRow { vms }))
+        let mut row = StopsRow {
+            vms: vms.map(|vm| vm.id.clone()).collect(),
+            has_more: false,
+        };
+        let max_bytes = cx.options.table.max_value_bytes;
+        let value = encode_within(&mut row, keys.len(), max_bytes, |row, len| {
+            row.vms.truncate(len);
+            row.has_more = true;
+        });
+        Some((keys, value))
     }
 
     /// Marks the VMs that the next stops row does not name, before that row is written. `named` has
@@ -185,7 +194,7 @@
     /// Loads the VMs on which an earlier placer may have been stopping runs.
     pub(in crate::core::workload::placer) fn load_stops_row(&mut self, row: &StopsRow) {
         for vm in self.fleet.vms.values_mut() {
-            vm.inherits_stops = row.vms.contains(&vm.id);
+            vm.inherits_stops = row.has_more || row.vms.contains(&vm.id);
         }
     }
 
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -16,7 +16,10 @@
 use crate::core::workload::catalog::Queue;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::rounds::advice::StepAdvice;
+use crate::core::workload::placer::state::dirty_jobs::ChangeNumber;
+use crate::core::workload::placer::state::dirty_jobs::DirtyJobs;
 use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::storage::histories::StoredHistories;
 use crate::core::workload::policy::crashes::Losses;
 use crate::core::workload::policy::wait_reasons::StepWait;
 use crate::core::workload::submission::OccurrenceIndex;
@@ -54,7 +57,7 @@
     /// Active jobs with occurrences that have not begun.
     scheduled: BTreeSet<JobKey>,
     /// Jobs whose progress has changed since it was last written to the table.
-    dirty: BTreeSet<JobKey>,
+    dirty: DirtyJobs,
     ids: FxHashMap<JobId, JobKey>,
     last_key: JobKey,
 }
@@ -84,6 +87,10 @@
     /// Number of occurrences that have begun.
     pub begun: OccurrenceIndex,
     pub occurrences: BTreeMap<OccurrenceIndex, Vec<StepProgress>>,
+    /// Maximum number of occurrences from the first unfinished one on that have begun.
+    pub max_open_occurrences: OccurrenceIndex,
+    /// Rows with the histories of the tasks.
+    pub histories: StoredHistories,
     /// Highest run number that an earlier placer may have assigned.
     pub run_floor: RunNumber,
     /// Time of the transition to a terminal state.
@@ -178,11 +185,18 @@
 
     /// Marks a job's progress as written.
     pub fn clear_dirty(&mut self, key: JobKey) {
-        self.dirty.remove(&key);
+        self.dirty.remove(key);
+    }
+
+    /// Marks a job's progress as changed again, as a write of it has failed.
+    pub fn restore_dirty(&mut self, key: JobKey, number: ChangeNumber) {
+        if self.jobs.contains_key(&key) {
+            self.dirty.restore(key, number);
+        }
     }
 
     /// Returns the jobs whose progress has changed since the last write.
-    pub fn dirty_jobs(&self) -> &BTreeSet<JobKey> {
+    pub fn dirty_jobs(&self) -> &DirtyJobs {
         &self.dirty
     }
 
@@ -215,6 +229,7 @@
     /// Returns the time until the next occurrence is due, if any.
     pub fn next_due(&self, unix_time: Duration, lead_time: Duration) -> Option<Duration> {
         let scheduled = self.scheduled.iter().filter_map(|key| self.jobs.get(key));
+        let scheduled = scheduled.filter(|job| job.may_begin_occurrence());
         let due = scheduled.map(|job| job.due_at(job.begun).saturating_sub(unix_time + lead_time));
         due.min()
     }
@@ -341,6 +356,7 @@
     ) -> bool {
         let mut begun = false;
         while self.begun < self.submission.occurrences()
+            && self.may_begin_occurrence()
             && unix_time + lead_time >= self.due_at(self.begun)
         {
             self.begin_occurrence(self.begun, now);
@@ -350,6 +366,13 @@
         begun
     }
 
+    /// Returns whether the progress has room for one more occurrence. A job of which many are due at once
+    /// begins them as earlier ones are done.
+    pub fn may_begin_occurrence(&self) -> bool {
+        let open = self.begun.saturating_sub(self.first_unfinished);
+        open < self.max_open_occurrences
+    }
+
     /// Returns the scheduled time of an occurrence since the Unix epoch; zero without a schedule.
     pub fn due_at(&self, occurrence: OccurrenceIndex) -> Duration {
         match self.submission.schedule {
@@ -408,6 +431,12 @@
         self.first_unfinished >= self.submission.occurrences()
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn task_count(&self) -> u64 {
+        let steps = self.submission.steps.iter();
+        steps.map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns the objective for the time from acceptance to completion.
     pub fn objective(&self) -> Duration {
         self.queue.objective(self.submission.critical_path())
--- a/src/core/workload/placer/state/mod.rs
+++ b/src/core/workload/placer/state/mod.rs
@@ -1,6 +1,7 @@
 //! State of the placer: VMs, jobs, usage of teams, waits of new jobs, and what was
 //! learned about VMs.
 
+pub(in crate::core::workload::placer) mod dirty_jobs;
 pub(in crate::core::workload::placer) mod fleet;
 pub(in crate::core::workload::placer) mod job_registry;
 pub(in crate::core::workload::placer) mod lifetime;
--- a/src/core/workload/placer/storage/archive.rs
+++ b/src/core/workload/placer/storage/archive.rs
@@ -63,7 +63,7 @@
     /// To be called after the job's progress was stored or loaded. Progress that has changed since
     /// then is still to be written.
     pub(in crate::core::workload::placer) fn archive_if_end_stored(&mut self, key: JobKey) {
-        if self.registry.dirty_jobs().contains(&key) {
+        if self.registry.dirty_jobs().contains(key) {
             return;
         }
         let Some(job) = self.registry.jobs.get_mut(&key) else {
@@ -147,6 +147,8 @@
                 }
             }
             CommitOutcome::Conflict(rows) => self.requeue_unchanged(&jobs, rows),
+            // The jobs are left to the end of their retention period.
+            CommitOutcome::Rejected(_) => {}
             CommitOutcome::Refused(_) | CommitOutcome::Unknown(_) => {
                 self.archive.next_at = cx.now + FAILURE_PAUSE;
                 let registry = &self.registry.jobs;
--- a/src/core/workload/placer/storage/estimates.rs
+++ b/src/core/workload/placer/storage/estimates.rs
@@ -61,7 +61,7 @@
     /// its size.
     pub(in crate::core::workload::placer) fn estimates_row_if_due(
         &mut self,
-        cx: &Cx,
+        cx: &mut Cx,
     ) -> Option<(RowId, Vec<u8>)> {
         let catalog = cx.catalog?;
         let writer = &mut self.estimates_writer;
@@ -80,7 +80,13 @@
             kinds: self.slowness.to_stored(|kind| kinds.contains(kind)),
         };
         let id = RowId::new(PROGRESS, &cx.options.part, ESTIMATES_KEY);
-        Some((id, encode(&row)))
+        let value = encode(&row);
+        if value.len() > cx.options.table.max_value_bytes {
+            let reason = "larger than a row, so the next placer learns them anew".into();
+            cx.log(Decision::EstimatesNotStored { reason });
+            return None;
+        }
+        Some((id, value))
     }
 
     /// Loads the estimates of an earlier placer. Logs and ignores a row of another form.
--- a/src/core/workload/placer/storage/hand_over.rs
+++ b/src/core/workload/placer/storage/hand_over.rs
@@ -132,7 +132,7 @@
         }
         match outcome {
             CommitOutcome::Done(_) => {}
-            CommitOutcome::Refused(_) => {
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) => {
                 self.hand_over.stage = Stage::NotStarted;
                 self.release = Release::NotRequested;
             }
--- a/src/core/workload/placer/storage/heartbeat.rs
+++ b/src/core/workload/placer/storage/heartbeat.rs
@@ -11,6 +11,7 @@
 use crate::core::workload::rows::HEARTBEAT_KEY;
 use crate::core::workload::rows::OWNER_KEY;
 use crate::core::workload::rows::encode;
+use crate::core::workload::rows::encode_within;
 use crate::core::workload::table::CommitOutcome;
 use crate::core::workload::table::HEARTBEATS;
 use crate::core::workload::table::JOBS;
@@ -34,12 +35,28 @@
         let txn = Transaction {
             // The sequence row may be changed by the write in flight.
             expect: vec![(RowId::new(JOBS, part, OWNER_KEY), self.grant_version)],
-            put: vec![(row, encode(&self.heartbeat_row(cx)))],
+            put: vec![(row, self.heartbeat_value(cx))],
             remove: Vec::new(),
         };
         cx.commit(self.purpose(PlacerWrite::Heartbeat), txn);
     }
 
+    /// Returns the value of the heartbeat row. If it is too large, the longest waits are kept; if it
+    /// still is, the numbers of waiting jobs are left out.
+    pub(in crate::core::workload::placer) fn heartbeat_value(&mut self, cx: &Cx) -> Vec<u8> {
+        let mut row = self.heartbeat_row(cx);
+        let max_bytes = cx.options.table.max_value_bytes;
+        let waits = row.waits.len();
+        let value = encode_within(&mut row, waits, max_bytes, |row, len| {
+            row.waits.truncate(len);
+        });
+        if value.len() <= max_bytes {
+            return value;
+        }
+        row.waiting = None;
+        encode(&row)
+    }
+
     /// Returns the time at which [`Placer::write_late_heartbeat`] is next due; `None` while no write
     /// of progress is in flight.
     pub(in crate::core::workload::placer) fn late_heartbeat_at(&self, cx: &Cx) -> Option<Now> {
@@ -65,7 +82,9 @@
                 is_stuck.then(|| "progress cannot be stored".into())
             }
             // Failures are logged with their purpose; the next heartbeat follows.
-            CommitOutcome::Refused(_) | CommitOutcome::Unknown(_) => None,
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) | CommitOutcome::Unknown(_) => {
+                None
+            }
         }
     }
 }
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -31,6 +31,9 @@
 use crate::core::workload::placer::storage::archive::is_final;
 use crate::core::workload::placer::storage::estimates::EstimatesWriter;
 use crate::core::workload::placer::storage::hand_over::HandOver;
+use crate::core::workload::placer::storage::histories::LoadedHistories;
+use crate::core::workload::placer::storage::histories::StoredHistories;
+use crate::core::workload::placer::storage::job_progress::max_open_occurrences;
 use crate::core::workload::placer::storage::lost::LostWriter;
 use crate::core::workload::placer::storage::missing::MissingParts;
 use crate::core::workload::placer::storage::progress::ProgressWriter;
@@ -156,6 +159,7 @@
             preempting_queues: Box::default(),
             release: Release::NotRequested,
             hand_over: HandOver::new(cx, former.released),
+            loaded_histories: LoadedHistories::new(),
         };
         for row in rows.roster {
             placer.load_vm(cx, &row);
@@ -163,7 +167,9 @@
         for row in rows.jobs.into_values().flatten() {
             placer.register_job_row(cx, row);
         }
-        for row in rows.progress {
+        let histories = |row: &TableRow| placer.keep_history_row(row);
+        let (_, progress): (Vec<_>, Vec<_>) = rows.progress.into_iter().partition(histories);
+        for row in progress {
             placer.load_progress(cx, &row);
         }
         placer
@@ -227,6 +233,8 @@
         let archived = row.job.is_none();
         let mut submission = row.job.unwrap_or_default();
         let payload = std::mem::take(&mut submission.payload);
+        let max_value_bytes = cx.options.table.max_value_bytes;
+        let max_open_occurrences = max_open_occurrences(&submission, max_value_bytes);
         Job {
             id: id.into(),
             queue,
@@ -242,6 +250,8 @@
             first_unfinished: 0,
             begun: 0,
             occurrences: BTreeMap::new(),
+            max_open_occurrences,
+            histories: StoredHistories::default(),
             run_floor,
             ended_at: None,
         }
@@ -392,6 +402,11 @@
         for occurrence in &progress.occurrences {
             job.load_occurrence(occurrence, cx.now);
         }
+        self.load_histories(cx, key, progress.has_histories);
+        let Some(job) = self.registry.jobs.get_mut(&key) else {
+            return;
+        };
+        job.drop_needless_failures();
         if is_final(job.state) {
             job.ended_at = Some(cx.now);
             self.registry.mark_ended(key);
@@ -405,6 +420,19 @@
 }
 
 impl Job {
+    /// Drops the failures of tasks that run until their job is cancelled, which earlier versions stored
+    /// without limit.
+    fn drop_needless_failures(&mut self) {
+        for steps in self.occurrences.values_mut() {
+            let steps = steps.iter_mut().zip(&self.submission.steps);
+            for (step, _) in steps.filter(|(_, spec)| spec.traits.long_running) {
+                for task in &mut step.tasks {
+                    task.failed = Vec::new();
+                }
+            }
+        }
+    }
+
     fn load_occurrence(&mut self, row: &OccurrenceRow, now: Now) {
         if !self.occurrences.contains_key(&row.k) {
             self.begin_occurrence(row.k, now);
--- a/src/core/workload/placer/storage/lost.rs
+++ b/src/core/workload/placer/storage/lost.rs
@@ -18,13 +18,14 @@
 use crate::core::workload::rows::LostRow;
 use crate::core::workload::rows::LostVmRow;
 use crate::core::workload::rows::decode;
-use crate::core::workload::rows::encode;
+use crate::core::workload::rows::encode_within;
 use crate::core::workload::table::PROGRESS;
 use crate::core::workload::table::RowId;
 use crate::core::workload::table::TableRow;
 use crate::core::workload::task::TaskName;
 
-/// Largest number of runs in the row, which limits its size to some 30 KB. The latest losses go first.
+/// Largest number of runs in the row, which limits its size to some 30 KB unless the ids are long. The
+/// latest losses go first.
 const MAX_RUNS: usize = 500;
 
 /// Contents of the row that the table has.
@@ -48,13 +49,14 @@
         cx: &Cx,
     ) -> Option<(RowId, Vec<u8>)> {
         self.lost_vms.remove_overdue(cx.now);
-        let row = self.lost_row();
+        let mut row = self.lost_row();
         if self.lost_writer.written.as_ref() == Some(&row) {
             return None;
         }
         let id = RowId::new(PROGRESS, &cx.options.part, LOST_KEY);
-        let value = encode(&row);
-        self.lost_writer.written = Some(row);
+        self.lost_writer.written = Some(row.clone());
+        let (vms, max_bytes) = (row.vms.len(), cx.options.table.max_value_bytes);
+        let value = encode_within(&mut row, vms, max_bytes, |row, len| row.vms.truncate(len));
         Some((id, value))
     }
 
--- a/src/core/workload/placer/storage/roster.rs
+++ b/src/core/workload/placer/storage/roster.rs
@@ -147,7 +147,7 @@
             CommitOutcome::Conflict(rows) if !self.owns(cx, rows) => {
                 return Some("the owner row has changed".into());
             }
-            CommitOutcome::Refused(_) => true,
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) => true,
             // The versions of the rows are unknown: VMs that are still used are added again.
             CommitOutcome::Conflict(_) | CommitOutcome::Unknown(_) => false,
         };
--- a/src/core/workload/role.rs
+++ b/src/core/workload/role.rs
@@ -219,7 +219,7 @@
         match outcome {
             CommitOutcome::Done(version) => self.start_loading(cx, *version),
             CommitOutcome::Conflict(_) => self.back_off(cx),
-            CommitOutcome::Refused(_) => self.back_off_from_table(cx),
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) => self.back_off_from_table(cx),
             CommitOutcome::Unknown(_) => read_owner(cx, ReadPurpose::Settle),
         }
     }
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -96,6 +96,10 @@
     /// Occurrences from `through` on that have begun.
     #[serde(default)]
     pub occurrences: Vec<OccurrenceRow>,
+    /// Whether the histories of the tasks are in rows of their own, and those here are not complete.
+    /// Earlier versions leave it out.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_histories: bool,
 }
 
 /// Progress of an occurrence.
@@ -213,10 +217,13 @@
 }
 
 /// VMs on which the placer may be stopping runs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct StopsRow {
     /// Ids of the VMs.
     pub vms: Vec<VmId>,
+    /// Whether there are more than fit, so that it may be stopping runs on any VM.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_more: bool,
 }
 
 /// Address of a daemon.
@@ -283,6 +290,25 @@
     serde_json::to_vec(value).expect("rows of this module serialize to JSON")
 }
 
+/// Encodes a row with a list in at most `max_bytes`; `truncate` shortens the list of a row to a length
+/// and marks the row.
+pub(super) fn encode_within<T: Serialize>(
+    row: &mut T,
+    len: usize,
+    max_bytes: usize,
+    truncate: impl Fn(&mut T, usize),
+) -> Vec<u8> {
+    let mut value = encode(row);
+    let mut len = len;
+    while value.len() > max_bytes && len > 0 {
+        // The entries are of about the same size.
+        len = (len * max_bytes / value.len()).min(len - 1);
+        truncate(row, len);
+        value = encode(row);
+    }
+    value
+}
+
 /// Decodes a value from JSON; the error is the parser's message.
 pub(super) fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T> {
     serde_json::from_slice(value).map_err(|err| err.to_string().into())
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -277,7 +277,10 @@
     ) -> Option<Box<str>> {
         let mut cx = context!(self, now, out);
         let cx = &mut cx;
-        if let CommitOutcome::Refused(reason) | CommitOutcome::Unknown(reason) = &outcome {
+        if let CommitOutcome::Refused(reason)
+        | CommitOutcome::Rejected(reason)
+        | CommitOutcome::Unknown(reason) = &outcome
+        {
             cx.log(Decision::CommitFailed {
                 purpose: format!("{purpose:?}").into(),
                 reason: reason.clone(),
--- a/src/core/workload/submission.rs
+++ b/src/core/workload/submission.rs
@@ -22,6 +22,15 @@
 /// Maximum size of a job's payload, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// Number of tasks whose completion takes one byte in the job's progress, a hexadecimal digit.
+const BITMAP_TASKS_PER_BYTE: u32 = 4;
+
+/// Size of the punctuation of a step in the job's progress, in bytes.
+const STEP_BYTES: usize = 3;
+
+/// Size of the other fields of an occurrence in the job's progress, in bytes.
+const OCCURRENCE_BYTES: usize = 48;
+
 /// Reason why a submission is invalid.
 pub type Error = Box<str>;
 
@@ -136,6 +145,14 @@
         self.steps.iter().map(Step::core_seconds).sum()
     }
 
+    /// Returns the size of the bitmaps of one occurrence in the job's progress, in bytes.
+    #[must_use]
+    pub fn bitmap_bytes(&self) -> usize {
+        let bytes = |step: &Step| step.count.div_ceil(BITMAP_TASKS_PER_BYTE) as usize;
+        let steps = self.steps.iter().map(|step| bytes(step) + STEP_BYTES);
+        OCCURRENCE_BYTES + steps.sum::<usize>()
+    }
+
     /// Returns the estimated duration of the critical path through the steps.
     #[must_use]
     pub fn critical_path(&self) -> Duration {
--- a/src/core/workload/table.rs
+++ b/src/core/workload/table.rs
@@ -19,6 +19,9 @@
 /// The placer's heartbeat and the daemons' addresses.
 pub const HEARTBEATS: TableName = "pulse";
 
+/// Maximum number of entries in a transaction: expected versions, rows to write and rows to remove.
+pub const MAX_TRANSACTION_ENTRIES: usize = 100;
+
 /// Identifies a row.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RowId {
@@ -61,8 +64,10 @@
     Done(Rev),
     /// A row had another version than expected; nothing took effect. Carries the current rows.
     Conflict(Vec<TableRow>),
-    /// The transaction was not sent or was refused; nothing took effect.
+    /// The transaction was not sent or was refused for now; nothing took effect.
     Refused(Box<str>),
+    /// The transaction was refused for its contents, and would be again; nothing took effect.
+    Rejected(Box<str>),
     /// No valid answer: the transaction may have taken effect, or may still do so.
     Unknown(Box<str>),
 }
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -71,6 +71,12 @@
         Decision::VmCrashed { .. } => counter!("ragwortstall_vm_crashes_total").increment(1),
         Decision::VmResized { .. } => counter!("ragwortstall_vm_resizes_total").increment(1),
         Decision::StopOrdered { .. } => counter!("ragwortstall_stops_ordered_total").increment(1),
+        Decision::ProgressSplit { .. } => {
+            counter!("ragwortstall_progress_split_total").increment(1);
+        }
+        Decision::ProgressRejected { .. } => {
+            counter!("ragwortstall_progress_rejected_total").increment(1);
+        }
         Decision::RoleTaken { .. } => counter!("ragwortstall_takeovers_total").increment(1),
         Decision::RoleReady { took_ms, .. } => {
             histogram!("ragwortstall_load_seconds").record(seconds(*took_ms));
--- a/tests/workload/harness/callers.rs
+++ b/tests/workload/harness/callers.rs
@@ -87,9 +87,14 @@
         panic!("no reply to a call of {path} within 3 s");
     }
 
-    /// Sends a submission without waiting for its reply.
-    pub(crate) fn send_submission(&mut self, daemon: usize, id: &str, job: Submission) {
-        self.send_to(daemon, &format!("/jobs/{id}"), id, job);
+    /// Sends a submission without waiting for its reply, which the ticket identifies.
+    pub(crate) fn send_submission(&mut self, daemon: usize, id: &str, job: Submission) -> Ticket {
+        self.send_to(daemon, &format!("/jobs/{id}"), id, job)
+    }
+
+    /// Returns the reply to a call, if there is one yet.
+    pub(crate) fn reply(&mut self, ticket: Ticket) -> Option<Reply> {
+        self.replies.remove(&ticket)
     }
 
     /// Sends a submission to the batch queue without waiting for its reply.
@@ -97,7 +102,7 @@
         self.send_to(daemon, &format!("{BATCH_PATH}{id}"), id, job);
     }
 
-    fn send_to(&mut self, daemon: usize, path: &str, id: &str, job: Submission) {
+    fn send_to(&mut self, daemon: usize, path: &str, id: &str, job: Submission) -> Ticket {
         self.submissions.insert(id.into(), job.clone());
         self.last_ticket += 1;
         let call = Call {
@@ -109,6 +114,7 @@
         };
         let ticket = self.last_ticket;
         self.apply(daemon, Event::Call { ticket, call });
+        ticket
     }
 
     /// Returns the number of replies that no caller of the harness has waited for.
--- a/tests/workload/harness/link.rs
+++ b/tests/workload/harness/link.rs
@@ -125,7 +125,10 @@
         Answer::Feed(_, FeedAnswer::Snapshot(rows, _) | FeedAnswer::Changes(rows, _)) => {
             rows.iter().map(feed_row_size).sum()
         }
-        Answer::Committed(_, CommitOutcome::Done(_) | CommitOutcome::Refused(_))
+        Answer::Committed(
+            _,
+            CommitOutcome::Done(_) | CommitOutcome::Refused(_) | CommitOutcome::Rejected(_),
+        )
         | Answer::Feed(_, FeedAnswer::HistoryGone) => 0,
         _ => return None,
     };
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the workload reducer against a simulated table and simulated VMs, in virtual time.
 
+mod adjacent_versions;
 mod admission;
 mod archive;
 mod busy_placer;
@@ -31,6 +32,7 @@
 mod renewal_grace;
 mod resizes;
 mod restarts;
+mod row_limits;
 mod silent_vms;
 mod slow_link;
 mod stall;
--- a/tests/workload/table.rs
+++ b/tests/workload/table.rs
@@ -1,6 +1,7 @@
 //! A simulated table service with transactions, range reads and changes since a version.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use ragwortstall::core::workload::table::CommitOutcome;
 use ragwortstall::core::workload::table::Page;
@@ -9,6 +10,15 @@
 use ragwortstall::core::workload::table::TableRow;
 use ragwortstall::core::workload::table::Transaction;
 
+/// Largest size of a value in base64, in bytes.
+const MAX_VALUE_BYTES: usize = 65_536;
+
+/// Largest number of entries in a transaction.
+const MAX_ENTRIES: usize = 100;
+
+/// Largest size of a transaction, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+
 /// Table, part and key of a row.
 type RowKey = (&'static str, Box<str>, Box<str>);
 
@@ -23,12 +33,21 @@
     changed: BTreeMap<&'static str, u64>,
     /// Version of the last transaction.
     pub version: u64,
+    /// Keys of the rows that are rejected, whatever their values.
+    pub rejected_keys: BTreeSet<Box<str>>,
+    /// Keys of the rows of rejected transactions.
+    pub rejected: Vec<Vec<Box<str>>>,
 }
 
 impl SimTable {
     /// Runs a transaction.
     pub(crate) fn commit(&mut self, txn: &Transaction) -> CommitOutcome {
         let key = |row: &RowId| (row.table, row.part.clone(), row.key.clone());
+        if let Some(reason) = self.rejection(txn) {
+            let keys = txn.put.iter().map(|(row, _)| row.key.clone());
+            self.rejected.push(keys.collect());
+            return CommitOutcome::Rejected(reason.into());
+        }
         let has_conflict = txn.expect.iter().any(|(row, version)| {
             let current = self.rows.get(&key(row));
             let current = current.filter(|(_, value)| value.is_some());
@@ -55,6 +74,24 @@
         CommitOutcome::Done(self.version)
     }
 
+    /// Returns the reason why a transaction breaks a limit, if it does.
+    fn rejection(&self, txn: &Transaction) -> Option<&'static str> {
+        let sizes = txn.put.iter().map(|(_, value)| base64_size(value));
+        let entries = txn.expect.len() + txn.put.len() + txn.remove.len();
+        let mut keys = txn.put.iter().map(|(row, _)| &row.key);
+        if keys.any(|key| self.rejected_keys.contains(key)) {
+            Some("a row is rejected")
+        } else if sizes.clone().any(|size| size > MAX_VALUE_BYTES) {
+            Some("a value is too large")
+        } else if entries > MAX_ENTRIES {
+            Some("too many entries")
+        } else if sizes.sum::<usize>() > MAX_TRANSACTION_BYTES {
+            Some("the transaction is too large")
+        } else {
+            None
+        }
+    }
+
     /// Returns the rows of a range.
     pub(crate) fn page(&self, range: &Range) -> Page {
         let inside = |key: &str| key >= &*range.from && (range.to.is_empty() || key < &*range.to);
@@ -93,6 +130,10 @@
     }
 }
 
+fn base64_size(value: &[u8]) -> usize {
+    value.len().div_ceil(3) * 4
+}
+
 fn table_row(key: &RowKey, version: u64, value: Option<&Vec<u8>>) -> TableRow {
     TableRow {
         part: key.1.clone(),
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -66,6 +66,8 @@
     pub runs: BTreeMap<TaskName, SimRun>,
     /// Ended runs that are not acknowledged yet.
     ended: Vec<EndedTask>,
+    /// Times at which these runs ended.
+    ended_at: Vec<Now>,
     /// Sequence number of the last ended run.
     last_seq: u64,
     /// Highest run number that has ended or was stopped before its start, by task.
@@ -114,6 +116,7 @@
             lease_end_ms: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
+            ended_at: Vec::new(),
             last_seq: 0,
             highest_runs: BTreeMap::new(),
         }
@@ -216,11 +219,13 @@
         self.advance(now);
         self.extend_lease(now, deadline_ms.unwrap_or(0));
         self.ended.retain(|ended| ended.seq > ack);
+        let acknowledged = self.ended_at.len() - self.ended.len();
+        self.ended_at.drain(..acknowledged);
         let live = self.runs.iter().filter(|(_, run)| run.stopped_at.is_none());
         let running = live.map(|(task, run)| RunningTask {
             task: task.clone(),
             run: run.number,
-            checkpoint: "".into(),
+            checkpoint: run.last_checkpoint(now),
             speed_percent: 100,
             measurement: if run.step.target_ms > 0 {
                 self.tail_latency_ms
@@ -244,6 +249,11 @@
         completions.map(|ended| ended.task.clone()).collect()
     }
 
+    /// Returns the time at which the first run ended whose end is not acknowledged yet.
+    pub(crate) fn oldest_ended_at(&self) -> Option<Now> {
+        self.ended_at.first().copied()
+    }
+
     /// Returns the number of runs that are not being stopped.
     pub(crate) fn live_runs(&self) -> usize {
         let live = self.runs.values().filter(|run| run.stopped_at.is_none());
@@ -337,6 +347,7 @@
         let highest_runs = self.highest_runs.entry(name.clone()).or_default();
         *highest_runs = (*highest_runs).max(run);
         self.last_seq += 1;
+        self.ended_at.push(self.advanced_to);
         self.ended.push(EndedTask {
             seq: self.last_seq,
             task: name.clone(),
@@ -377,6 +388,15 @@
         self.started_at
     }
 
+    /// Returns the checkpoint that the run saved last, after each second of work.
+    fn last_checkpoint(&self, now: Now) -> Checkpoint {
+        let seconds = now.saturating_sub(self.started_at).as_secs();
+        if !self.step.traits.checkpointing || self.resumed_ms + seconds == 0 {
+            return "".into();
+        }
+        (self.resumed_ms + seconds * 1_000).to_string().into()
+    }
+
     /// Returns the checkpoint that the run saves while it is being stopped.
     fn checkpoint(&self, now: Now, outcome: RunOutcome) -> Checkpoint {
         if !self.step.traits.checkpointing || outcome != RunOutcome::Stopped {
