Answer the cancel of an unknown job once it can no longer be submitted

Cause: the table may perform a transaction seconds late if its condition still holds, and that of a submission is that the job's row does not exist. A cancel that found no row answered at once and left the condition as it was. Asking the daemon's own submissions in doubt would not be enough: the transaction may be of another daemon or of a process that has ended since.

Such a cancel now stores a small row with the job's key, on condition that there is none, and answers 410 once that is stored; a late submission fails on it, and a repeat is answered 503. It costs one transaction for a cancel of an unknown id, none for others. A status call at the daemon that has the job in doubt gets 503, not 410.

--- a/src/core/workload/callers/admission.rs
+++ b/src/core/workload/callers/admission.rs
@@ -8,7 +8,9 @@
 use rustc_hash::FxHashMap;
 
 use super::batcher::SubmissionBatcher;
+use super::batcher::WITHDRAWN;
 use super::recent_ids::RecentIds;
+use super::withdrawals::is_withdrawn;
 use crate::core::model::JobId;
 use crate::core::model::Ticket;
 use crate::core::workload::catalog::Queue;
@@ -137,6 +139,7 @@
             return;
         };
         match page {
+            Ok(page) if page.rows.iter().any(is_withdrawn) => check.refuse_withdrawn(cx),
             Ok(page) if page.rows.iter().any(|row| row.value.is_some()) => check.accept(cx),
             Ok(_) => self.refuse(cx, &check),
             Err(_) => check.pass_on(cx, batcher),
@@ -184,6 +187,19 @@
         }
     }
 
+    /// Refuses the submission of a job that was cancelled before it was accepted.
+    fn refuse_withdrawn(self, cx: &mut Cx) {
+        cx.log(Decision::Refused {
+            id: self.submitted.id,
+            reason: WITHDRAWN.into(),
+            config: self.submitted.config_version,
+            table_age_ms: cx.table_age_ms(),
+        });
+        for ticket in self.tickets {
+            cx.reply(ticket, cx.unavailable());
+        }
+    }
+
     /// Passes the submission on to the batcher, where its callers share one outcome.
     fn pass_on(self, cx: &mut Cx, batcher: &mut SubmissionBatcher) {
         let Submitted {
--- a/src/core/workload/callers/batcher.rs
+++ b/src/core/workload/callers/batcher.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::recent_ids::RecentIds;
+use super::withdrawals::is_withdrawn;
 use crate::core::model::JobId;
 use crate::core::model::Now;
 use crate::core::model::Ticket;
@@ -36,13 +37,19 @@
 /// Maximum total size of the rows in a transaction, in bytes, which stays below 1 MB in base64.
 const MAX_BATCH_BYTES: usize = 600_000;
 
+/// Time after which a transaction without an answer has taken effect, if it does so at all.
+const DOUBT_TIME: Duration = Duration::from_secs(30);
+
+/// Reason for the refusal of a job that was cancelled before it was accepted.
+pub(super) const WITHDRAWN: &str = "cancelled before it was accepted";
+
 /// Submitted jobs that wait for a transaction or its outcome.
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct SubmissionBatcher {
     /// Queues by the number of the table's part.
     parts: BTreeMap<u8, PartQueue>,
     /// Jobs that were given up although a transaction with them may still take effect.
-    unsettled: RecentIds<()>,
+    unsettled: RecentIds<Now>,
 }
 
 /// Submitted jobs of one part of the table.
@@ -119,6 +126,12 @@
         is_pending || self.unsettled.get(id).is_some()
     }
 
+    /// Returns whether a submission of the job was sent lately whose outcome is not known.
+    pub fn is_in_doubt(&self, now: Now, id: &str) -> bool {
+        let given_up_at = self.unsettled.get(id);
+        given_up_at.is_some_and(|at| now < at + DOUBT_TIME)
+    }
+
     /// Returns whether no submission waits for a reply.
     pub fn is_idle(&self) -> bool {
         let jobs = |part: &PartQueue| part.queued.len() + part.in_flight.len();
@@ -162,6 +175,11 @@
         for mut pending in batch {
             match outcome {
                 CommitOutcome::Done(_) => accept(cx, &pending, false),
+                CommitOutcome::Conflict(rows) if is_job_withdrawn(rows, &pending.id) => {
+                    // The row also keeps earlier transactions with the job from taking effect.
+                    pending.may_be_stored = false;
+                    refuse(cx, &mut self.unsettled, &pending, WITHDRAWN);
+                }
                 CommitOutcome::Conflict(rows) if contains_job(rows, &pending.id) => {
                     accept(cx, &pending, true);
                 }
@@ -239,6 +257,10 @@
         .any(|row| &*row.key == id && row.value.is_some())
 }
 
+fn is_job_withdrawn(rows: &[TableRow], id: &str) -> bool {
+    rows.iter().any(|row| &*row.key == id && is_withdrawn(row))
+}
+
 fn accept(cx: &mut Cx, pending: &Pending, repeat: bool) {
     cx.log(Decision::Accepted {
         id: pending.id.clone(),
@@ -252,9 +274,9 @@
 
 /// Gives up a submission. Reports it as refused only if it is certainly not stored; otherwise its
 /// outcome is reported as unknown.
-fn refuse(cx: &mut Cx, unsettled: &mut RecentIds<()>, pending: &Pending, reason: &str) {
+fn refuse(cx: &mut Cx, unsettled: &mut RecentIds<Now>, pending: &Pending, reason: &str) {
     if pending.may_be_stored {
-        unsettled.add(&pending.id, ());
+        unsettled.add(&pending.id, cx.now);
         cx.log(Decision::Unsettled {
             id: pending.id.clone(),
             reason: reason.into(),
@@ -271,7 +293,7 @@
 }
 
 /// Reports a submission that the table rejects for its contents.
-fn reject(cx: &mut Cx, unsettled: &mut RecentIds<()>, pending: &Pending, reason: &str) {
+fn reject(cx: &mut Cx, unsettled: &mut RecentIds<Now>, pending: &Pending, reason: &str) {
     if pending.may_be_stored {
         return refuse(cx, unsettled, pending, reason);
     }
--- a/src/core/workload/callers/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -9,6 +9,7 @@
 use super::admission::Submitted;
 use super::batcher::SubmissionBatcher;
 use super::relay::Relays;
+use super::withdrawals::Withdrawals;
 use crate::core::model::JobId;
 use crate::core::model::TeamId;
 use crate::core::model::Ticket;
@@ -50,6 +51,7 @@
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct CallHandler {
     pending: FxHashMap<Ticket, PendingCall>,
+    withdrawals: Withdrawals,
 }
 
 /// Call that waits for the table, with the access rights of its caller.
@@ -57,8 +59,8 @@
 struct PendingCall {
     /// Team of the caller's key.
     team: Option<TeamId>,
-    /// Whether the queue is public, so that the caller may see all of its jobs.
-    public: bool,
+    /// Queue of the call. If it is public, the caller may see all of its jobs.
+    queue: Rc<Queue>,
 }
 
 /// Other components of the reducer that a call may need.
@@ -165,19 +167,22 @@
         self.reply(cx, ticket, reply);
     }
 
-    /// Handles the rows of a job without a progress row, read for a status call.
+    /// Handles the rows of a job without a progress row, read for a status call. `in_doubt` tells
+    /// whether a submission of the job may still take effect.
     pub fn handle_existence_rows(
         &mut self,
         cx: &mut Cx,
         ticket: Ticket,
         id: &JobId,
         page: Result<Page, Box<str>>,
+        in_doubt: bool,
     ) {
         let Some(page) = self.page_or_reply(cx, ticket, id, page) else {
             return;
         };
         let cancelled = page.rows.iter().any(|row| row.key == cancel_key(id));
         let reply = match self.visible_job_version(cx, ticket, id, &page) {
+            Err(_) if in_doubt && !page.rows.iter().any(|row| row.key == *id) => cx.unavailable(),
             Err(reply) => reply,
             Ok(_) if cancelled => Reply::State(JobState::Cancelled),
             Ok(_) => Reply::State(JobState::Queued),
@@ -196,6 +201,9 @@
         let Some(page) = self.page_or_reply(cx, ticket, &id, page) else {
             return;
         };
+        if !page.rows.iter().any(|row| row.key == id) {
+            return self.withdraw(cx, ticket, id);
+        }
         let key = cancel_key(&id);
         let version = match self.visible_job_version(cx, ticket, &id, &page) {
             Ok(version) => version,
@@ -251,9 +259,44 @@
         self.reply(cx, ticket, reply);
     }
 
-    fn track(&mut self, ticket: Ticket, team: Option<TeamId>, queue: &Queue) {
-        let public = queue.public;
-        self.pending.insert(ticket, PendingCall { team, public });
+    /// Cancels a job that the table does not have.
+    fn withdraw(&mut self, cx: &mut Cx, ticket: Ticket, id: JobId) {
+        let Some(PendingCall { team, queue }) = self.pending.get(&ticket) else {
+            return;
+        };
+        let (team, queue) = (team.clone(), Rc::clone(queue));
+        if !self.withdrawals.write(cx, ticket, id, &queue, team) {
+            self.reply(cx, ticket, cx.unavailable());
+        }
+    }
+
+    /// Handles the outcome of the transaction that keeps a job from being submitted.
+    pub fn handle_withdraw_outcome(
+        &mut self,
+        cx: &mut Cx,
+        ticket: Ticket,
+        id: JobId,
+        outcome: CommitOutcome,
+    ) {
+        let reply = match outcome {
+            CommitOutcome::Done(_) => {
+                cx.log(Decision::SubmissionWithdrawn { id });
+                Reply::NoJob
+            }
+            // The job was submitted meanwhile, or cancelled in the same way.
+            CommitOutcome::Conflict(_) => return read_job_for_cancel(cx, ticket, id),
+            CommitOutcome::Refused(_) | CommitOutcome::Rejected(_) => cx.unavailable(),
+            CommitOutcome::Unknown(reason) => {
+                cx.log(Decision::Unsettled { id, reason });
+                Reply::Unknown
+            }
+        };
+        self.reply(cx, ticket, reply);
+    }
+
+    fn track(&mut self, ticket: Ticket, team: Option<TeamId>, queue: &Rc<Queue>) {
+        let queue = Rc::clone(queue);
+        self.pending.insert(ticket, PendingCall { team, queue });
     }
 
     fn reply(&mut self, cx: &mut Cx, ticket: Ticket, reply: Reply) {
@@ -300,6 +343,7 @@
             return Err(Reply::NoJob);
         };
         match decode::<JobRow>(value) {
+            Ok(job) if job.withdrawn => Err(Reply::NoJob),
             Ok(job) if self.is_visible(ticket, job.team.as_ref()) => Ok(version),
             Ok(_) => Err(Reply::NoJob),
             Err(reason) => Err(report_unreadable_row(cx, id.clone(), reason)),
@@ -308,7 +352,7 @@
 
     fn is_visible(&self, ticket: Ticket, owner: Option<&TeamId>) -> bool {
         let caller = self.pending.get(&ticket);
-        caller.is_some_and(|caller| caller.public || caller.team.as_ref() == owner)
+        caller.is_some_and(|caller| caller.queue.public || caller.team.as_ref() == owner)
     }
 }
 
@@ -357,6 +401,7 @@
         team,
         at: admission.acceptance_time(cx, &id, queue, &job),
         job: Some(job),
+        withdrawn: false,
     };
     if encode(&row).len() > max_value_bytes {
         let reason = format!("the job takes more than {max_value_bytes} bytes");
--- a/src/core/workload/callers/mod.rs
+++ b/src/core/workload/callers/mod.rs
@@ -7,3 +7,4 @@
 pub(in crate::core::workload) mod relay;
 
 mod recent_ids;
+mod withdrawals;
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -198,6 +198,8 @@
     FinalStateMissing { id: JobId },
     /// The estimates of run times are not stored.
     EstimatesNotStored { reason: Box<str> },
+    /// A job that does not exist was cancelled, and can no longer be submitted.
+    SubmissionWithdrawn { id: JobId },
     /// The progress of a job does not fit into one row, so that the histories of its tasks get rows of
     /// their own.
     ProgressSplit { id: JobId, tasks: u64 },
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -123,6 +123,8 @@
     Submissions(u8),
     /// Cancels a job for a caller.
     Cancel(Ticket, JobId),
+    /// Keeps a job that does not exist from being submitted, for a caller who cancels it.
+    Withdraw(Ticket, JobId),
     /// Claims the placer role.
     Take,
     /// Finds out whether the table takes writes.
--- a/src/core/workload/placer/storage/archive.rs
+++ b/src/core/workload/placer/storage/archive.rs
@@ -90,7 +90,8 @@
     }
 
     /// Registers the job of a small row, which has ended. Its final state is loaded with the
-    /// progress.
+    /// progress. A row that keeps a job from being submitted is registered in the same way, so that it
+    /// is removed after the retention period.
     ///
     /// For a known job, such as one whose row this placer has replaced, only records the row.
     pub(in crate::core::workload::placer) fn add_ended_job(
@@ -103,11 +104,14 @@
         if let Some(key) = self.registry.key(id) {
             return self.record_small_row(key, version);
         }
+        let withdrawn = row.withdrawn;
         let mut job = self.new_job(cx, id, version, row);
         job.ended_at = Some(cx.now);
         if let Some(key) = self.registry.add(job) {
             self.registry.mark_ended(key);
-            self.archive.without_state.insert(key);
+            if !withdrawn {
+                self.archive.without_state.insert(key);
+            }
         }
     }
 
@@ -244,6 +248,7 @@
             team: self.team.clone(),
             at: self.accepted_at,
             job: None,
+            withdrawn: false,
         }
     }
 }
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -81,6 +81,10 @@
     /// row.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub job: Option<Submission>,
+    /// Whether the job was cancelled before it was accepted, so that there is none: the row keeps a late
+    /// submission from taking effect. Earlier versions take it for the row of an ended job.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub withdrawn: bool,
 }
 
 /// Progress of a job.
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -293,6 +293,9 @@
             CommitPurpose::Cancel(ticket, id) => {
                 self.calls.handle_cancel_outcome(cx, ticket, id, outcome);
             }
+            CommitPurpose::Withdraw(ticket, id) => {
+                self.calls.handle_withdraw_outcome(cx, ticket, id, outcome);
+            }
             CommitPurpose::TableProbe => {
                 self.role
                     .handle_probe_outcome(cx, &self.heartbeats, &outcome);
@@ -325,7 +328,9 @@
         match purpose {
             ReadPurpose::Status(ticket, id) => self.calls.handle_status_row(cx, ticket, id, page),
             ReadPurpose::Existence(ticket, id) => {
-                self.calls.handle_existence_rows(cx, ticket, &id, page);
+                let in_doubt = self.batcher.is_in_doubt(now, &id);
+                self.calls
+                    .handle_existence_rows(cx, ticket, &id, page, in_doubt);
             }
             ReadPurpose::Cancel(ticket, id) => self.calls.handle_cancel_rows(cx, ticket, id, page),
             ReadPurpose::Admission(id) => {
--- a/tests/workload/adjacent_versions.rs
+++ b/tests/workload/adjacent_versions.rs
@@ -3,7 +3,9 @@
 
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::event::Action;
 use ragwortstall::core::workload::table::CommitOutcome;
+use ragwortstall::core::workload::table::JOBS;
 use ragwortstall::core::workload::table::PROGRESS;
 use ragwortstall::core::workload::table::RowId;
 use ragwortstall::core::workload::table::TableRow;
@@ -56,6 +58,15 @@
     checkpoint: String,
 }
 
+/// Job, as the version before cancelled submissions reads it.
+#[derive(Debug, Deserialize)]
+struct FormerJob {
+    queue: String,
+    service: String,
+    team: Option<String>,
+    job: Option<serde_json::Value>,
+}
+
 fn progress_rows(harness: &Harness) -> Vec<TableRow> {
     let rows = harness.table.changes(PROGRESS, 0).into_iter();
     rows.filter(|row| row.value.is_some()).collect()
@@ -147,6 +158,21 @@
     assert_eq!(history_row_count(&harness), 0);
 }
 
+/// Guards against a daemon of the former version that cannot read the row of a job that was cancelled
+/// before it was accepted, or that runs it.
+#[test]
+fn the_former_version_takes_a_job_cancelled_before_its_submission_for_an_ended_one() {
+    let mut harness = Harness::new(2, 1);
+    assert_eq!(harness.call(0, ID, Action::Cancel), Reply::NoJob);
+    let rows = harness.table.changes(JOBS, 0);
+    let value = |key: &str| rows.iter().find(|row| &*row.key == key)?.value.as_deref();
+    let row: FormerJob = serde_json::from_slice(value(ID).expect("a row")).expect("a readable row");
+    assert_eq!((&*row.queue, &*row.service), ("labels", "pool"));
+    assert_eq!(row.team.as_deref(), Some("dairy"));
+    assert_eq!(row.job, None);
+    assert_eq!(value(&format!("{ID}/cancel")), Some(&b"{}"[..]));
+}
+
 /// Guards against a row of the former version that is too large to be written again.
 #[test]
 fn failures_of_a_lasting_task_in_a_row_of_the_former_version_are_dropped() {
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -61,6 +61,15 @@
                 let answer = Answer::Committed(purpose, outcome);
                 return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
             }
+            Request::Commit {
+                purpose,
+                txn,
+                timeout,
+            } if self.put_back(&purpose, &txn) => {
+                let outcome = CommitOutcome::Unknown(no_answer);
+                let answer = Answer::Committed(purpose, outcome);
+                return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
+            }
             Request::Commit { purpose, txn, .. } => {
                 let outcome = self.commit(table_answers, &purpose, txn);
                 Answer::Committed(purpose, outcome)
@@ -101,27 +110,7 @@
             Request::ReadAll { call, .. } | Request::Watch { call, .. } => {
                 Answer::Feed(call, FeedAnswer::Failed(no_answer))
             }
-            Request::Renew {
-                wait,
-                ref renewal,
-                epoch,
-                deadline_ms,
-                ..
-            } => {
-                let until = self.now + wait;
-                let connection = self.connection(daemon, lifetime, &renewal.vm);
-                let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
-                if vm.connected && !self.silent_vms.contains(&renewal.vm) {
-                    vm.renew(self.now, epoch, deadline_ms);
-                }
-                return self.pending_renewals.push(PendingRenewal {
-                    daemon,
-                    lifetime,
-                    req,
-                    until,
-                    connection,
-                });
-            }
+            Request::Renew { .. } => return self.keep_renewal(daemon, lifetime, req),
             Request::Probe {
                 purpose, address, ..
             } => {
@@ -388,6 +377,33 @@
         }
     }
 
+    /// Applies a renewal on arrival and keeps it until it can be answered.
+    fn keep_renewal(&mut self, daemon: usize, lifetime: u64, req: Request) {
+        let Request::Renew {
+            wait,
+            renewal,
+            epoch,
+            deadline_ms,
+            ..
+        } = &req
+        else {
+            return;
+        };
+        let until = self.now + *wait;
+        let connection = self.connection(daemon, lifetime, &renewal.vm);
+        let vm = self.vms.get_mut(&renewal.vm).expect("a known VM");
+        if vm.connected && !self.silent_vms.contains(&renewal.vm) {
+            vm.renew(self.now, *epoch, *deadline_ms);
+        }
+        self.pending_renewals.push(PendingRenewal {
+            daemon,
+            lifetime,
+            req,
+            until,
+            connection,
+        });
+    }
+
     /// Returns the connection for a daemon's renewal of a VM. The daemon opens a new one if the VM has
     /// restarted or has not answered on the former one.
     fn connection(&mut self, daemon: usize, lifetime: u64, vm: &str) -> Connection {
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod crashes;
 mod feed_calls;
+mod late_commits;
 mod link;
 mod operator;
 mod options;
@@ -39,6 +40,7 @@
 use self::callers::RelayedCall;
 use self::crashes::Crashes;
 use self::feed_calls::FeedCalls;
+use self::late_commits::LateCommits;
 use self::link::Link;
 use self::options::options;
 pub(crate) use self::processor::Costs;
@@ -192,6 +194,7 @@
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
     /// Crashes of VMs.
     pub crashes: Crashes,
+    pub late_commits: LateCommits,
     /// Ordered speeds in percent, by task.
     pub speed_orders: Vec<(TaskName, u32)>,
     stop_time: Duration,
@@ -279,6 +282,7 @@
             probes: 0,
             starts: Vec::new(),
             crashes: Crashes::default(),
+            late_commits: LateCommits::default(),
             speed_orders: Vec::new(),
             stop_time,
             daemons: Vec::new(),
@@ -372,6 +376,7 @@
             vm.advance(self.now);
         }
         self.advance_crashes();
+        self.advance_late_commits();
         self.tick_daemons();
         while let Some(message) = self.next_message() {
             match message {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -20,6 +20,7 @@
 mod jobs;
 mod late_answers;
 mod late_parts;
+mod late_submissions;
 mod live_holder;
 mod long_queue;
 mod moves;
