Hold on to the other rows when another writer has left an odd one

- a VM's entry with a start in the future was taken for a new lifetime, so that its runs started elsewhere while they went on (TWICE), and its own reports were ignored;
- a job row with extreme times in the cell's own table ended each placer that loaded it ("overflow when adding durations").

An unreadable entry under the id of a VM in use leaves its runs and its lease alone and gives it no new tasks until it writes its entry again.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -52,6 +52,9 @@
 /// Interval of placement rounds while ready steps have waiting tasks.
 const PENDING_ROUND_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Longest time to the next check for due occurrences.
+const MAX_SLEEP: Duration = Duration::from_secs(3_600);
+
 /// State of the placer.
 #[derive(Debug)]
 pub(super) struct Placer {
@@ -218,7 +221,7 @@
         let due = self
             .registry
             .next_due(cx.unix_time, cx.options.placer.early_start);
-        let mut at = due.map(|left| cx.now + left);
+        let mut at = due.map(|left| cx.now + left.min(MAX_SLEEP));
         at = earliest(
             at,
             self.progress
@@ -280,6 +283,9 @@
                     }
                 }
                 FeedRow::Unreadable(key, reason) => {
+                    if feed == Feed::Vms {
+                        self.mark_vm_unlisted(&key);
+                    }
                     cx.log(Decision::RowUnreadable { key, reason });
                 }
                 _ => {}
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -25,6 +25,9 @@
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
 
+/// Largest difference between the wall clocks of a VM and of this host.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3_600);
+
 /// Longest delay of the next renewal while ended runs of the last report are not yet stored in the
 /// table.
 const STORE_WAIT: Duration = Duration::from_millis(250);
@@ -43,8 +46,16 @@
 const LEASE_DRIFT_FACTOR: f64 = 1.03;
 
 impl Placer {
-    /// Applies a row of the VM table.
+    /// Applies a row of the VM table. A row with a start in the future is of another writer.
     pub(in crate::core::workload::placer) fn apply_vm_row(&mut self, cx: &mut Cx, row: VmRow) {
+        if row.started_ms > millis(cx.unix_time + MAX_CLOCK_DIFFERENCE) {
+            self.mark_vm_unlisted(&row.id);
+            let reason = format!("start {} is in the future", row.started_ms).into();
+            return cx.log(Decision::RowUnreadable {
+                key: row.id,
+                reason,
+            });
+        }
         let key = self.fleet.get_or_add(&row.id, &row.address, cx.now);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
@@ -92,7 +103,8 @@
         }
     }
 
-    /// Handles the removal of a VM's row.
+    /// Handles the removal of a VM's row, or a row that names no VM to use. Its runs go on, and its lease
+    /// is renewed as before.
     pub(in crate::core::workload::placer) fn mark_vm_unlisted(&mut self, id: &str) {
         if let Some((_, vm)) = self.fleet.by_id(id) {
             vm.listed = false;
--- a/src/core/workload/placer/rounds/rank.rs
+++ b/src/core/workload/placer/rounds/rank.rs
@@ -13,7 +13,7 @@
 impl Job {
     /// Returns the rank of the job's steps at a wall time since the Unix epoch.
     pub(in crate::core::workload::placer) fn rank(&self, key: JobKey, unix_time: Duration) -> Rank {
-        let deadline = self.accepted_at + self.objective();
+        let deadline = self.accepted_at.saturating_add(self.objective());
         let order = Order {
             priority: self.queue.priority,
             timeliness: self.timeliness(unix_time),
@@ -35,7 +35,8 @@
     /// Returns by how much the job can end before its objective, at a wall time since the Unix epoch.
     pub(in crate::core::workload::placer) fn slack(&self, unix_time: Duration) -> Duration {
         let age = unix_time.saturating_sub(self.accepted_at);
-        self.objective().saturating_sub(age + self.remaining_time())
+        self.objective()
+            .saturating_sub(age.saturating_add(self.remaining_time()))
     }
 
     /// Returns the estimated length of the critical path through the steps that are not done, in
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -376,7 +376,12 @@
     /// Returns the scheduled time of an occurrence since the Unix epoch; zero without a schedule.
     pub fn due_at(&self, occurrence: OccurrenceIndex) -> Duration {
         match self.submission.schedule {
-            Some(schedule) => schedule.first + schedule.interval * occurrence,
+            Some(schedule) => {
+                let since_first = schedule.interval.checked_mul(occurrence);
+                schedule
+                    .first
+                    .saturating_add(since_first.unwrap_or(Duration::MAX))
+            }
             None => Duration::ZERO,
         }
     }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -24,6 +24,7 @@
 mod live_holder;
 mod long_queue;
 mod moves;
+mod odd_rows;
 mod pace;
 mod partial_outage;
 mod preemption;
