Fail no job when the table rejects a row of the placer beside it

A transaction with one job and the estimates, or the runs of lost VMs, but without heartbeat and stops was taken for one that is rejected for its job, which then failed. The placer's own rows are now all looked for.

--- a/src/core/workload/placer/storage/batch.rs
+++ b/src/core/workload/placer/storage/batch.rs
@@ -67,6 +67,12 @@
         !self.jobs.is_empty() || !self.histories.is_empty()
     }
 
+    /// Returns whether the transaction has rows of the placer beside the sequence row.
+    pub fn has_own_rows(&self) -> bool {
+        let optional = self.has_estimates || self.has_lost;
+        self.heartbeat_sent.is_some() || self.stopping_vms.is_some() || optional
+    }
+
     /// Returns the jobs of which the transaction writes anything.
     pub fn job_keys(&self) -> Vec<JobKey> {
         let complete = self.jobs.iter().map(|&(_, key)| key);
--- a/src/core/workload/placer/storage/progress.rs
+++ b/src/core/workload/placer/storage/progress.rs
@@ -360,10 +360,9 @@
     /// be stored; its final state is small.
     fn split_rejected(&mut self, cx: &mut Cx, batch: &Batch, reason: &str) {
         let keys = batch.job_keys();
-        let own_rows = batch.heartbeat_sent.is_some() || batch.stopping_vms.is_some();
         match keys[..] {
             [] => self.progress.rejections.skips_optional_rows = true,
-            _ if own_rows => self.progress.rejections.max_jobs = Some(keys.len()),
+            _ if batch.has_own_rows() => self.progress.rejections.max_jobs = Some(keys.len()),
             [key] => self.set_apart(cx, key, reason),
             _ => self.progress.rejections.max_jobs = Some(keys.len() / 2),
         }
