--- a/src/bin/ragwortstall/cmd/explain.rs
+++ b/src/bin/ragwortstall/cmd/explain.rs
@@ -220,6 +220,10 @@
     let counts = [
         (count("run_lost"), "runs lost with their VM or its lease"),
         (count("run_crashed"), "crashes of VMs under runs"),
+        (
+            count("start_uncertain"),
+            "crashes of VMs perhaps before a start reached them",
+        ),
         (runs_ended("failed"), "runs failed"),
         (runs_ended("lapsed"), "runs killed when their lease lapsed"),
         (preempted(false), "runs preempted for urgent jobs"),
--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -115,6 +115,14 @@
         vm: VmId,
         crashes: usize,
     },
+    /// The VM of a run has crashed, perhaps before the start reached it, which does not count as a crash
+    /// under the run.
+    StartUncertain {
+        id: JobId,
+        task: Box<str>,
+        run: RunNumber,
+        vm: VmId,
+    },
     /// A run that was not started by this placer was found.
     RunAdopted {
         id: JobId,
--- a/src/core/workload/effect.rs
+++ b/src/core/workload/effect.rs
@@ -113,6 +113,17 @@
         /// Timeout of the request.
         timeout: Duration,
     },
+    /// Asks a VM for a sign of life before a task is started there.
+    Check {
+        /// Identifies the start.
+        order: OrderId,
+        /// Address of the VM.
+        address: Box<str>,
+        /// Epoch of the placer.
+        epoch: Epoch,
+        /// Timeout of the request.
+        timeout: Duration,
+    },
     /// Starts a task.
     Start(Box<StartOrder>),
     /// Stops a run of a task.
@@ -248,6 +259,7 @@
             Self::ReadAll { .. } => "read_all",
             Self::Watch { .. } => "watch",
             Self::Renew { .. } => "hold",
+            Self::Check { .. } => "check",
             Self::Start(_) => "start",
             Self::Stop { .. } => "stop",
             Self::SetSpeed { .. } => "pace",
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -86,6 +86,8 @@
     Renewed(RenewalId, Result<RenewalReport, OrderError>),
     /// Result of a start order: the VM's clock in milliseconds.
     Started(OrderId, Result<u64, StartError>),
+    /// Answer to a check of the VM before a start; its clock in milliseconds.
+    Checked(OrderId, Result<u64, OrderError>),
     /// Result of a stop order: the VM's clock in milliseconds.
     Stopped(OrderId, Result<u64, OrderError>),
     /// Result of an order to change the speed limit of a run: the VM's clock in milliseconds.
@@ -183,6 +185,7 @@
         match self {
             Self::Renewed(renewal, _) => Some(renewal.sent),
             Self::Started(OrderId { sent, .. }, _)
+            | Self::Checked(OrderId { sent, .. }, _)
             | Self::Stopped(OrderId { sent, .. }, _)
             | Self::SpeedSet(OrderId { sent, .. }, _) => Some(*sent),
             Self::Advised(query, _) => Some(query.sent),
@@ -462,7 +465,9 @@
             Self::Feed(_, answer) => !matches!(answer, FeedAnswer::Failed(_)),
             Self::Renewed(_, result) => result.is_ok(),
             Self::Started(_, result) => result.is_ok(),
-            Self::Stopped(_, result) | Self::SpeedSet(_, result) => result.is_ok(),
+            Self::Checked(_, result) | Self::Stopped(_, result) | Self::SpeedSet(_, result) => {
+                result.is_ok()
+            }
             Self::Probed(_, result) => matches!(result, ProbeResult::Listening),
             Self::Advised(_, result) => result.is_ok(),
             Self::Relayed(_, result) => result.is_ok(),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -334,6 +334,7 @@
         match answer {
             Answer::Renewed(renewal, result) => self.handle_renewal_answer(cx, &renewal, result),
             Answer::Started(order, result) => self.handle_start_answer(cx, &order, result),
+            Answer::Checked(order, result) => self.handle_check_answer(cx, &order, result),
             Answer::Stopped(order, result) => self.handle_stop_answer(cx, &order, &result),
             Answer::SpeedSet(order, result) => self.handle_speed_answer(cx, &order, &result),
             Answer::Probed(ProbePurpose::FitDaemon(epoch, _), result) => {
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -157,10 +157,15 @@
             match state.placement {
                 Placement::Done => continue,
                 Placement::Waiting => step.waiting -= 1,
-                Placement::Assigned(vm_key) if !gang => {
-                    surplus.push((vm_key, TaskKey { index, ..task }));
+                Placement::Assigned(vm_key) => {
+                    let task = TaskKey { index, ..task };
+                    let vm = self.fleet.vms.get(&vm_key);
+                    let run = vm.and_then(|vm| vm.runs.get(&task));
+                    // The started members of a gang end together by themselves.
+                    if !gang || run.is_some_and(|run| !run.is_sent()) {
+                        surplus.push((vm_key, task));
+                    }
                 }
-                Placement::Assigned(_) => {}
             }
             state.placement = Placement::Done;
             step.done += 1;
--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -10,7 +10,9 @@
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lost_vms::Evidence;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
+use crate::core::workload::placer::state::lost_vms::LostRun;
 use crate::core::workload::placer::state::lost_vms::LostVm;
 use crate::core::workload::placer::state::run::Run;
 use crate::core::workload::policy::crashes::is_given_up;
@@ -32,10 +34,10 @@
         };
         let (lifetime, end_announced) = (vm.lifetime(), vm.has_announced_end());
         let proven = self.clear_proven_tasks(key);
-        let mut runs = self.drop_runs(cx, key, reason, matches);
-        runs.retain(|(task, _, _)| !proven.contains(task));
-        let runs: Vec<(TaskName, RunNumber)> =
-            runs.into_iter().map(|(_, name, run)| (name, run)).collect();
+        let dropped = self.drop_runs(cx, key, reason, matches).into_iter();
+        let suspects =
+            dropped.filter(|dropped| dropped.run.is_sent() && !proven.contains(&dropped.task));
+        let runs: Vec<LostRun> = suspects.map(DroppedRun::into_lost_run).collect();
         if !runs.is_empty() && !end_announced {
             self.lost_vms.add(LostVm {
                 lifetime,
@@ -56,9 +58,10 @@
         let proven: Vec<TaskKey> = proven.map(|(&task, _)| task).collect();
         for &task in &proven {
             if let Some(state) = self.registry.task_mut(task)
-                && !state.crashed.is_empty()
+                && (!state.crashed.is_empty() || state.uncertain.is_some())
             {
                 state.crashed.clear();
+                state.uncertain = None;
                 self.registry.mark_dirty(task.step.job);
             }
         }
@@ -104,42 +107,72 @@
                 runs: lost.runs.len(),
             });
             let was_alone = self.has_one_suspect(&lost);
-            for (name, run) in &lost.runs {
-                self.record_crash(cx, &lost.lifetime, name, *run, was_alone);
+            for run in &lost.runs {
+                self.record_crash(cx, &lost.lifetime, run, was_alone);
             }
         }
     }
 
     /// Marks the runs on a VM that has restarted whose starts were not confirmed before: the VM may
     /// have crashed under them, unless it had announced its end.
-    pub(in crate::core::workload::placer) fn mark_unconfirmed_runs(&mut self, key: VmKey) {
-        if let Some(vm) = self.fleet.vms.get_mut(&key)
-            && !vm.has_announced_end()
-        {
-            for run in vm.runs.values_mut() {
-                run.may_have_crashed = true;
+    pub(in crate::core::workload::placer) fn mark_unconfirmed_runs(
+        &mut self,
+        cx: &mut Cx,
+        key: VmKey,
+    ) {
+        let Some(vm) = self.fleet.vms.get_mut(&key) else {
+            return;
+        };
+        if vm.has_announced_end() {
+            return;
+        }
+        let lifetime = vm.lifetime();
+        let mut uncertain = Vec::new();
+        for (&task, run) in vm.runs.iter_mut().filter(|(_, run)| run.is_sent()) {
+            run.crashed_lifetime_ms.get_or_insert(lifetime.started_ms);
+            if run.evidence() == Evidence::Uncertain {
+                uncertain.push((task, *run));
+            }
+        }
+        uncertain.sort_unstable_by_key(|(task, _)| *task);
+        for (task, run) in uncertain {
+            if let Some(run) = self.lost_run(task, &run) {
+                self.record_crash(cx, &lifetime, &run, false);
             }
         }
     }
 
+    /// Returns a run as one that was lost with its VM.
+    pub(in crate::core::workload::placer) fn lost_run(
+        &self,
+        task: TaskKey,
+        run: &Run,
+    ) -> Option<LostRun> {
+        Some(LostRun {
+            task: self.registry.task_name(task)?,
+            number: run.number,
+            evidence: run.evidence(),
+        })
+    }
+
     /// Records a crash under a run that a VM, which has restarted since, does not have.
     pub(in crate::core::workload::placer) fn record_unconfirmed_crash(
         &mut self,
         cx: &mut Cx,
         key: VmKey,
         task: TaskKey,
-        run: RunNumber,
+        run: &Run,
     ) {
         let vm = self.fleet.vms.get(&key).map(Vm::lifetime);
-        if let (Some(vm), Some(name)) = (vm, self.registry.task_name(task)) {
-            self.record_crash(cx, &vm, &name, run, false);
+        if let (Some(vm), Some(run)) = (vm, self.lost_run(task, run)) {
+            self.record_crash(cx, &vm, &run, false);
         }
     }
 
     /// Records the crashes under runs of jobs that were not known when their VMs came back.
     pub(in crate::core::workload::placer) fn record_kept_crashes(&mut self, cx: &mut Cx) {
         for crash in self.lost_vms.take_kept_crashes() {
-            self.record_crash(cx, &crash.former, &crash.task, crash.run, crash.was_alone);
+            self.record_crash(cx, &crash.former, &crash.run, crash.was_alone);
         }
     }
 
@@ -150,9 +183,10 @@
         run: RunNumber,
     ) {
         if let Some(state) = self.registry.task_mut(task)
-            && state.crashed.contains(&run)
+            && (state.crashed.contains(&run) || state.uncertain == Some(run))
         {
             state.crashed.retain(|&crashed| crashed != run);
+            state.uncertain.take_if(|uncertain| *uncertain == run);
             self.registry.mark_dirty(task.step.job);
         }
     }
@@ -160,9 +194,10 @@
     /// Returns whether all lost runs are of one task or of one gang, whose tasks crash and end
     /// together.
     fn has_one_suspect(&self, lost: &LostVm) -> bool {
-        let [(first, _), others @ ..] = &lost.runs[..] else {
+        let [first, others @ ..] = &lost.runs[..] else {
             return false;
         };
+        let first = &first.task;
         if lost.has_more {
             return false;
         }
@@ -176,45 +211,74 @@
                 && (&other.job, other.occurrence, other.step)
                     == (&first.job, first.occurrence, first.step)
         };
-        others.iter().all(|(other, _)| is_member(other))
+        others.iter().all(|other| is_member(&other.task))
     }
 
-    /// Records that a VM has crashed under a run, unless the task is done. Fails the job once too many
+    /// Records that the VM of a run has crashed, unless the task is done. Fails the job once too many
     /// VMs have crashed under the task.
-    fn record_crash(
-        &mut self,
-        cx: &mut Cx,
-        former: &Lifetime,
-        name: &TaskName,
-        run: RunNumber,
-        was_alone: bool,
-    ) {
-        if self.is_unread(&name.job) {
-            return self.lost_vms.keep_crash(former, name, run, was_alone);
+    ///
+    /// Only a run that has reached its VM for certain is a reason to fail the job.
+    fn record_crash(&mut self, cx: &mut Cx, former: &Lifetime, run: &LostRun, was_alone: bool) {
+        if self.is_unread(&run.task.job) {
+            return self.lost_vms.keep_crash(former, run, was_alone);
         }
-        let Some(task) = self.registry.find_task(name) else {
+        let Some(task) = self.registry.find_task(&run.task) else {
             return;
         };
         let Some(state) = self.registry.task_mut(task) else {
             return;
         };
-        if state.placement == Placement::Done || state.crashed.contains(&run) {
+        let is_known = state.crashed.contains(&run.number) || state.uncertain == Some(run.number);
+        if state.placement == Placement::Done || is_known {
             return;
         }
-        state.crashed.push(run);
-        let crashes = state.crashed.len();
+        let is_uncertain = run.evidence == Evidence::Uncertain;
+        if is_uncertain {
+            state.uncertain = Some(run.number);
+        } else {
+            state.crashed.push(run.number);
+        }
+        let (crashes, has_uncertain) = (state.crashed.len(), state.uncertain.is_some());
         self.registry.mark_dirty(task.step.job);
+        let (id, name) = (run.task.job.clone(), run.task.to_string().into());
+        if is_uncertain {
+            return cx.log(Decision::StartUncertain {
+                id,
+                task: name,
+                run: run.number,
+                vm: former.vm.clone(),
+            });
+        }
         cx.log(Decision::RunCrashed {
-            id: name.job.clone(),
-            task: name.to_string().into(),
-            run,
+            id,
+            task: name,
+            run: run.number,
             vm: former.vm.clone(),
             crashes,
         });
         let job = task.step.job;
         let is_active = self.registry.jobs.get(&job).is_some_and(Job::is_active);
-        if is_active && is_given_up(crashes, was_alone) {
+        let is_delivered = run.evidence == Evidence::Delivered;
+        if is_active && is_delivered && is_given_up(crashes, has_uncertain, was_alone) {
             self.finish_job(cx, job, JobState::Failed, "VMs crashed under a task");
         }
     }
 }
+
+/// A run that was dropped because its VM was lost.
+#[derive(Debug)]
+pub(in crate::core::workload::placer) struct DroppedRun {
+    pub task: TaskKey,
+    pub name: TaskName,
+    pub run: Run,
+}
+
+impl DroppedRun {
+    fn into_lost_run(self) -> LostRun {
+        LostRun {
+            task: self.name,
+            number: self.run.number,
+            evidence: self.run.evidence(),
+        }
+    }
+}
--- a/src/core/workload/placer/orders/reconcile.rs
+++ b/src/core/workload/placer/orders/reconcile.rs
@@ -48,8 +48,8 @@
                     self.order_stop(cx, key, task, "start request was not answered");
                 }
                 Phase::Running { .. } | Phase::Stopping { .. } => {
-                    if run.may_have_crashed {
-                        self.record_unconfirmed_crash(cx, key, task, run.number);
+                    if run.crashed_lifetime_ms.is_some() {
+                        self.record_unconfirmed_crash(cx, key, task, &run);
                     }
                     self.release_and_requeue(cx, key, task);
                 }
@@ -81,7 +81,7 @@
             && run.number == row.run
         {
             run.measurement = row.measurement;
-            run.may_have_crashed = false;
+            run.crashed_lifetime_ms = None;
             run.host = HostLifetime::Current;
             if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
                 run.phase = Phase::Running { since: cx.now };
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -16,14 +16,13 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::placer::orders::STOP_MARGIN;
+use crate::core::workload::placer::orders::crashes::DroppedRun;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::lifetime::ClockReading;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::run::Run;
-use crate::core::workload::task::RunNumber;
-use crate::core::workload::task::TaskName;
 
 /// Largest difference between the wall clocks of a VM and of this host.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3_600);
@@ -335,7 +334,7 @@
     /// of the new lifetime lists them or does not.
     fn begin_vm_lifetime(&mut self, cx: &mut Cx, key: VmKey, started_ms: u64) {
         self.drop_lost_runs(cx, key, "VM restarted", Run::is_in_current_lifetime);
-        self.mark_unconfirmed_runs(key);
+        self.mark_unconfirmed_runs(cx, key);
         self.clear_suspicion(cx, key, "VM restarted");
         self.missing.clear_runs(key);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
@@ -352,30 +351,30 @@
         key: VmKey,
         reason: &'static str,
         matches: impl Fn(&Run) -> bool,
-    ) -> Vec<(TaskKey, TaskName, RunNumber)> {
+    ) -> Vec<DroppedRun> {
         let Some(vm) = self.fleet.vms.get(&key) else {
             return Vec::new();
         };
         let id = vm.id.clone();
-        let mut runs: Vec<(TaskKey, RunNumber, Duration)> = vm
+        let mut runs: Vec<(TaskKey, Run, Duration)> = vm
             .runs
             .iter()
             .filter(|(_, run)| matches(run))
-            .map(|(&task, run)| (task, run.number, vm.reported_age(run)))
+            .map(|(&task, &run)| (task, run, vm.reported_age(&run)))
             .collect();
-        runs.sort_unstable();
+        runs.sort_unstable_by_key(|(task, _, _)| *task);
         let mut dropped = Vec::with_capacity(runs.len());
         for (task, run, age) in runs {
             if let Some(name) = self.registry.task_name(task) {
                 cx.log(Decision::RunLost {
                     id: name.job.clone(),
                     task: name.to_string().into(),
-                    run,
+                    run: run.number,
                     vm: id.clone(),
                     reason,
                     age_ms: millis(age),
                 });
-                dropped.push((task, name, run));
+                dropped.push(DroppedRun { task, name, run });
             }
             self.release_and_requeue(cx, key, task);
         }
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -16,6 +16,7 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::run::Delivery;
 use crate::core::workload::placer::state::run::HostLifetime;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
@@ -24,8 +25,8 @@
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::RunningTask;
 
-/// Time for which a VM gets no tasks after it refused or failed to answer a start.
-const REFUSAL_PAUSE: Now = Now::from_millis(700);
+/// Time for which a VM gets no tasks after it refused or failed to answer a start or a check.
+pub(super) const REFUSAL_PAUSE: Now = Now::from_millis(700);
 
 impl Placer {
     /// Returns the number for the next run of a task, above all numbers that earlier placers may
@@ -40,8 +41,8 @@
         last.max(floor) + 1
     }
 
-    /// Sends the start of a task to a VM. Does nothing if the VM's clock is not known yet, if its zone
-    /// is evacuated, or if the view of the evacuation requests is too old.
+    /// Assigns a task to a VM and sends its start, for a task under which a VM may have crashed once the
+    /// VM has answered a check. Does nothing if no task may start there at present.
     pub(in crate::core::workload::placer) fn start_task(
         &mut self,
         cx: &mut Cx,
@@ -49,22 +50,56 @@
         start: PlannedStart,
         run: RunNumber,
     ) {
-        if cx.is_evacuation_view_stale() {
+        let vm_key = start.vm;
+        let (Some(job), Some(vm)) = (
+            self.registry.jobs.get(&task.step.job),
+            self.fleet.vms.get_mut(&vm_key),
+        ) else {
+            return;
+        };
+        if !vm.accepts_starts(cx) {
             return;
         }
-        let vm_key = start.vm;
+        let mut new_run = Run::new(run, job.spec(task.step.step), start.caution, cx.now);
+        let is_checked = start.caution != Caution::None;
+        if is_checked {
+            new_run.delivery = Delivery::AwaitsCheck;
+        }
+        let team = job.team.clone();
+        let Some(step) = self.registry.step_mut(task.step) else {
+            return;
+        };
+        let state = &mut step.tasks[task.index as usize];
+        state.placement = Placement::Assigned(vm_key);
+        state.run = run;
+        step.waiting -= 1;
+        vm.add_run(task, new_run);
+        self.usage.add(team.as_ref(), &new_run.demand);
+        if is_checked {
+            self.send_check(cx, vm_key, task, run);
+        } else {
+            self.send_start(cx, vm_key, task, Delivery::Unchecked);
+        }
+    }
+
+    /// Sends the start of a run that is assigned to a VM.
+    pub(in crate::core::workload::placer) fn send_start(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+        delivery: Delivery,
+    ) {
         let Some(name) = self.registry.task_name(task) else {
             return;
         };
-        let (Some(job), Some(vm)) = (
+        let (Some(job), Some(vm), Some(step)) = (
             self.registry.jobs.get(&task.step.job),
             self.fleet.vms.get_mut(&vm_key),
+            self.registry.step(task.step),
         ) else {
             return;
         };
-        if cx.evacuation.includes(&vm.zone) {
-            return;
-        }
         // The VM rejects an order that arrives after its deadline, also if this process was paused
         // before it sent the order.
         let lease = cx.options.vms.lease;
@@ -72,41 +107,29 @@
         let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, lease) else {
             return;
         };
-        let new_run = Run::new(run, job.spec(task.step.step), start.caution, cx.now);
-        let (team, payload) = (job.team.clone(), job.payload.clone());
-        let work = started_work(job, task.step.step);
-        let Some(step) = self.registry.step_mut(task.step) else {
+        let free = vm.free();
+        let Some(run) = vm.runs.get_mut(&task) else {
             return;
         };
-        let ticket = step
-            .advice
-            .ticket(vm_key, cx.now)
-            .map(|ticket| ticket.text.clone());
-        let state = &mut step.tasks[task.index as usize];
-        state.placement = Placement::Assigned(vm_key);
-        state.run = run;
-        let checkpoint = state.checkpoint.clone();
-        let waited = cx.now.saturating_sub(state.waiting_since);
-        let crashes = state.crashed.len();
-        step.waiting -= 1;
+        let free_cpu_milli = free.plus(&run.reservation).cpu_milli;
+        run.sent_at = cx.now;
+        run.delivery = delivery;
+        let run = run.number;
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
-        let free_cpu_milli = vm.free().cpu_milli;
-        vm.add_run(task, new_run);
         vm.unanswered_since.get_or_insert(cx.now);
-        let order = vm.order_for(name.clone(), run, cx.now);
+        let ticket = step.advice.ticket(vm_key, cx.now);
+        let state = &step.tasks[task.index as usize];
         let start = StartOrder {
-            order,
+            order: vm.order_for(name.clone(), run, cx.now),
             address: vm.address.clone(),
             epoch: self.owner.epoch,
-            payload,
+            payload: job.payload.clone(),
             deadline_ms,
-            checkpoint,
-            ticket,
+            checkpoint: state.checkpoint.clone(),
+            ticket: ticket.map(|ticket| ticket.text.clone()),
             timeout: cx.options.vms.order_timeout,
         };
-        let id = vm.id.clone();
-        self.usage.add(team.as_ref(), &new_run.demand);
-        if let Some((pair, core_millis)) = work {
+        if let Some((pair, core_millis)) = started_work(job, task.step.step) {
             self.waits.record_start(cx.now, pair, core_millis);
         }
         cx.send(Request::Start(Box::new(start)));
@@ -114,11 +137,11 @@
             task: name.to_string().into(),
             id: name.job,
             run,
-            vm: id,
+            vm: vm.id.clone(),
             epoch: self.owner.epoch,
             free_cpu_milli,
-            waited_ms: millis(waited),
-            crashes,
+            waited_ms: millis(cx.now.saturating_sub(state.waiting_since)),
+            crashes: state.crashed.len(),
         });
     }
 
--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -323,7 +323,7 @@
     /// with the lowest key, and returns the VM; `None` if no candidate has room.
     pub fn reserve_best(&mut self, caution: Caution) -> Option<VmKey> {
         let cost_of_suspect = match (caution, self.spec.traits.filler) {
-            (Caution::None, _) => 0.0,
+            (Caution::None | Caution::Checked, _) => 0.0,
             (_, true) => FILLER_SUSPECT_COST,
             (_, false) => SUSPECT_COST,
         };
--- a/src/core/workload/placer/rounds/caution.rs
+++ b/src/core/workload/placer/rounds/caution.rs
@@ -13,6 +13,7 @@
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::Task;
 use crate::core::workload::placer::state::job_registry::TaskKey;
+use crate::core::workload::placer::state::lost_vms::Evidence;
 use crate::core::workload::policy::crashes::CLEARING_TIME;
 use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::policy::crashes::Losses;
@@ -66,17 +67,23 @@
             }
         }
         let since = now.saturating_sub(RECENT_LOSS);
-        let lost = || self.lost_vms.lost_after(since);
-        let in_outage = is_outage(lost().count(), self.fleet.vms.len());
-        let names = lost().flat_map(|vm| vm.runs.iter().map(|(name, _)| name));
-        let tasks: Vec<TaskKey> = names
-            .filter_map(|name| self.registry.find_task(name))
-            .collect();
-        for &task in &tasks {
-            if let Some(state) = self.registry.task_mut(task) {
+        let lost = self.lost_vms.lost_after(since).count();
+        let in_outage = is_outage(lost, self.fleet.vms.len());
+        let mut tasks = Vec::new();
+        for (vm, run) in self.lost_vms.runs() {
+            let Some(task) = self.registry.find_task(&run.task) else {
+                continue;
+            };
+            let Some(state) = self.registry.task_mut(task) else {
+                continue;
+            };
+            if run.evidence != Evidence::Delivered {
+                state.recent_losses.uncertain = true;
+            } else if vm.lost_at > since {
                 state.recent_losses.count += 1;
                 state.recent_losses.in_outage = in_outage;
             }
+            tasks.push(task);
         }
         self.tasks_with_losses = tasks;
     }
@@ -148,7 +155,11 @@
 impl Task {
     /// Returns the caution with which the task is placed.
     pub fn caution(&self, now: Now) -> Caution {
-        let caution = Caution::new(self.crashed.len(), self.recent_losses);
+        let losses = Losses {
+            uncertain: self.recent_losses.uncertain || self.uncertain.is_some(),
+            ..self.recent_losses
+        };
+        let caution = Caution::new(self.crashed.len(), losses);
         if caution == Caution::Alone && now >= self.waiting_since + MAX_ALONE_WAIT {
             return Caution::Apart;
         }
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -123,6 +123,8 @@
     pub failed: Vec<RunNumber>,
     /// Numbers of the runs under which the VM crashed.
     pub crashed: Vec<RunNumber>,
+    /// Last run whose VM has crashed, perhaps before the start reached it.
+    pub uncertain: Option<RunNumber>,
     /// VMs that were lost lately under runs of the task, and may have crashed.
     pub recent_losses: Losses,
     pub checkpoint: Checkpoint,
--- a/src/core/workload/placer/state/lost_vms.rs
+++ b/src/core/workload/placer/state/lost_vms.rs
@@ -26,13 +26,32 @@
     pub started_ms: u64,
 }
 
+/// What is known of the delivery of a start to a VM that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Evidence {
+    /// The VM has confirmed the run, or had answered a check right before the start was sent.
+    Delivered,
+    /// The VM may have been down before the start reached it.
+    Uncertain,
+    /// Not recorded by the earlier version that has stored the run.
+    Unrecorded,
+}
+
+/// A run on a VM that was lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) struct LostRun {
+    pub task: TaskName,
+    pub number: RunNumber,
+    pub evidence: Evidence,
+}
+
 /// A VM lifetime that was lost, with its runs.
 #[derive(Clone, Debug)]
 pub(in crate::core::workload::placer) struct LostVm {
     pub lifetime: Lifetime,
     pub lost_at: Now,
     /// Runs that may have caused a crash.
-    pub runs: Vec<(TaskName, RunNumber)>,
+    pub runs: Vec<LostRun>,
     /// Whether other runs may have caused it that are not known.
     pub has_more: bool,
 }
@@ -50,8 +69,7 @@
 pub(in crate::core::workload::placer) struct KeptCrash {
     /// Lifetime that ended with the crash.
     pub former: Lifetime,
-    pub task: TaskName,
-    pub run: RunNumber,
+    pub run: LostRun,
     /// Whether no other run may have caused the crash.
     pub was_alone: bool,
 }
@@ -90,11 +108,11 @@
 
     /// Removes the runs that a VM lists: it has not crashed under them.
     pub fn remove_listed_runs(&mut self, vm: &VmId, report: &RenewalReport) {
-        let is_listed = |(task, run): &(TaskName, RunNumber)| {
+        let is_listed = |run: &LostRun| {
             let mut running = report.running.iter();
             let mut ended = report.ended.iter();
-            running.any(|row| row.task == *task && row.run == *run)
-                || ended.any(|row| row.task == *task && row.run == *run)
+            running.any(|row| row.task == run.task && row.run == run.number)
+                || ended.any(|row| row.task == run.task && row.run == run.number)
         };
         for lost in self.list.iter_mut().filter(|lost| lost.lifetime.vm == *vm) {
             lost.runs.retain(|run| !is_listed(run));
@@ -103,17 +121,10 @@
     }
 
     /// Keeps a crash under a run of a job that is not loaded yet.
-    pub fn keep_crash(
-        &mut self,
-        former: &Lifetime,
-        task: &TaskName,
-        run: RunNumber,
-        was_alone: bool,
-    ) {
+    pub fn keep_crash(&mut self, former: &Lifetime, run: &LostRun, was_alone: bool) {
         self.kept_crashes.push(KeptCrash {
             former: former.clone(),
-            task: task.clone(),
-            run,
+            run: run.clone(),
             was_alone,
         });
     }
@@ -127,9 +138,15 @@
         self.list.iter()
     }
 
+    /// Returns the lost runs with their VMs.
+    pub fn runs(&self) -> impl Iterator<Item = (&LostVm, &LostRun)> {
+        self.iter()
+            .flat_map(|lost| lost.runs.iter().map(move |run| (lost, run)))
+    }
+
     /// Returns the VMs that were lost after a time.
     pub fn lost_after(&self, at: Now) -> impl Iterator<Item = &LostVm> {
-        self.list.iter().filter(move |lost| lost.lost_at > at)
+        self.iter().filter(move |lost| lost.lost_at > at)
     }
 
     /// Removes the VMs that are no longer expected back.
--- a/src/core/workload/placer/state/run.rs
+++ b/src/core/workload/placer/state/run.rs
@@ -5,6 +5,7 @@
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
+use crate::core::workload::placer::state::lost_vms::Evidence;
 use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 use crate::core::workload::task::RunNumber;
@@ -22,9 +23,11 @@
     pub long_running: bool,
     /// Caution with which the task was placed.
     pub caution: Caution,
-    /// Whether the VM has restarted since the start was sent, which was not answered before: the VM
-    /// may have crashed under the run.
-    pub may_have_crashed: bool,
+    /// Start of the VM's lifetime that has ended since the start was sent, which was not answered
+    /// before, in milliseconds since the Unix epoch: the VM may have crashed under the run.
+    pub crashed_lifetime_ms: Option<u64>,
+    /// Whether the start has been sent, and what was known of the VM then.
+    pub delivery: Delivery,
     /// Lifetime of the VM in which the run executes.
     pub host: HostLifetime,
     /// When the start order was sent, or when the run of an earlier placer was adopted.
@@ -56,6 +59,20 @@
     Current,
 }
 
+/// Delivery of a run's start to its VM. A start that is not answered may have reached the VM, or the VM
+/// may have been down before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Delivery {
+    /// Not sent: the VM has not answered the check that goes before.
+    AwaitsCheck,
+    /// Not sent: the VM has answered, but not the VMs of all other members of the gang.
+    AwaitsMembers,
+    /// Sent to a VM that may have been down already.
+    Unchecked,
+    /// Sent right after the VM had answered a check.
+    Checked,
+}
+
 /// Lifecycle phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::core::workload::placer) enum Phase {
@@ -89,7 +106,8 @@
             has_target: spec.target_ms > 0,
             long_running: spec.traits.long_running,
             caution,
-            may_have_crashed: false,
+            crashed_lifetime_ms: None,
+            delivery: Delivery::Unchecked,
             host: HostLifetime::Unconfirmed,
             sent_at: now,
             phase: Phase::Starting,
@@ -105,6 +123,21 @@
         matches!(self.phase, Phase::Running { since } if since == self.sent_at)
     }
 
+    /// Returns whether the start has been sent.
+    pub fn is_sent(&self) -> bool {
+        matches!(self.delivery, Delivery::Unchecked | Delivery::Checked)
+    }
+
+    /// Returns what is known of the delivery of the start, for the case that the VM has crashed.
+    pub fn evidence(&self) -> Evidence {
+        let is_confirmed = self.host != HostLifetime::Unconfirmed;
+        if is_confirmed || self.delivery == Delivery::Checked {
+            Evidence::Delivered
+        } else {
+            Evidence::Uncertain
+        }
+    }
+
     /// Returns whether the run executes in the VM's current lifetime for certain.
     pub fn is_in_current_lifetime(&self) -> bool {
         self.host == HostLifetime::Current
--- a/src/core/workload/placer/storage/histories.rs
+++ b/src/core/workload/placer/storage/histories.rs
@@ -53,6 +53,9 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct HistoryRow {
     tasks: Vec<TaskHistory>,
+    /// For some tasks, the last run whose VM has crashed, perhaps before the start reached it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    uncertain: Vec<(TaskIndex, RunNumber)>,
 }
 
 /// History of a task: its index, the highest run known to have ended, the failed runs, the runs under
@@ -163,7 +166,7 @@
                         number: u32::try_from(number).unwrap_or(u32::MAX),
                     };
                     let row = HistoryRow::new(number * BLOCK_TASKS, tasks);
-                    if !row.tasks.is_empty() {
+                    if !row.is_empty() {
                         rows.insert(block, row.encode_within(max_bytes));
                     }
                 }
@@ -186,6 +189,11 @@
                     task.checkpoint = checkpoint;
                 }
             }
+            for (index, run) in row.uncertain {
+                if let Some(task) = step.tasks.get_mut(index as usize) {
+                    task.uncertain = Some(run);
+                }
+            }
         }
         self.histories.rows.insert(block, Some(value));
         Ok(())
@@ -194,13 +202,18 @@
 
 impl HistoryRow {
     fn new(first_index: usize, tasks: &[Task]) -> Self {
-        let histories = tasks.iter().enumerate().filter_map(|(ix, task)| {
+        let mut row = Self::default();
+        for (ix, task) in tasks.iter().enumerate() {
             let index = TaskIndex::try_from(first_index + ix).unwrap_or(TaskIndex::MAX);
-            TaskHistory::new(index, task)
-        });
-        Self {
-            tasks: histories.collect(),
+            row.tasks.extend(TaskHistory::new(index, task));
+            let uncertain = task.uncertain.filter(|_| task.placement != Placement::Done);
+            row.uncertain.extend(uncertain.map(|run| (index, run)));
         }
+        row
+    }
+
+    fn is_empty(&self) -> bool {
+        self.tasks.is_empty() && self.uncertain.is_empty()
     }
 
     /// Encodes the row in at most `max_bytes`, if need be without the checkpoints and the oldest runs.
--- a/src/core/workload/placer/storage/job_progress.rs
+++ b/src/core/workload/placer/storage/job_progress.rs
@@ -117,6 +117,7 @@
                 index: u32::try_from(index).unwrap_or(u32::MAX),
                 failed: task.failed.clone(),
                 crashed: task.crashed.clone(),
+                uncertain: task.uncertain,
                 run: task.run,
                 checkpoint: task.checkpoint.clone(),
             });
@@ -124,9 +125,9 @@
     }
 }
 
-/// Returns whether a task has failed or crashed VMs.
+/// Returns whether a task has failed or may have crashed VMs.
 fn has_losses(task: &Task) -> bool {
-    !task.failed.is_empty() || !task.crashed.is_empty()
+    !task.failed.is_empty() || !task.crashed.is_empty() || task.uncertain.is_some()
 }
 
 fn has_history(task: &Task) -> bool {
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -458,6 +458,7 @@
             };
             task.failed.clone_from(&history.failed);
             task.crashed.clone_from(&history.crashed);
+            task.uncertain = history.uncertain;
             task.run = history.run;
             task.checkpoint.clone_from(&history.checkpoint);
         }
--- a/src/core/workload/policy/crashes.rs
+++ b/src/core/workload/policy/crashes.rs
@@ -8,6 +8,10 @@
 //! Tasks under which a VM has crashed are therefore placed apart from each other, and alone on a VM
 //! after the second crash: those that only ran beside the cause complete, and the cause takes nothing
 //! with it.
+//!
+//! A start that was not answered tells nothing of the task: its VM may have been down before the start
+//! reached it. Such a loss is uncertain. It does not count as a crash. The next starts of the task are
+//! sent only to VMs that have just answered a check, so that their losses are certain.
 
 use std::time::Duration;
 
@@ -15,7 +19,8 @@
 /// VM with no other run that may have caused it.
 const MAX_LONE_CRASHES: usize = 3;
 
-/// Number of crashes of VMs under the runs of a task after which its job fails in any case.
+/// Number of crashes of VMs under the runs of a task, including an uncertain one, after which its job
+/// fails in any case.
 const MAX_CRASHES: usize = 4;
 
 /// Number of crashes after which a task runs alone on a VM.
@@ -55,6 +60,9 @@
     pub count: usize,
     /// Whether they were lost in an outage.
     pub in_outage: bool,
+    /// Whether a VM, which is not among them, was lost or has crashed perhaps before the start of a run
+    /// reached it.
+    pub uncertain: bool,
 }
 
 /// How a task is placed in view of the crashes under its runs.
@@ -62,6 +70,8 @@
 pub enum Caution {
     /// Like any other.
     None,
+    /// Like any other, on a VM that has just answered a check. The other levels below include this.
+    Checked,
     /// Preferably on a VM without other tasks under which a VM has crashed.
     Apart,
     /// On a VM without other tasks.
@@ -82,17 +92,21 @@
             Self::Alone
         } else if crashes > 0 || losses.count > 0 && !losses.in_outage {
             Self::Apart
+        } else if losses.uncertain {
+            Self::Checked
         } else {
             Self::None
         }
     }
 }
 
-/// Returns whether the job of a task fails after this number of crashes under its runs. `was_alone`
-/// tells whether no other run may have caused the last one.
+/// Returns whether the job of a task fails after this number of crashes under its runs.
+/// `has_uncertain` tells whether one more VM has crashed perhaps before a start reached it, `was_alone`
+/// whether no other run may have caused the last crash.
 #[must_use]
-pub fn is_given_up(crashes: usize, was_alone: bool) -> bool {
-    crashes >= MAX_CRASHES || was_alone && crashes >= MAX_LONE_CRASHES
+pub fn is_given_up(crashes: usize, has_uncertain: bool, was_alone: bool) -> bool {
+    let possible = crashes + usize::from(has_uncertain);
+    crashes >= MAX_LONE_CRASHES && (was_alone || possible >= MAX_CRASHES)
 }
 
 /// Returns whether the loss of `lost` of `vms` VMs within [`RECENT_LOSS`] is an outage.
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -131,6 +131,10 @@
     /// Numbers of the runs under which the VM crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<RunNumber>,
+    /// Last run whose VM has crashed, perhaps before the start reached it. Earlier versions leave it
+    /// out, and have such runs among the crashed ones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub uncertain: Option<RunNumber>,
     /// Highest run known to have ended.
     pub run: RunNumber,
     /// Checkpoint to resume from.
@@ -154,8 +158,13 @@
     pub machine: Box<str>,
     /// Start of the VM's lifetime, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// Name of the task and number of each run.
+    /// Name of the task and number of each run whose start has reached the VM. In a row of an earlier
+    /// version, of each run.
     pub runs: Vec<(Box<str>, RunNumber)>,
+    /// The same of the runs whose starts may not have reached the VM; `None` from an earlier version,
+    /// which ignores them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub uncertain_runs: Option<Vec<(Box<str>, RunNumber)>>,
     /// Whether the VM has other runs, which are not listed, that may have caused a crash.
     #[serde(default)]
     pub has_more: bool,
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -68,6 +68,9 @@
         Decision::Ended { end, .. } => count_run_ended(outcome_name(*end)),
         Decision::RunLost { .. } => count_run_ended("lost"),
         Decision::RunCrashed { .. } => counter!("ragwortstall_runs_crashed_total").increment(1),
+        Decision::StartUncertain { .. } => {
+            counter!("ragwortstall_starts_uncertain_total").increment(1);
+        }
         Decision::VmCrashed { .. } => counter!("ragwortstall_vm_crashes_total").increment(1),
         Decision::VmResized { .. } => counter!("ragwortstall_vm_resizes_total").increment(1),
         Decision::StopOrdered { .. } => counter!("ragwortstall_stops_ordered_total").increment(1),
--- a/tests/policy/crashes.rs
+++ b/tests/policy/crashes.rs
@@ -16,6 +16,7 @@
     let losses = Losses {
         count: losses,
         in_outage: false,
+        uncertain: false,
     };
     assert_eq!(Caution::new(crashes, losses), expected);
 }
@@ -40,12 +41,42 @@
     a_task_is_held_after_two_crashes_and_a_loss(2, 1, Caution::Hold),
 }
 
+fn assert_caution_with_uncertain_loss(crashes: usize, losses: usize, expected: Caution) {
+    for in_outage in [false, true] {
+        let losses = Losses {
+            count: losses,
+            in_outage: in_outage && losses > 0,
+            uncertain: true,
+        };
+        assert_eq!(Caution::new(crashes, losses), expected);
+    }
+}
+
+// Guards against a task that waits or takes room as if it had crashed VMs, although none of its starts
+// may have reached one, and against further starts of which the same is true.
+cases! {
+    assert_caution_with_uncertain_loss;
+    a_task_with_an_uncertain_loss_is_checked(0, 0, Caution::Checked),
+    a_task_with_a_crash_and_an_uncertain_loss_is_placed_apart(1, 0, Caution::Apart),
+    a_task_with_two_crashes_and_an_uncertain_loss_is_placed_alone(2, 0, Caution::Alone),
+    a_task_with_three_losses_and_an_uncertain_one_is_held(0, 3, Caution::Hold),
+}
+
+/// Guards against a job that fails for crashes of VMs that its starts may not have reached.
+#[test]
+fn an_uncertain_crash_counts_only_beside_three_others() {
+    assert!(!is_given_up(0, true, true));
+    assert!(!is_given_up(2, true, true));
+    assert!(is_given_up(3, true, false));
+}
+
 /// Guards against the tasks of a zone that is cut off being placed as if they had crashed their VMs.
 #[test]
 fn losses_in_an_outage_do_not_affect_the_choice_of_the_vm() {
     let losses = |count| Losses {
         count,
         in_outage: true,
+        uncertain: false,
     };
     assert_eq!(Caution::new(0, losses(1)), Caution::None);
     assert_eq!(Caution::new(0, losses(3)), Caution::Hold);
@@ -56,15 +87,15 @@
 /// Guards against jobs that fail for a crash that another task may have caused.
 #[test]
 fn two_crashes_are_no_proof_and_three_only_without_other_runs() {
-    assert!(!is_given_up(2, true));
-    assert!(!is_given_up(3, false));
-    assert!(is_given_up(3, true));
+    assert!(!is_given_up(2, false, true));
+    assert!(!is_given_up(3, false, false));
+    assert!(is_given_up(3, false, true));
 }
 
 /// Guards against a task that is started too often, as each of its VMs runs other tasks as well.
 #[test]
 fn a_task_is_given_up_within_the_limit_of_starts() {
-    assert!(is_given_up(3 + MAX_LATER_STARTS, false));
+    assert!(is_given_up(3 + MAX_LATER_STARTS, false, false));
 }
 
 /// Guards against a cell in which no task can run alone, and one that is taken by such tasks.
--- a/tests/workload/adjacent_versions.rs
+++ b/tests/workload/adjacent_versions.rs
@@ -1,6 +1,7 @@
 //! Progress rows that the placer of an adjacent version writes or reads, as when daemons are replaced
 //! one after the other.
 
+use ragwortstall::core::workload::decision::Decision;
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::event::Action;
@@ -16,6 +17,7 @@
 use crate::harness::Harness;
 use crate::jobs::ID;
 use crate::jobs::job;
+use crate::jobs::step;
 use crate::row_limits::large_cell;
 use crate::row_limits::small_tasks;
 use crate::row_limits::task;
@@ -58,6 +60,22 @@
     checkpoint: String,
 }
 
+/// Runs of lost VMs, as the version before uncertain losses reads and writes them.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct FormerLost {
+    vms: Vec<FormerLostVm>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct FormerLostVm {
+    vm: String,
+    machine: String,
+    started_ms: u64,
+    runs: Vec<(String, u64)>,
+    #[serde(default)]
+    has_more: bool,
+}
+
 /// Job, as the version before cancelled submissions reads it.
 #[derive(Debug, Deserialize)]
 struct FormerJob {
@@ -216,3 +234,158 @@
     let bytes = harness.table.bytes(PROGRESS);
     assert!(bytes < 10_000, "{bytes}");
 }
+
+/// Returns the row with the runs of lost VMs as the former version reads it.
+fn former_lost(harness: &Harness) -> FormerLost {
+    let rows = progress_rows(harness);
+    let row = rows.iter().find(|row| &*row.key == "lost").expect("a row");
+    serde_json::from_slice(row.value.as_deref().expect("a value")).expect("a readable row")
+}
+
+fn put_row(harness: &mut Harness, key: &str, value: &impl Serialize) {
+    let value = serde_json::to_vec(value).expect("a value");
+    let txn = Transaction {
+        put: vec![(RowId::new(PROGRESS, PART, key), value)],
+        ..Transaction::default()
+    };
+    assert!(matches!(harness.table.commit(&txn), CommitOutcome::Done(_)));
+}
+
+fn kill_all(harness: &mut Harness) {
+    for daemon in 0..3 {
+        harness.kill(daemon);
+    }
+}
+
+/// Sends the start of a job's only task to a VM that is down. Returns the VM.
+fn lose_first_start(harness: &mut Harness) -> Box<str> {
+    let vms: Vec<Box<str>> = harness.vms.keys().cloned().collect();
+    for vm in &vms {
+        harness.crash_vm_silently(vm);
+    }
+    let submission = job(vec![step(1, 500, &[])]);
+    assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
+    harness.run_for(1_000);
+    let placed = harness
+        .decisions
+        .iter()
+        .find_map(|decision| match decision {
+            Decision::Placed { vm, .. } => Some(vm.clone()),
+            _ => None,
+        });
+    let target = placed.expect("a start");
+    for vm in vms.iter().filter(|vm| **vm != target) {
+        harness.bring_back(vm);
+    }
+    target
+}
+
+/// Guards against a placer of the former version that gives up a job for starts that this version could
+/// not prove to have reached their VMs.
+#[test]
+fn the_former_version_counts_no_uncertain_losses() {
+    let mut harness = Harness::new(3, 3);
+    let target = lose_first_start(&mut harness);
+    harness.run_for(3_000);
+    // The run is lost with its VM, of which it is not known yet whether it has crashed.
+    let rows = progress_rows(&harness);
+    let row = rows.iter().find(|row| &*row.key == "lost").expect("a row");
+    let value = String::from_utf8_lossy(row.value.as_deref().expect("a value"));
+    assert!(value.contains(ID), "{value}");
+    let lost = former_lost(&harness);
+    let mut runs = lost.vms.iter().flat_map(|vm| &vm.runs);
+    assert!(runs.all(|(_, run)| *run != 1), "{lost:?}");
+    harness.lost_start_answers = harness.vms.keys().cloned().collect();
+    harness.bring_back(&target);
+    harness.run_for(20);
+    let progress = former_progress(&harness);
+    let crashed = progress.occurrences.iter().flat_map(|row| &row.tasks);
+    assert!(crashed.into_iter().all(|task| task.crashed.is_empty()));
+}
+
+/// Guards against crashes that this version has proven and that the former version does not count.
+#[test]
+fn the_former_version_counts_proven_crashes() {
+    let mut harness = Harness::new(3, 6);
+    harness.crashes.tasks.insert(task(0));
+    harness.lost_start_answers = harness.vms.keys().cloned().collect();
+    let submission = job(vec![step(1, 500, &[])]);
+    assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
+    while harness.crashes.log.len() < 3 {
+        harness.run_for(1);
+        assert!(harness.now < std::time::Duration::from_secs(40));
+    }
+    let progress = former_progress(&harness);
+    let tasks: Vec<&FormerTask> = progress.occurrences[0].tasks.iter().collect();
+    // The first of the starts was sent without a check.
+    assert_eq!(tasks[0].crashed.len(), 1, "{tasks:?}");
+}
+
+/// Returns a stopped cell with a job whose only task, by the rows of the former version, may have
+/// crashed three VMs, and has crashed as many others as said.
+fn cell_after_former_version(crashed: Vec<u64>) -> Harness {
+    let mut harness = Harness::new(3, 6);
+    let submission = job(vec![step(1, 60_000, &[])]);
+    assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
+    harness.run_for(500);
+    kill_all(&mut harness);
+    let progress = FormerProgress {
+        state: "running".into(),
+        team: Some("dairy".into()),
+        through: 0,
+        occurrences: vec![FormerOccurrence {
+            k: 0,
+            done: vec!["0".into()],
+            tasks: vec![FormerTask {
+                step: 0,
+                index: 0,
+                failed: Vec::new(),
+                crashed,
+                run: 4,
+                checkpoint: String::new(),
+            }],
+        }],
+    };
+    put_row(&mut harness, ID, &progress);
+    let lost = (0..3).map(|ix| FormerLostVm {
+        vm: format!("vm-{ix}"),
+        machine: format!("vm-{ix}"),
+        started_ms: 1,
+        runs: vec![(task(0).to_string(), 10 + ix)],
+        has_more: false,
+    });
+    let lost = FormerLost {
+        vms: lost.collect(),
+    };
+    put_row(&mut harness, "lost", &lost);
+    for vm in harness.vms.values_mut() {
+        vm.restart();
+    }
+    harness.write_vm_rows();
+    harness
+}
+
+/// Guards against a job that is given up for starts of the former version, which may not have reached
+/// their VMs.
+#[test]
+fn losses_that_the_former_version_has_stored_fail_no_job() {
+    let mut harness = cell_after_former_version(Vec::new());
+    restart(&mut harness);
+    harness.run_for(60_000);
+    assert_eq!(state(&mut harness), Some(JobState::Completed));
+}
+
+/// Guards against a task that crashes VM after VM because the crashes before an upgrade do not count.
+#[test]
+fn crashes_that_the_former_version_has_stored_count() {
+    for crashed in [Vec::new(), vec![1, 2]] {
+        let mut harness = cell_after_former_version(crashed);
+        harness.crashes.tasks.insert(task(0));
+        harness.lost_start_answers = harness.vms.keys().cloned().collect();
+        harness.starts.clear();
+        restart(&mut harness);
+        harness.run_for(40_000);
+        assert_eq!(state(&mut harness), Some(JobState::Failed));
+        assert!(harness.starts.len() <= 2, "{:?}", harness.starts);
+    }
+}
--- a/tests/workload/crashes.rs
+++ b/tests/workload/crashes.rs
@@ -84,6 +84,15 @@
     ),
 }
 
+/// Loses the answers of all VMs to starts, also of those with new ids.
+fn lose_start_answers(harness: &mut Harness) {
+    harness.lost_start_answers = harness.vms.keys().cloned().collect();
+    for vm in 0..harness.vms.len() {
+        let ids = (2..20).map(|lifetime| format!("vm-{vm}-{lifetime}").into());
+        harness.lost_start_answers.extend(ids);
+    }
+}
+
 /// Guards against crashes that do not count, as the VM crashed before its answer to the start
 /// arrived.
 #[test]
@@ -92,12 +101,7 @@
         let mut harness = Harness::new(3, 6);
         harness.crashes.new_ids = new_ids;
         harness.crashes.tasks.insert(task(ID, 0));
-        harness.lost_start_answers = harness.vms.keys().cloned().collect();
-        // VMs with new ids lose their answers too.
-        for vm in 0..6 {
-            let ids = (2..20).map(|lifetime| format!("vm-{vm}-{lifetime}").into());
-            harness.lost_start_answers.extend(ids);
-        }
+        lose_start_answers(&mut harness);
         submit(&mut harness, ID, vec![step(1, 500, &[])]);
         harness.run_for(GIVE_UP_MS);
         assert_given_up(&mut harness, 0);
@@ -106,7 +110,22 @@
 
 /// Kills the placer after each of the first crashes and restarts it later.
 fn assert_counted_over_takeovers(new_ids: bool, kill_after_ms: u64) {
-    let mut harness = cell_with_crashing_task(6, new_ids, step(2, 500, &[]), 1);
+    let harness = cell_with_crashing_task(6, new_ids, step(2, 500, &[]), 1);
+    replace_placer_after_crashes(harness, kill_after_ms);
+}
+
+/// The same for VMs that crash before they have answered the start.
+fn assert_counted_without_answers(new_ids: bool, are_silent: bool, kill_after_ms: u64) {
+    let mut harness = Harness::new(3, 6);
+    harness.crashes.new_ids = new_ids;
+    harness.crashes.are_silent = are_silent;
+    harness.crashes.tasks.insert(task(ID, 1));
+    lose_start_answers(&mut harness);
+    submit(&mut harness, ID, vec![step(2, 500, &[])]);
+    replace_placer_after_crashes(harness, kill_after_ms);
+}
+
+fn replace_placer_after_crashes(mut harness: Harness, kill_after_ms: u64) {
     for crash in 1..=3 {
         while harness.crashes.log.len() < crash {
             harness.run_for(1);
@@ -135,6 +154,18 @@
     crashes_under_new_ids_are_counted_over_takeovers_after_the_lease(true, 3_800),
 }
 
+// Guards against a task that crashes VM after VM, as the crashes of those that had not answered its
+// start do not count for the next placer.
+cases! {
+    assert_counted_without_answers;
+    unanswered_crashes_are_counted_over_takeovers_before_the_vm_is_back(false, false, 300),
+    unanswered_crashes_are_counted_over_takeovers_after_the_vm_is_back(false, false, 3_600),
+    unanswered_crashes_under_new_ids_are_counted_before_the_vm_is_back(true, false, 300),
+    unanswered_crashes_under_new_ids_are_counted_after_the_lease(true, false, 3_800),
+    silent_crashes_are_counted_over_takeovers_before_the_vm_is_back(false, true, 2_000),
+    silent_crashes_under_new_ids_are_counted_after_the_lease(true, true, 3_800),
+}
+
 /// Guards against a crash that is forgotten, as the new placer could not read the job when the VM came
 /// back.
 #[test]
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -133,16 +133,25 @@
         }
     }
 
-    /// Returns the answer to a start on a VM that does not answer, and the time after which it is
-    /// given.
+    /// Returns the answer to a start or a check on a VM that does not answer, and the time after which
+    /// it is given.
     fn silent_start(&self, req: &Request) -> Option<(Duration, Answer)> {
-        let Request::Start(start) = req else {
-            return None;
+        let err = OrderError::NoAnswer("timed out".into());
+        let (vm, timeout, answer) = match req {
+            Request::Start(start) => {
+                let order = start.order.clone();
+                let answer = Answer::Started(order, Err(StartError::Order(err)));
+                (&start.order.vm, start.timeout, answer)
+            }
+            Request::Check { order, timeout, .. } => (
+                &order.vm,
+                *timeout,
+                Answer::Checked(order.clone(), Err(err)),
+            ),
+            _ => return None,
         };
-        let is_silent = self.silent_vms.contains(&start.order.vm);
-        let err = StartError::Order(OrderError::NoAnswer("timed out".into()));
-        let answer = Answer::Started(start.order.clone(), Err(err));
-        is_silent.then_some((start.timeout, answer))
+        let is_silent = self.silent_vms.contains(vm);
+        is_silent.then_some((timeout, answer))
     }
 
     /// Answers an advice query after the time that the service takes; rejects some VMs.
@@ -241,6 +250,16 @@
                 }
                 Answer::Started(start.order, result)
             }
+            Request::Check { order, epoch, .. } => {
+                let vm = self.vms.get_mut(&order.vm).expect("a known VM");
+                let result = if vm.connected {
+                    vm.check(self.now, epoch)
+                } else {
+                    Err(no_answer())
+                };
+                self.checks.push((self.now, order.vm.clone()));
+                Answer::Checked(order, result)
+            }
             Request::Stop { order, .. } if self.lost_stops > 0 => {
                 self.lost_stops -= 1;
                 Answer::Stopped(order, Err(no_answer()))
--- a/tests/workload/harness/crashes.rs
+++ b/tests/workload/harness/crashes.rs
@@ -23,6 +23,8 @@
     pub downtime: Duration,
     /// Whether a crashed VM has a new id when it is back.
     pub new_ids: bool,
+    /// Whether a crashed VM does not refuse connections.
+    pub are_silent: bool,
     /// Crashes by the tasks that caused them.
     pub log: Vec<(Now, Box<str>, TaskName)>,
     /// VMs that are down, with the times of their returns.
@@ -37,6 +39,7 @@
             tasks: BTreeSet::new(),
             downtime: Duration::from_millis(3_300),
             new_ids: false,
+            are_silent: false,
             log: Vec::new(),
             down: Vec::new(),
             most_down: 0,
@@ -58,6 +61,13 @@
         self.crashes.most_down = self.crashes.most_down.max(self.crashes.down.len());
     }
 
+    /// Crashes a VM that neither refuses nor answers anything from then on, until it is brought back.
+    pub(crate) fn crash_vm_silently(&mut self, id: &str) {
+        self.crash_vm(id);
+        self.crashes.down.retain(|(_, vm)| **vm != *id);
+        self.silent_vms.insert(id.into());
+    }
+
     /// Returns the number of starts of a task after its third crash.
     pub(crate) fn starts_after_third_crash(&self, task: &TaskName) -> usize {
         let mut crashes = self.crashes.log.iter().filter(|crash| crash.2 == *task);
@@ -79,6 +89,9 @@
         });
         for (vm, task) in crashing.collect::<Vec<_>>() {
             self.crash_vm(&vm);
+            if self.crashes.are_silent {
+                self.silent_vms.insert(vm.clone());
+            }
             self.crashes.log.push((now, vm, task));
         }
         for (_, vm) in self
@@ -108,7 +121,9 @@
         }
     }
 
-    fn bring_back(&mut self, id: &str) {
+    /// Brings a crashed VM back.
+    pub(crate) fn bring_back(&mut self, id: &str) {
+        self.silent_vms.remove(id);
         let vm = self.vms.get_mut(id).expect("a VM");
         self.table.version += 1;
         let version = self.table.version;
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -192,6 +192,8 @@
     pub probes: u32,
     /// Starts that took effect: time, task, run number and VM.
     pub starts: Vec<(Now, TaskName, u64, Box<str>)>,
+    /// Checks of VMs before starts: time and VM.
+    pub checks: Vec<(Now, Box<str>)>,
     /// Crashes of VMs.
     pub crashes: Crashes,
     pub late_commits: LateCommits,
@@ -281,6 +283,7 @@
             lost_relay_replies: 0,
             probes: 0,
             starts: Vec::new(),
+            checks: Vec::new(),
             crashes: Crashes::default(),
             late_commits: LateCommits::default(),
             speed_orders: Vec::new(),
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -23,6 +23,7 @@
 mod late_submissions;
 mod live_holder;
 mod long_queue;
+mod lost_starts;
 mod moves;
 mod odd_rows;
 mod pace;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -265,6 +265,12 @@
         !self.ended.is_empty()
     }
 
+    /// Answers a check before a start with the clock in milliseconds.
+    pub(crate) fn check(&mut self, now: Now, epoch: u64) -> Result<u64, OrderError> {
+        self.check_epoch(epoch)?;
+        Ok(self.clock_ms(now))
+    }
+
     /// Starts a task; `own_end` is when and how it ends by itself.
     pub(crate) fn start(
         &mut self,
