Show the placer's work by activity, and the use of the advice service

placer_load and the metrics did not tell the hypotheses of the incident apart: time in the reducer by activity (a round, or the kind of event), requests by kind, steps that rounds examine, and for each queue the advice queries, VMs asked, asked again and approved, and starts with a ticket; the time for which daemons had no query; jobs begun late.

--- a/benches/placer/main.rs
+++ b/benches/placer/main.rs
@@ -93,12 +93,12 @@
     }
     cell.run_for(1_000);
     let placer = cell.placer().expect("a placer");
-    let (scans, starts) = (cell.vm_scans(placer), cell.starts.len());
+    let (scans, starts) = (cell.work(placer).vm_scans, cell.starts.len());
     cell.take_step_times(placer);
     cell.run_for(u64::from(MEASURED_SECONDS) * 1_000);
     let times = cell.take_step_times(placer);
     let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
-    let searches = cell.vm_scans(placer) - scans;
+    let searches = cell.work(placer).vm_scans - scans;
     let starts = cell.starts.len() - starts;
     println!(
         "{vms:<5} {waiting:<8} {:<7} {:<13.1} {:<16.2} {:<11} {}",
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -28,6 +28,7 @@
 use super::feeds::Update;
 use super::heartbeat::HeartbeatMonitor;
 use super::policy::admission::WaitEstimator;
+use super::policy::advice_use::AdviceUse;
 use super::policy::authority::NamedGrace;
 use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
@@ -39,6 +40,7 @@
 use super::rows::decode;
 use super::rows::is_job_part;
 use super::status::PlacerStatus;
+use super::status::PlacerWork;
 use super::table::CommitOutcome;
 use super::table::TableRow;
 use super::task::EndedTask;
@@ -109,10 +111,10 @@
     next_round_at: Option<Now>,
     last_round_at: Now,
     round_timer: RoundTimer,
-    /// Number of searches of the fleet for VMs on which a step fits.
-    vm_scans: u64,
-    /// Number of placement rounds.
-    rounds: u64,
+    /// Work since the role was granted.
+    work: PlacerWork,
+    /// Use of the advice service since the role was granted.
+    advice_use: AdviceUse,
     /// Number of runs that were stopped for urgent tasks.
     preempted_runs: u64,
     /// Urgent queues that may preempt runs of others.
@@ -135,9 +137,9 @@
         self.owner.epoch
     }
 
-    /// Returns the number of searches of the fleet for VMs on which a step fits.
-    pub fn vm_scans(&self) -> u64 {
-        self.vm_scans
+    /// Returns the work since the role was granted.
+    pub fn work(&self) -> PlacerWork {
+        self.work
     }
 
     /// Returns the number of jobs, ended ones included, that are not yet removed.
@@ -156,8 +158,8 @@
         let mut status = PlacerStatus {
             epoch: self.owner.epoch,
             vms: self.fleet.vms.len() as u64,
-            vm_scans: self.vm_scans,
-            rounds: self.rounds,
+            work: self.work,
+            advice: self.advice_use.clone(),
             preempted_runs: self.preempted_runs,
             waits: self.listed_waits(),
             wait_times: self.wait_times.times().clone(),
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -118,6 +118,9 @@
         vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
         vm.unanswered_since.get_or_insert(cx.now);
         let ticket = step.advice.ticket(vm_key, cx.now);
+        if ticket.is_some() {
+            self.advice_use.queue(&job.queue.name).ticketed_starts += 1;
+        }
         let state = &step.tasks[task.index as usize];
         let start = StartOrder {
             order: vm.order_for(name.clone(), run, cx.now),
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -59,6 +59,8 @@
 #[derive(Debug, Default)]
 pub(in crate::core::workload::placer) struct AdviceForwarders {
     in_flight: FxHashMap<Option<DaemonId>, u32>,
+    /// When each daemon was last answered a query; those without an answer yet are missing.
+    answered_at: FxHashMap<Option<DaemonId>, Now>,
     paused_until: FxHashMap<DaemonId, Now>,
     urgent: UrgentQueries,
     /// Steps of urgent queues with a query in flight.
@@ -182,6 +184,14 @@
         self.busy_count() * 2 < forwarders
     }
 
+    /// Returns since when a daemon has had no query in flight; `None` if it has one or had none yet.
+    pub fn free_since(&self, forwarder: Option<&DaemonId>) -> Option<Now> {
+        let forwarder = forwarder.cloned();
+        let busy = self.in_flight.get(&forwarder).copied().unwrap_or(0);
+        let answered_at = self.answered_at.get(&forwarder).copied();
+        answered_at.filter(|_| busy == 0)
+    }
+
     /// Returns the number of daemons with a query in flight.
     fn busy_count(&self) -> usize {
         self.in_flight.values().filter(|&&busy| busy > 0).count()
@@ -227,6 +237,7 @@
             self.urgent.finish();
         }
         let forwarder = query.forwarder.clone();
+        self.answered_at.insert(forwarder.clone(), now);
         if let (true, Some(id)) = (failed, forwarder.clone()) {
             self.paused_until.insert(id, now + FORWARDER_PAUSE);
         }
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -47,7 +47,7 @@
         self.next_round_at = None;
         self.last_round_at = cx.now;
         self.round_timer.begin();
-        self.rounds += 1;
+        self.work.rounds += 1;
         self.retry_stops(cx);
         self.count_recent_losses(cx.now);
         self.count_inherited_tasks();
@@ -169,6 +169,7 @@
         key: StepKey,
         may_preempt: bool,
     ) -> WaitReason {
+        self.work.steps_examined += 1;
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return WaitReason::Room;
         };
@@ -216,7 +217,7 @@
         }
         let mut candidates = Vec::new();
         if !is_unmet {
-            self.vm_scans += 1;
+            self.work.vm_scans += 1;
             let pool = round.pool(&service, || self.open_vms(cx, &service));
             candidates = self.candidates(cx, pool, key, spec);
         }
@@ -227,7 +228,7 @@
         if asks {
             // Tickets for VMs that have room now are of use at once.
             if may_preempt && !has_room {
-                self.vm_scans += 1;
+                self.work.vm_scans += 1;
                 let usable =
                     self.preemptible_candidates(cx, round, key, spec, &service, Among::AllVms);
                 self.query_advice(cx, round, key, spec, &usable);
--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -42,7 +42,7 @@
         if step.waiting < spec.count || caution == Caution::Hold {
             return;
         }
-        self.vm_scans += 1;
+        self.work.vm_scans += 1;
         let pool = round.pool(service, || self.open_vms(cx, service));
         let mut open = self.candidates(cx, pool, key, spec);
         let mut usable = self.drained_candidates(cx, pool, key, spec);
--- a/src/core/workload/placer/rounds/preempt.rs
+++ b/src/core/workload/placer/rounds/preempt.rs
@@ -174,14 +174,14 @@
         let among = if is_advised {
             Among::Ticketed
         } else {
-            self.vm_scans += 1;
+            self.work.vm_scans += 1;
             Among::AllVms
         };
         let vms = self.preemptible_candidates(cx, round, key, spec, service, among);
         let stoppable = vms.iter().map(|vm| (vm.vm, vm.max_tasks(spec), true));
         let mut sites: Vec<(VmKey, u32, bool)> = stoppable.collect();
         if is_advised && !round.is_unmet(service, spec) {
-            self.vm_scans += 1;
+            self.work.vm_scans += 1;
             let step = self.registry.step(key);
             let may_get_ticket = |vm: &Candidate| {
                 step.is_some_and(|step| {
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -14,6 +14,7 @@
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
+use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::StepKey;
 use crate::core::workload::placer::state::job_registry::StepProgress;
 use crate::core::workload::policy::wait_reasons::WaitReason;
@@ -72,6 +73,7 @@
             .iter()
             .map(|id| (id.clone(), self.fleet.key(id)))
             .collect();
+        self.count_answer(job_key, result.as_ref().ok().map(Vec::len));
         let (Some(step), Some(timing)) = (self.registry.step_mut(key), timing) else {
             return;
         };
@@ -101,6 +103,18 @@
         }
     }
 
+    /// Counts the answer to a query for a job, with the number of approved VMs; `None` if it failed.
+    fn count_answer(&mut self, job: JobKey, approved: Option<usize>) {
+        let Some(job) = self.registry.jobs.get(&job) else {
+            return;
+        };
+        let counts = self.advice_use.queue(&job.queue.name);
+        match approved {
+            Some(approved) => counts.vms_approved += approved as u64,
+            None => counts.failures += 1,
+        }
+    }
+
     /// Returns whether a step may ask for advice in this round: it needs more VMs than it has
     /// tickets for, and the steps before it leave room. Claims that room, also for a query that is
     /// in flight.
@@ -187,6 +201,14 @@
             round.record_busy_forwarders(priority);
             return;
         };
+        let counts = self.advice_use.queue(&job.queue.name);
+        counts.queries += 1;
+        counts.vms_asked += vms.len() as u64;
+        let again = vms.iter().filter(|&&vm| step.advice.is_approved(vm));
+        counts.vms_asked_again += again.count() as u64;
+        if let Some(since) = self.forwarders.free_since(forwarder.0.as_ref()) {
+            self.advice_use.end_idle(since, cx.now);
+        }
         let pool = round.pool(&service, Vec::new);
         pool.record_asked(&vms);
         let ids = vms.iter();
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -40,6 +40,7 @@
 use crate::core::workload::placer::storage::retire::RetireState;
 use crate::core::workload::placer::storage::roster::RosterState;
 use crate::core::workload::policy::admission::WaitEstimator;
+use crate::core::workload::policy::advice_use::AdviceUse;
 use crate::core::workload::policy::authority::NamedGrace;
 use crate::core::workload::policy::estimates::RunTimeEstimates;
 use crate::core::workload::policy::round_interval::RoundTimer;
@@ -57,6 +58,7 @@
 use crate::core::workload::rows::bit_is_set;
 use crate::core::workload::rows::cancelled_job;
 use crate::core::workload::rows::decode;
+use crate::core::workload::status::PlacerWork;
 use crate::core::workload::submission::Step;
 use crate::core::workload::table::Page;
 use crate::core::workload::table::TableRow;
@@ -153,8 +155,8 @@
             starts_suspended: false,
             next_round_at: Some(cx.now),
             last_round_at: Now::ZERO,
-            vm_scans: 0,
-            rounds: 0,
+            work: PlacerWork::default(),
+            advice_use: AdviceUse::default(),
             preempted_runs: 0,
             preempting_queues: Box::default(),
             release: Release::NotRequested,
--- a/src/core/workload/policy/mod.rs
+++ b/src/core/workload/policy/mod.rs
@@ -2,6 +2,7 @@
 //! have no clock, table or effects.
 
 pub mod admission;
+pub mod advice_use;
 pub mod authority;
 pub mod crashes;
 pub mod estimates;
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -38,6 +38,7 @@
 use super::isolation::IsolationMonitor;
 use super::options::Options;
 use super::role::Role;
+use super::status::PlacerWork;
 use super::status::Status;
 use super::table::CommitOutcome;
 use super::table::Page;
@@ -157,10 +158,10 @@
         self.role.placer().map(|placer| placer.epoch())
     }
 
-    /// Returns the number of searches of the fleet since the role was granted; zero if this daemon
-    /// is not the placer.
-    pub fn vm_scans(&mut self) -> u64 {
-        self.role.placer().map_or(0, |placer| placer.vm_scans())
+    /// Returns the work of the placer; none if this daemon is not the placer.
+    pub fn work(&mut self) -> PlacerWork {
+        let placer = self.role.placer();
+        placer.map(|placer| placer.work()).unwrap_or_default()
     }
 
     /// Records the processor time that the last step took.
--- a/src/core/workload/status.rs
+++ b/src/core/workload/status.rs
@@ -5,6 +5,7 @@
 
 use super::catalog::QueueId;
 use super::event::Feed;
+use super::policy::advice_use::AdviceUse;
 use super::policy::wait_reasons::WaitReason;
 use crate::core::model::Epoch;
 use crate::core::model::Resources;
@@ -31,6 +32,17 @@
     pub placer: Option<PlacerStatus>,
 }
 
+/// Work of a placer since the role was granted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacerWork {
+    /// Placement rounds.
+    pub rounds: u64,
+    /// Steps that rounds have examined for VMs or advice.
+    pub steps_examined: u64,
+    /// Searches of the fleet for VMs on which a step fits.
+    pub vm_scans: u64,
+}
+
 /// Snapshot of the placer's state.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlacerStatus {
@@ -38,10 +50,8 @@
     pub epoch: Epoch,
     /// Number of known VMs.
     pub vms: u64,
-    /// Number of searches of the fleet for VMs on which a step fits, since the role was granted.
-    pub vm_scans: u64,
-    /// Number of placement rounds since the role was granted.
-    pub rounds: u64,
+    /// Work since the role was granted.
+    pub work: PlacerWork,
     /// Number of runs that were stopped for urgent tasks since the role was granted.
     pub preempted_runs: u64,
     /// Number of VMs that accept new tasks.
@@ -59,6 +69,8 @@
     /// Time for which tasks have waited since the role was granted, summed over tasks, by queue and
     /// reason.
     pub wait_times: BTreeMap<(QueueId, WaitReason), Duration>,
+    /// Use of the advice service since the role was granted.
+    pub advice: AdviceUse,
     /// Published waits of new jobs, by queue and team.
     pub waits: BTreeMap<(QueueId, Option<TeamId>), Duration>,
 }
--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -26,7 +26,9 @@
 use spdlog::sink::StdStreamSink;
 
 use crate::core::model::Epoch;
+use crate::core::workload::catalog::QueueId;
 use crate::core::workload::decision::Decision;
+use crate::core::workload::policy::advice_use::QueueAdvice;
 use crate::shell::clock::Clock;
 
 /// Maximum number of lines queued for standard output.
@@ -119,14 +121,20 @@
         events: u64,
         /// Time spent in the reducer, in microseconds.
         step_us: u64,
+        /// The same by activity: a placement round, or else the kind of event.
+        activity_us: BTreeMap<&'static str, u64>,
         /// Requests sent.
         requests: u64,
+        /// The same by kind.
+        requests_by_kind: BTreeMap<&'static str, u64>,
         /// Requests without an answer.
         pending_requests: u64,
         /// Longest delay of a timer behind its due time, in microseconds.
         max_delay_us: u64,
         /// Placement rounds since the role was granted.
         rounds: u64,
+        /// Steps that rounds have examined for VMs or advice, since the role was granted.
+        steps_examined: u64,
         /// Searches of the fleet for VMs on which a step fits, since the role was granted.
         vm_scans: u64,
         /// VMs that accept new tasks.
@@ -138,6 +146,11 @@
         /// Time for which tasks have waited since the role was granted, in milliseconds summed over
         /// tasks, by queue and reason.
         wait_ms: BTreeMap<Box<str>, u64>,
+        /// Advice queries since the role was granted, by queue.
+        advice: BTreeMap<QueueId, QueueAdvice>,
+        /// Time between an answer to a query through a daemon and the next one through it, summed
+        /// over daemons, in milliseconds.
+        advice_idle_ms: u64,
     },
     /// Log lines were dropped.
     LinesDropped {
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -13,6 +13,7 @@
 use crate::core::workload::decision::Decision;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::event::Feed;
+use crate::core::workload::policy::advice_use::AdviceUse;
 use crate::core::workload::status::PlacerStatus;
 use crate::core::workload::status::Status;
 use crate::core::workload::task::RunOutcome;
@@ -112,8 +113,9 @@
         let placer = status.placer.clone().unwrap_or_default();
         gauge!("ragwortstall_placer_epoch").set(placer.epoch as f64);
         gauge!("ragwortstall_vms").set(placer.vms as f64);
-        gauge!("ragwortstall_vm_scans").set(placer.vm_scans as f64);
-        gauge!("ragwortstall_rounds").set(placer.rounds as f64);
+        gauge!("ragwortstall_vm_scans").set(placer.work.vm_scans as f64);
+        gauge!("ragwortstall_rounds").set(placer.work.rounds as f64);
+        gauge!("ragwortstall_steps_examined").set(placer.work.steps_examined as f64);
         gauge!("ragwortstall_preempted_runs").set(placer.preempted_runs as f64);
         gauge!("ragwortstall_vms_usable").set(placer.usable_vms as f64);
         gauge!("ragwortstall_vms_stalled").set(placer.stalled_vms as f64);
@@ -122,6 +124,7 @@
         gauge!("ragwortstall_free_milli_cores").set(f64::from(placer.free.cpu_milli));
         gauge!("ragwortstall_free_mebibytes").set(f64::from(placer.free.mem_mib));
         report_wait_times(&placer);
+        report_advice(&placer.advice);
         self.report_waiting(&placer);
         self.report_waits(&placer);
     }
@@ -167,6 +170,22 @@
     }
 }
 
+/// Sets the gauges of the use of the advice service. The cardinality of the labels is bounded by the
+/// configured queues.
+#[allow(clippy::cast_precision_loss)]
+fn report_advice(advice: &AdviceUse) {
+    gauge!("ragwortstall_advice_idle_seconds").set(advice.idle.as_secs_f64());
+    for (queue, counts) in &advice.queues {
+        let labels = [("queue", queue.to_string())];
+        gauge!("ragwortstall_advice_queries", &labels).set(counts.queries as f64);
+        gauge!("ragwortstall_advice_failures", &labels).set(counts.failures as f64);
+        gauge!("ragwortstall_advice_vms_asked", &labels).set(counts.vms_asked as f64);
+        gauge!("ragwortstall_advice_vms_asked_again", &labels).set(counts.vms_asked_again as f64);
+        gauge!("ragwortstall_advice_vms_approved", &labels).set(counts.vms_approved as f64);
+        gauge!("ragwortstall_advice_ticketed_starts", &labels).set(counts.ticketed_starts as f64);
+    }
+}
+
 /// Sets the gauges of the followed tables' ages. A table that is not followed, or has not answered
 /// yet, has no age: its gauge is not a number, as zero would mean a fresh answer.
 fn report_feed_ages(status: &Status) {
@@ -203,6 +222,9 @@
     let name = match state {
         JobState::Queued => return,
         JobState::Running => {
+            if took_ms > objective_ms {
+                counter!("ragwortstall_jobs_started_late_total").increment(1);
+            }
             return histogram!("ragwortstall_first_start_seconds").record(seconds(took_ms));
         }
         JobState::Completed => "completed",
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -16,6 +16,7 @@
 use rustc_hash::FxHashMap;
 
 use super::advice::forward_query;
+use super::load;
 use super::load::Load;
 use super::load::LoadMeter;
 use super::meters;
@@ -99,10 +100,16 @@
     pub fn apply(self: &Rc<Self>, event: Event) {
         let started_at = std::time::Instant::now();
         let now = self.clock.now();
-        let effects = self.state.borrow_mut().step(now, event);
+        let activity = load::activity(&event);
+        let mut state = self.state.borrow_mut();
+        let rounds = state.work().rounds;
+        let effects = state.step(now, event);
         let step_time = started_at.elapsed();
-        self.state.borrow_mut().record_step_time(step_time);
-        self.load.record_step(step_time);
+        state.record_step_time(step_time);
+        let has_round = state.work().rounds > rounds;
+        drop(state);
+        let activity = if has_round { "round" } else { activity };
+        self.load.record_step(activity, step_time);
         for effect in effects {
             self.perform(effect);
         }
@@ -164,7 +171,7 @@
     }
 
     fn spawn_request(self: &Rc<Self>, req: Request) {
-        self.load.record_request();
+        self.load.record_request(req.name());
         let runner = Rc::clone(self);
         compio::runtime::spawn(async move {
             let kind = req.name();
@@ -254,15 +261,24 @@
     ProcessEvent::PlacerLoad {
         epoch: placer.epoch,
         events: load.events,
-        step_us: u64::try_from(load.step_time.as_micros()).unwrap_or(u64::MAX),
-        requests: load.requests,
+        step_us: load::micros(load.step_time()),
+        activity_us: load
+            .step_times
+            .iter()
+            .map(|(activity, time)| (*activity, load::micros(*time)))
+            .collect(),
+        requests: load.requests.values().sum(),
+        requests_by_kind: load.requests.clone(),
         pending_requests: load.pending_requests,
-        max_delay_us: u64::try_from(load.max_delay.as_micros()).unwrap_or(u64::MAX),
-        rounds: placer.rounds,
-        vm_scans: placer.vm_scans,
+        max_delay_us: load::micros(load.max_delay),
+        rounds: placer.work.rounds,
+        steps_examined: placer.work.steps_examined,
+        vm_scans: placer.work.vm_scans,
         vms_usable: placer.usable_vms,
         runs: placer.runs,
         waiting: placer.waiting.values().sum(),
         wait_ms: wait_ms(placer),
+        advice: placer.advice.queues.clone(),
+        advice_idle_ms: u64::try_from(placer.advice.idle.as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -453,7 +453,7 @@
         let sends = |effect: &&Effect| matches!(effect, Effect::Send(_));
         let requests = effects.iter().filter(sends).count();
         let requests = u32::try_from(requests).expect("few requests");
-        let searches = daemon.state.vm_scans();
+        let searches = daemon.state.work().vm_scans;
         let step_time = daemon.processor.handle(self.now, requests, searches);
         daemon.state.record_step_time(step_time);
         for effect in effects {
--- a/tests/workload/harness/processor.rs
+++ b/tests/workload/harness/processor.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
+use ragwortstall::core::workload::status::PlacerWork;
 
 use super::Harness;
 
@@ -78,8 +79,8 @@
         std::mem::take(&mut self.daemons[daemon].processor.step_times)
     }
 
-    /// Returns the number of searches of the fleet by a daemon.
-    pub(crate) fn vm_scans(&mut self, daemon: usize) -> u64 {
-        self.daemons[daemon].state.vm_scans()
+    /// Returns the work of the placer of a daemon.
+    pub(crate) fn work(&mut self, daemon: usize) -> PlacerWork {
+        self.daemons[daemon].state.work()
     }
 }
--- a/tests/workload/long_queue.rs
+++ b/tests/workload/long_queue.rs
@@ -61,7 +61,7 @@
 
 fn total_scans(harness: &mut Harness) -> u64 {
     let placer = harness.placer().expect("a placer");
-    harness.vm_scans(placer)
+    harness.work(placer).vm_scans
 }
 
 /// Guards against a placer whose processor is busy with steps that cannot be placed, so that its
