--- a/tests/workload/long_queue.rs
+++ b/tests/workload/long_queue.rs
@@ -5,6 +5,7 @@
 use ragwortstall::core::model::Resources;
 use ragwortstall::core::workload::catalog::AdviceTiming;
 use ragwortstall::core::workload::effect::Reply;
+use ragwortstall::core::workload::status::PlacerWork;
 use ragwortstall::core::workload::submission::Step;
 
 use crate::harness::Harness;
@@ -44,6 +45,15 @@
     ticket_validity: Duration::from_millis(2_500),
 };
 
+/// Tasks and jobs of gangs that wait for advice.
+const GANG_TASKS: u32 = 4;
+const GANGS: u64 = 40;
+
+/// Largest number of examined steps in [`COUNTED_MS`]: in each round, one for each of the two daemons
+/// that can ask for advice, and those whose tickets are valid. Each daemon gets two answers a second,
+/// which are valid for less than three seconds.
+const MAX_EXAMINED: u64 = 50 * (2 + 2 * 2 * 3);
+
 fn submit(harness: &mut Harness, count: u64) {
     for number in 0..count {
         let id = format!("{number:016x}");
@@ -60,8 +70,7 @@
 }
 
 fn total_scans(harness: &mut Harness) -> u64 {
-    let placer = harness.placer().expect("a placer");
-    harness.work(placer).vm_scans
+    work(harness).vm_scans
 }
 
 /// Guards against a placer whose processor is busy with steps that cannot be placed, so that its
@@ -116,3 +125,72 @@
         ..step(count, millis, &[])
     }
 }
+
+/// Guards against a placer whose rounds take longer the more steps wait for a daemon that can ask for
+/// advice, so that answers and ends of runs are noticed late and the daemons are idle meanwhile.
+#[test]
+fn steps_that_wait_for_a_daemon_to_ask_for_advice_are_not_examined() {
+    let mut harness = Harness::with_advice(2, 100, Some(SLOW_ADVICE));
+    submit(&mut harness, JOBS);
+    let before = work(&mut harness).steps_examined;
+    harness.run_for(COUNTED_MS);
+    let examined = work(&mut harness).steps_examined - before;
+    assert!(
+        examined <= MAX_EXAMINED,
+        "{examined} steps in {COUNTED_MS} ms"
+    );
+}
+
+/// Guards against the same by searches for queries that no daemon can send.
+#[test]
+fn the_fleet_is_searched_once_for_each_advice_query() {
+    let mut harness = Harness::with_advice(2, 100, Some(SLOW_ADVICE));
+    submit(&mut harness, JOBS);
+    let (scans, queries) = (total_scans(&mut harness), queries(&mut harness));
+    harness.run_for(COUNTED_MS);
+    let scans = total_scans(&mut harness) - scans;
+    let queries = self::queries(&mut harness) - queries;
+    assert!(queries >= 2, "{queries} queries");
+    assert!(
+        scans <= queries,
+        "{scans} searches, {queries} queries in {COUNTED_MS} ms"
+    );
+}
+
+/// Guards against the same by gangs, for each of which the fleet was searched in each round.
+#[test]
+fn gangs_that_wait_for_a_daemon_cost_no_searches_of_the_fleet() {
+    let mut harness = Harness::with_advice(2, 100, Some(SLOW_ADVICE));
+    for number in 0..GANGS {
+        let mut gang = step(GANG_TASKS, 600_000, &[]);
+        gang.traits.gang = true;
+        let reply = harness.submit(0, &format!("{number:016x}"), job(vec![gang]));
+        assert_eq!(reply, Reply::Accepted);
+    }
+    let (scans, queries) = (total_scans(&mut harness), queries(&mut harness));
+    harness.run_for(COUNTED_MS);
+    let scans = total_scans(&mut harness) - scans;
+    let queries = self::queries(&mut harness) - queries;
+    // Before its query and after the answer to it.
+    assert!(
+        scans <= 2 * (queries + 2),
+        "{scans} searches, {queries} queries in {COUNTED_MS} ms"
+    );
+}
+
+fn work(harness: &mut Harness) -> PlacerWork {
+    let placer = harness.placer().expect("a placer");
+    harness.work(placer)
+}
+
+/// Returns the number of advice queries so far.
+fn queries(harness: &mut Harness) -> u64 {
+    let placer = harness.placer().expect("a placer");
+    let status = harness.status(placer).placer.expect("a placer");
+    status
+        .advice
+        .queues
+        .values()
+        .map(|queue| queue.queries)
+        .sum()
+}
