Examine in a round only the steps that can ask for advice or start

Cause: the work of a round grew with what waits. Each of up to 150 steps was looked at in full 50 times a second, also while no daemon was free for a query; each round searched and sorted the whole fleet for a query that it then could not send, and twice for each gang. Class: cost that grows with the queue, on the one process that has to keep up.

Change: a round knows before it begins for which queues a daemon is free, and again after each query. A step that needs advice, has no valid ticket and cannot ask is passed over; a gang likewise while no VM is approved for it, and otherwise its room is searched for each 60 ms or upon an answer, the VMs being held in the rounds between. Candidates for a query are ranked once instead of in each comparison, and only the first ones sorted. The wait of a step that has not changed is counted four times a second.

--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -37,6 +37,8 @@
 pub(in crate::core::workload::placer) struct StepAdvice {
     /// Tickets of the VMs that may run the step; expired ones are kept.
     pub tickets: FxHashMap<VmKey, AdviceTicket>,
+    /// Time until which the last of the tickets is used; some may expire before.
+    pub valid_until: Now,
     /// VMs that may not run the step.
     pub rejected: FxHashSet<VmKey>,
     /// VMs that the query in flight names; `None` while none is in flight.
@@ -53,14 +55,23 @@
     pub until: Now,
 }
 
-/// Daemons through which advice queries are sent, to spread their load, with the number of queries
-/// in flight through each. The key `None` stands for this daemon, which queries the advice service
-/// directly.
+/// Queues for whose advice queries a daemon is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::core::workload::placer) enum Availability {
+    None,
+    /// Those of the highest priority, for which the remaining daemons are reserved.
+    Urgent,
+    All,
+}
+
+/// Daemons through which advice queries are sent, to spread their load. An empty name stands for this
+/// daemon, which queries the advice service directly.
 #[derive(Debug, Default)]
 pub(in crate::core::workload::placer) struct AdviceForwarders {
-    in_flight: FxHashMap<Option<DaemonId>, u32>,
+    /// Number of queries in flight through each daemon.
+    in_flight: FxHashMap<DaemonId, u32>,
     /// When each daemon was last answered a query; those without an answer yet are missing.
-    answered_at: FxHashMap<Option<DaemonId>, Now>,
+    answered_at: FxHashMap<DaemonId, Now>,
     paused_until: FxHashMap<DaemonId, Now>,
     urgent: UrgentQueries,
     /// Steps of urgent queues with a query in flight.
@@ -78,6 +89,11 @@
         !self.tickets.is_empty() || !self.rejected.is_empty()
     }
 
+    /// Returns whether any VM may run the step; the tickets may have expired.
+    pub fn has_approvals(&self) -> bool {
+        !self.tickets.is_empty()
+    }
+
     /// Returns whether a VM may run the step; a ticket for it may have expired.
     pub fn is_approved(&self, vm: VmKey) -> bool {
         self.tickets.contains_key(&vm)
@@ -85,7 +101,7 @@
 
     /// Returns whether a ticket for any VM is valid.
     pub fn has_ticket(&self, now: Now) -> bool {
-        self.tickets.values().any(|ticket| now < ticket.until)
+        now < self.valid_until && self.tickets.values().any(|ticket| now < ticket.until)
     }
 
     /// Returns the VMs with valid tickets, in any order.
@@ -120,6 +136,7 @@
         match ticket {
             Some(text) => {
                 let until = decided_at + timing.ticket_validity.mul_f64(TICKET_USABLE_SHARE);
+                self.valid_until = self.valid_until.max(until);
                 self.tickets.insert(vm, AdviceTicket { text, until });
             }
             None => {
@@ -137,6 +154,17 @@
 }
 
 impl AdviceForwarders {
+    /// Returns for which queues a daemon is free.
+    pub fn availability(&self, cx: &Cx, heartbeats: &HeartbeatMonitor) -> Availability {
+        if self.find_free(cx, heartbeats, URGENT_PRIORITY).is_none() {
+            Availability::None
+        } else if self.is_reserved(cx, heartbeats, URGENT_PRIORITY + 1) {
+            Availability::Urgent
+        } else {
+            Availability::All
+        }
+    }
+
     /// Returns the daemon with the fewest queries in flight and its address, or `None` if all
     /// daemons are at their limit or paused after a failure. Some are reserved for queues of
     /// the highest priority if there are enough daemons.
@@ -146,12 +174,29 @@
         heartbeats: &HeartbeatMonitor,
         priority: u32,
     ) -> Option<(Option<DaemonId>, Option<Box<str>>)> {
+        let (id, address) = self.find_free(cx, heartbeats, priority)?;
+        Some((id.cloned(), address.cloned()))
+    }
+
+    /// Returns whether the daemons that are left are reserved for queues of a higher priority.
+    fn is_reserved(&self, cx: &Cx, heartbeats: &HeartbeatMonitor, priority: u32) -> bool {
         if priority > URGENT_PRIORITY && reserves_forwarders(cx) {
             let forwarders = heartbeats.addresses.len().max(1);
             let urgent = self.urgent.recent_peak(cx.now);
-            if self.busy_count() >= shared_forwarders(forwarders, urgent) {
-                return None;
-            }
+            return self.busy_count() >= shared_forwarders(forwarders, urgent);
+        }
+        false
+    }
+
+    /// Returns the daemon with the fewest queries in flight, as [`AdviceForwarders::least_busy`] does.
+    fn find_free<'a>(
+        &self,
+        cx: &Cx,
+        heartbeats: &'a HeartbeatMonitor,
+        priority: u32,
+    ) -> Option<(Option<&'a DaemonId>, Option<&'a Box<str>>)> {
+        if self.is_reserved(cx, heartbeats, priority) {
+            return None;
         }
         let limit = cx.options.vms.advice_per_daemon;
         let paused = |id: &DaemonId| {
@@ -163,15 +208,10 @@
             .addresses
             .iter()
             .filter(|(id, _)| **id != cx.options.daemon && !paused(id));
-        let others = others.map(|(id, address)| (Some(id.clone()), Some(address.clone())));
+        let others = others.map(|(id, address)| (Some(id), Some(address)));
         std::iter::once((None, None))
             .chain(others)
-            .map(|forwarder| {
-                (
-                    self.in_flight.get(&forwarder.0).copied().unwrap_or(0),
-                    forwarder,
-                )
-            })
+            .map(|forwarder| (self.queries_through(forwarder.0), forwarder))
             .filter(|(busy, _)| *busy < limit)
             .min_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.cmp(&b.1)))
             .map(|(_, forwarder)| forwarder)
@@ -186,10 +226,13 @@
 
     /// Returns since when a daemon has had no query in flight; `None` if it has one or had none yet.
     pub fn free_since(&self, forwarder: Option<&DaemonId>) -> Option<Now> {
-        let forwarder = forwarder.cloned();
-        let busy = self.in_flight.get(&forwarder).copied().unwrap_or(0);
-        let answered_at = self.answered_at.get(&forwarder).copied();
-        answered_at.filter(|_| busy == 0)
+        let answered_at = self.answered_at.get(name(forwarder)).copied();
+        answered_at.filter(|_| self.queries_through(forwarder) == 0)
+    }
+
+    /// Returns the number of queries in flight through a daemon.
+    fn queries_through(&self, forwarder: Option<&DaemonId>) -> u32 {
+        self.in_flight.get(name(forwarder)).copied().unwrap_or(0)
     }
 
     /// Returns the number of daemons with a query in flight.
@@ -214,7 +257,10 @@
         let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
         let timeout =
             timing.base_latency + timing.latency_per_vm * count + cx.options.vms.advice_margin;
-        *self.in_flight.entry(forwarder.clone()).or_default() += 1;
+        *self
+            .in_flight
+            .entry(name(forwarder.as_ref()).into())
+            .or_default() += 1;
         let query = AdviceQuery {
             job: job.into(),
             occurrence: key.occurrence,
@@ -236,17 +282,22 @@
         if self.urgent_steps.remove(&step) {
             self.urgent.finish();
         }
-        let forwarder = query.forwarder.clone();
-        self.answered_at.insert(forwarder.clone(), now);
-        if let (true, Some(id)) = (failed, forwarder.clone()) {
-            self.paused_until.insert(id, now + FORWARDER_PAUSE);
+        let forwarder = query.forwarder.as_ref();
+        self.answered_at.insert(name(forwarder).into(), now);
+        if let (true, Some(id)) = (failed, forwarder) {
+            self.paused_until.insert(id.clone(), now + FORWARDER_PAUSE);
         }
-        if let Some(busy) = self.in_flight.get_mut(&forwarder) {
+        if let Some(busy) = self.in_flight.get_mut(name(forwarder)) {
             *busy = busy.saturating_sub(1);
         }
     }
 }
 
+/// Returns the name by which a daemon is counted.
+fn name(forwarder: Option<&DaemonId>) -> &str {
+    forwarder.map_or("", |id| id)
+}
+
 /// Returns whether a queue of the highest priority needs advice.
 fn reserves_forwarders(cx: &Cx) -> bool {
     let mut queues = cx.catalog.iter().flat_map(|catalog| &catalog.queues);
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -63,7 +63,8 @@
         let has_waiting_tasks = !steps.is_empty();
         let shares = self.fair_shares(cx, steps.iter().map(|(_, key)| key));
         let preempts = self.is_preemption_enabled(cx);
-        let mut round = Round::new(heartbeats);
+        let forwarders = self.forwarders.availability(cx, heartbeats);
+        let mut round = Round::new(heartbeats, forwarders);
         let mut over_share = Vec::new();
         for (rank, key) in steps {
             if self.is_over_share(&shares, key) {
@@ -169,13 +170,17 @@
         key: StepKey,
         may_preempt: bool,
     ) -> WaitReason {
-        self.work.steps_examined += 1;
         let Some(job) = self.registry.jobs.get(&key.job) else {
             return WaitReason::Room;
         };
-        let (submission, service) = (job.submission.clone(), job.queue.service.clone());
-        let (is_advised, priority) = (job.queue.advice.is_some(), job.queue.priority);
+        let (submission, queue) = (job.submission.clone(), job.queue.clone());
+        let (service, priority) = (&queue.service, queue.priority);
+        let is_advised = queue.advice.is_some();
         let spec = &submission.steps[usize::from(key.step)];
+        if is_advised && !round.may_query(priority) && !self.has_use_for_round(cx, key, spec) {
+            return self.reason_without_ticket(round, key, priority);
+        }
+        self.work.steps_examined += 1;
         if !self.usage.allows(cx, job.team.as_ref(), &spec.demand) {
             return WaitReason::Cap;
         }
@@ -183,12 +188,12 @@
             return WaitReason::CrashHold;
         }
         if spec.traits.gang {
-            self.place_gang(cx, round, key, spec, &service, is_advised);
+            self.place_gang(cx, round, key, spec, service, is_advised);
             return WaitReason::GangRoom;
         }
         // VMs that are cleared for tasks that are to run alone have no room for other steps.
         let has_lone_tasks = self.has_lone_tasks(cx.now, key);
-        let is_unmet = !has_lone_tasks && round.is_unmet(&service, spec);
+        let is_unmet = !has_lone_tasks && round.is_unmet(service, spec);
         if is_unmet && !(may_preempt && is_advised) {
             return WaitReason::Room;
         }
@@ -199,38 +204,38 @@
         } else {
             Room::Free
         };
-        let asks = is_advised && self.may_ask(cx, round, key, spec, &service, room);
+        let asks = is_advised && self.may_ask(cx, round, key, spec, service, room);
         if is_unmet && !asks {
             return WaitReason::Room;
         }
         if is_advised && !asks {
-            let pool = round.pool(&service, || self.open_vms(cx, &service));
+            let pool = round.pool(service, || self.open_vms(cx, service));
             if !pool.has_room_for(spec) {
-                round.record_unmet(&service, spec);
+                round.record_unmet(service, spec);
                 return WaitReason::Room;
             }
             if self.has_ticket(cx, key) {
                 let candidates = self.ticketed_candidates(cx, pool, key, spec);
-                self.start_on(cx, round, key, spec, &service, &candidates);
+                self.start_on(cx, round, key, spec, service, &candidates);
             }
             return self.reason_without_ticket(round, key, priority);
         }
         let mut candidates = Vec::new();
         if !is_unmet {
             self.work.vm_scans += 1;
-            let pool = round.pool(&service, || self.open_vms(cx, &service));
+            let pool = round.pool(service, || self.open_vms(cx, service));
             candidates = self.candidates(cx, pool, key, spec);
         }
         let has_room = !candidates.is_empty();
         if !has_room && spec.max_per_vm == 0 {
-            round.record_unmet(&service, spec);
+            round.record_unmet(service, spec);
         }
         if asks {
             // Tickets for VMs that have room now are of use at once.
             if may_preempt && !has_room {
                 self.work.vm_scans += 1;
                 let usable =
-                    self.preemptible_candidates(cx, round, key, spec, &service, Among::AllVms);
+                    self.preemptible_candidates(cx, round, key, spec, service, Among::AllVms);
                 self.query_advice(cx, round, key, spec, &usable);
             } else {
                 self.query_advice(cx, round, key, spec, &candidates);
@@ -242,13 +247,22 @@
                 step.is_some_and(|step| step.advice.ticket(candidate.vm, cx.now).is_some())
             });
         }
-        self.start_on(cx, round, key, spec, &service, &candidates);
+        self.start_on(cx, round, key, spec, service, &candidates);
         if is_advised && has_room {
             return self.reason_without_ticket(round, key, priority);
         }
         WaitReason::Room
     }
 
+    /// Returns whether a step that needs advice, and cannot ask for it, may start tasks or hold VMs.
+    fn has_use_for_round(&self, cx: &Cx, key: StepKey, spec: &Step) -> bool {
+        if spec.traits.gang {
+            let step = self.registry.step(key);
+            return step.is_some_and(|step| step.advice.has_approvals());
+        }
+        self.has_ticket(cx, key)
+    }
+
     /// Starts waiting tasks of a step on some of the candidates.
     fn start_on(
         &mut self,
--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -6,7 +6,9 @@
 //! until the runs on them have ended and the gang has started.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
+use crate::core::model::Now;
 use crate::core::model::ServiceId;
 use crate::core::model::TaskIndex;
 use crate::core::workload::cx::Cx;
@@ -22,6 +24,19 @@
 use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::submission::Step;
 
+/// Interval of searches for room for a gang, unless advice for it is answered. The rounds between hold
+/// the VMs that the last search has chosen.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Last search for room for a gang.
+#[derive(Debug, Default)]
+pub(in crate::core::workload::placer) struct GangSearch {
+    /// Time of the next search.
+    pub search_at: Now,
+    /// VMs that are held for the gang.
+    pub held: Vec<VmKey>,
+}
+
 impl Placer {
     /// Starts a gang if the VMs have room for all its tasks; otherwise asks for the advice that it
     /// needs, and holds VMs for it.
@@ -42,8 +57,11 @@
         if step.waiting < spec.count || caution == Caution::Hold {
             return;
         }
-        self.work.vm_scans += 1;
         let pool = round.pool(service, || self.open_vms(cx, service));
+        if cx.now < step.gang.search_at {
+            return pool.hold(&step.gang.held);
+        }
+        self.work.vm_scans += 1;
         let mut open = self.candidates(cx, pool, key, spec);
         let mut usable = self.drained_candidates(cx, pool, key, spec);
         if is_advised {
@@ -59,7 +77,11 @@
         }
         let planned = self.plan_gang(cx, key, spec, &open);
         if planned.is_empty() {
-            hold_vms(round.pool(service, Vec::new), spec, usable);
+            let held = hold_vms(round.pool(service, Vec::new), spec, usable);
+            if let Some(step) = self.registry.step_mut(key) {
+                let search_at = cx.now + SEARCH_INTERVAL;
+                step.gang = GangSearch { search_at, held };
+            }
         }
         let run = self.gang_run_number(key);
         for start in planned {
@@ -180,8 +202,9 @@
 }
 
 /// Holds VMs for a gang: the ones with the most free room, so that they stay the same until all have
-/// room. Holds none if the gang does not fit on them, or if too many are held already.
-fn hold_vms(pool: &mut Pool, spec: &Step, mut vms: Vec<Candidate>) {
+/// room. Holds none if the gang does not fit on them, or if too many are held already. Returns the VMs
+/// on which the gang fits.
+fn hold_vms(pool: &mut Pool, spec: &Step, mut vms: Vec<Candidate>) -> Vec<VmKey> {
     vms.sort_by_key(|vm| (Reverse(pool.free(vm.vm).cpu_milli), vm.vm));
     let mut held: Vec<VmKey> = Vec::new();
     let mut room = 0_u32;
@@ -192,9 +215,11 @@
         room = room.saturating_add(vm.max_tasks(spec));
         held.push(vm.vm);
     }
-    if room >= spec.count {
-        pool.hold(&held);
+    if room < spec.count {
+        return Vec::new();
     }
+    pool.hold(&held);
+    held
 }
 
 /// Returns the number of tasks of a step for which VMs have room.
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -78,6 +78,7 @@
             return;
         };
         step.advice.asked = None;
+        step.gang.search_at = cx.now;
         match result {
             Ok(approved) => {
                 let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
@@ -144,8 +145,8 @@
         let needed = step.waiting.saturating_sub(approved);
         // Room that no single VM has for a task is of no use to the step.
         let mut has_claim = room != Room::Preemptible && needed > 0 && pool.claim(spec, needed);
-        let has_spare = self.forwarders.has_spare(round.heartbeats);
-        if room != Room::Free && needed > 0 && !has_claim && has_spare {
+        let has_spare = || self.forwarders.has_spare(round.heartbeats);
+        if room != Room::Free && needed > 0 && !has_claim && has_spare() {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
         }
         has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
@@ -198,7 +199,6 @@
         };
         let priority = job.queue.priority;
         let Some(forwarder) = self.forwarders.least_busy(cx, round.heartbeats, priority) else {
-            round.record_busy_forwarders(priority);
             return;
         };
         let counts = self.advice_use.queue(&job.queue.name);
@@ -219,6 +219,7 @@
         }
         let job = (&*id, priority);
         self.forwarders.send(cx, forwarder, key, job, ids, &timing);
+        round.forwarders = self.forwarders.availability(cx, round.heartbeats);
     }
 }
 
@@ -248,38 +249,41 @@
     let unapproved = |candidate: &&Candidate| {
         !has_ticket(candidate) && !step.advice.rejected.contains(&candidate.vm)
     };
-    let mut unapproved: Vec<&Candidate> = candidates.iter().filter(unapproved).collect();
-    if unapproved.is_empty() {
-        return None;
-    }
     let approved_before = |candidate: &Candidate| step.advice.tickets.contains_key(&candidate.vm);
     let is_slow = |candidate: &Candidate| {
         !spec.traits.long_running && candidate.slowness > SLOWNESS_THRESHOLD
     };
-    unapproved.sort_by_key(|candidate| {
+    let ranks = candidates.iter().filter(unapproved).map(|candidate| {
         let fits = std::cmp::Reverse(candidate.max_tasks(spec));
+        let is_new = !approved_before(candidate);
         (
-            !approved_before(candidate),
+            is_new,
             is_slow(candidate),
             candidate.asked,
             fits,
             candidate.vm,
         )
     });
-    let mut list = Vec::new();
+    let mut ranks: Vec<_> = ranks.collect();
+    if ranks.is_empty() {
+        return None;
+    }
+    let max_vms = cx.options.vms.max_advice_vms;
+    if ranks.len() > max_vms {
+        ranks.select_nth_unstable(max_vms);
+        ranks.truncate(max_vms);
+    }
+    ranks.sort_unstable();
+    let mut list = Vec::with_capacity(ranks.len());
     let mut slots = 0_u32;
     let needed = step.waiting - approved;
-    for candidate in unapproved {
-        let weight = if approved_before(candidate) {
-            ADVICE_OVERSAMPLING
-        } else {
-            1
-        };
-        slots = slots.saturating_add(candidate.max_tasks(spec).saturating_mul(weight));
-        list.push(candidate.vm);
+    for (is_new, _, _, std::cmp::Reverse(tasks), vm) in ranks {
+        let weight = if is_new { 1 } else { ADVICE_OVERSAMPLING };
+        slots = slots.saturating_add(tasks.saturating_mul(weight));
+        list.push(vm);
         let enough_slots = slots >= needed.saturating_mul(ADVICE_OVERSAMPLING);
-        let enough_vms = approved_before(candidate) || list.len() >= MIN_ADVICE_VMS as usize;
-        if (enough_slots && enough_vms) || list.len() >= cx.options.vms.max_advice_vms {
+        let enough_vms = !is_new || list.len() >= MIN_ADVICE_VMS as usize;
+        if enough_slots && enough_vms {
             break;
         }
     }
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -2,7 +2,6 @@
 //! in vain: a search of the fleet takes time in proportion to the VMs, and while it lasts no
 //! heartbeat is sent.
 
-use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
 use crate::core::model::Now;
@@ -10,6 +9,7 @@
 use crate::core::model::ServiceId;
 use crate::core::workload::catalog::URGENT_PRIORITY;
 use crate::core::workload::heartbeat::HeartbeatMonitor;
+use crate::core::workload::placer::rounds::advice::Availability;
 use crate::core::workload::placer::rounds::advice::StepAdvice;
 use crate::core::workload::placer::rounds::candidates::Candidate;
 use crate::core::workload::placer::rounds::candidates::OpenTo;
@@ -32,27 +32,16 @@
 pub(in crate::core::workload::placer) struct Round<'a> {
     /// Daemons through which advice queries can be sent.
     pub heartbeats: &'a HeartbeatMonitor,
-    /// Whether daemons may be free for advice queries.
-    forwarders: Forwarders,
+    /// Queues for whose advice queries a daemon is free.
+    pub forwarders: Availability,
     /// VMs that accept new tasks, by service.
-    pools: FxHashMap<ServiceId, Pool>,
+    pools: Vec<(ServiceId, Pool)>,
     /// Needs that no VM had room for.
     unmet: Vec<Need>,
     /// Urgent tasks that found no room, and the runs that may be stopped for them.
     pub preemption: PreemptionRound,
 }
 
-/// Whether daemons may be free for advice queries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Forwarders {
-    /// For queries of any queue.
-    Free,
-    /// Only those reserved for queues of the highest priority.
-    Reserved,
-    /// None.
-    Busy,
-}
-
 /// VMs of a service that accept new tasks.
 pub(in crate::core::workload::placer) struct Pool {
     /// VMs in ascending order of their keys, with the resources that the round has left so far.
@@ -81,49 +70,45 @@
 
 impl<'a> Round<'a> {
     /// Returns the state at the start of a round.
-    pub fn new(heartbeats: &'a HeartbeatMonitor) -> Self {
+    pub fn new(heartbeats: &'a HeartbeatMonitor, forwarders: Availability) -> Self {
         Self {
             heartbeats,
-            forwarders: Forwarders::Free,
-            pools: FxHashMap::default(),
+            forwarders,
+            pools: Vec::new(),
             unmet: Vec::new(),
             preemption: PreemptionRound::default(),
         }
     }
 
-    /// Returns whether a daemon may be free for a query of a queue of this priority.
+    /// Returns whether a daemon is free for a query of a queue of this priority.
     pub fn may_query(&self, priority: u32) -> bool {
         match self.forwarders {
-            Forwarders::Free => true,
-            Forwarders::Reserved => priority == URGENT_PRIORITY,
-            Forwarders::Busy => false,
+            Availability::All => true,
+            Availability::Urgent => priority == URGENT_PRIORITY,
+            Availability::None => false,
         }
     }
 
-    /// Records that no daemon is free for a query of a queue of this priority.
-    pub fn record_busy_forwarders(&mut self, priority: u32) {
-        let left = if priority == URGENT_PRIORITY {
-            Forwarders::Busy
-        } else {
-            Forwarders::Reserved
-        };
-        self.forwarders = self.forwarders.max(left);
-    }
-
     /// Returns the pool of a service; lists its VMs by `list` if this is the first use of it.
     pub fn pool(
         &mut self,
         service: &ServiceId,
         list: impl FnOnce() -> Vec<Candidate>,
     ) -> &mut Pool {
-        self.pools
-            .entry(service.clone())
-            .or_insert_with(|| Pool::new(list()))
+        let known = self.pools.iter().position(|(other, _)| other == service);
+        let ix = known.unwrap_or_else(|| {
+            self.pools.push((service.clone(), Pool::new(list())));
+            self.pools.len() - 1
+        });
+        &mut self.pools[ix].1
     }
 
     /// Returns the pool of a service if it was used before.
     pub fn known_pool(&self, service: &ServiceId) -> Option<&Pool> {
-        self.pools.get(service)
+        let mut pools = self.pools.iter();
+        pools
+            .find(|(other, _)| other == service)
+            .map(|(_, pool)| pool)
     }
 
     /// Records that no VM has room for a task of a step. During a round, room only decreases.
--- a/src/core/workload/placer/rounds/wait_times.rs
+++ b/src/core/workload/placer/rounds/wait_times.rs
@@ -22,6 +22,10 @@
         let Some(step) = steps.and_then(|steps| steps.get_mut(usize::from(key.step))) else {
             return;
         };
+        let is_current = |wait: &StepWait| wait.is_current(reason, step.waiting, cx.now);
+        if step.wait.as_ref().is_some_and(is_current) {
+            return;
+        }
         let last = step.wait.take();
         if let Some(wait) = &last {
             self.wait_times.add(&job.queue.name, wait, cx.now);
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -16,6 +16,7 @@
 use crate::core::workload::catalog::Queue;
 use crate::core::workload::effect::JobState;
 use crate::core::workload::placer::rounds::advice::StepAdvice;
+use crate::core::workload::placer::rounds::gang::GangSearch;
 use crate::core::workload::placer::state::dirty_jobs::ChangeNumber;
 use crate::core::workload::placer::state::dirty_jobs::DirtyJobs;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -107,6 +108,7 @@
     /// Time at which all dependencies were done; `None` before that.
     pub ready_at: Option<Now>,
     pub advice: StepAdvice,
+    pub gang: GangSearch,
     /// Wait of the tasks at the end of the last round; `None` if none waited.
     pub wait: Option<StepWait>,
     /// VM and duration of each completed run that counts for speed estimates.
@@ -402,6 +404,7 @@
             waiting: step.count,
             ready_at: step.after.is_empty().then_some(now),
             advice: StepAdvice::default(),
+            gang: GangSearch::default(),
             wait: None,
             done_runs: Vec::new(),
         });
--- a/src/core/workload/policy/wait_reasons.rs
+++ b/src/core/workload/policy/wait_reasons.rs
@@ -12,6 +12,9 @@
 /// no line.
 const LOGGED_AFTER: Duration = Duration::from_millis(500);
 
+/// Interval at which an unchanged wait is counted.
+const COUNT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Reason why no task of a step was started in a placement round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -99,6 +102,14 @@
         }
     }
 
+    /// Returns whether the wait was counted lately and has not changed since, so that it can be counted
+    /// with a later round.
+    #[must_use]
+    pub fn is_current(&self, reason: WaitReason, tasks: u32, now: Now) -> bool {
+        let is_same = self.reason == reason && self.tasks == tasks;
+        is_same && now < self.counted_to + COUNT_INTERVAL
+    }
+
     /// Returns whether the reason is to be logged now; true once for each.
     pub fn is_to_be_logged(&mut self, now: Now) -> bool {
         let due = !self.logged && now >= self.since + LOGGED_AFTER;
@@ -114,8 +125,7 @@
         if time == Duration::ZERO {
             return;
         }
-        let key = (queue.clone(), wait.reason);
-        *self.times.entry(key).or_default() += time;
+        *self.times.entry((queue.clone(), wait.reason)).or_default() += time;
     }
 
     /// Returns the times by queue and reason.
--- a/tests/workload/long_queue.rs
+++ b/tests/workload/long_queue.rs
@@ -49,6 +49,10 @@
 const GANG_TASKS: u32 = 4;
 const GANGS: u64 = 40;
 
+/// Gangs that wait for room, and the interval at which each is searched for.
+const WAITING_GANGS: u64 = 10;
+const GANG_SEARCH_MS: u64 = 60;
+
 /// Largest number of examined steps in [`COUNTED_MS`]: in each round, one for each of the two daemons
 /// that can ask for advice, and those whose tickets are valid. Each daemon gets two answers a second,
 /// which are valid for less than three seconds.
@@ -178,6 +182,38 @@
     );
 }
 
+/// Guards against the same by gangs that wait for room in rounds that follow each other fast.
+#[test]
+fn gangs_that_wait_for_room_are_not_searched_for_in_each_round() {
+    let mut harness = Harness::with_advice(DAEMONS, 20, Some(FAST_ADVICE));
+    let filling = job(vec![step(320, 600_000, &[])]);
+    assert_eq!(
+        harness.submit(0, "00000000000000f0", filling),
+        Reply::Accepted
+    );
+    harness.run_for(2_000);
+    for number in 0..WAITING_GANGS {
+        let mut gang = step(GANG_TASKS, 600_000, &[]);
+        gang.traits.gang = true;
+        let reply = harness.submit(0, &format!("{number:016x}"), job(vec![gang]));
+        assert_eq!(reply, Reply::Accepted);
+    }
+    harness.run_for(1_000);
+    let (scans, queries) = (total_scans(&mut harness), queries(&mut harness));
+    for number in 0..COUNTED_MS / 20 {
+        let id = format!("{:016x}", 0xa000 + number);
+        harness.send_submission(0, &id, job(vec![step(1, 600_000, &[])]));
+        harness.run_for(20);
+    }
+    let scans = total_scans(&mut harness) - scans;
+    let queries = self::queries(&mut harness) - queries;
+    let searches = WAITING_GANGS * (COUNTED_MS / GANG_SEARCH_MS + 1);
+    assert!(
+        scans <= searches + 2 * queries + COUNTED_MS / 20,
+        "{scans} searches, {queries} queries in {COUNTED_MS} ms"
+    );
+}
+
 fn work(harness: &mut Harness) -> PlacerWork {
     let placer = harness.placer().expect("a placer");
     harness.work(placer)
