--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -175,7 +175,7 @@
         priority: u32,
     ) -> Option<(Option<DaemonId>, Option<Box<str>>)> {
         let (id, address) = self.find_free(cx, heartbeats, priority)?;
-        Some((id.cloned(), address.cloned()))
+        Some((id.cloned(), address.map(Into::into)))
     }
 
     /// Returns whether the daemons that are left are reserved for queues of a higher priority.
@@ -194,7 +194,7 @@
         cx: &Cx,
         heartbeats: &'a HeartbeatMonitor,
         priority: u32,
-    ) -> Option<(Option<&'a DaemonId>, Option<&'a Box<str>>)> {
+    ) -> Option<(Option<&'a DaemonId>, Option<&'a str>)> {
         if self.is_reserved(cx, heartbeats, priority) {
             return None;
         }
@@ -208,7 +208,7 @@
             .addresses
             .iter()
             .filter(|(id, _)| **id != cx.options.daemon && !paused(id));
-        let others = others.map(|(id, address)| (Some(id), Some(address)));
+        let others = others.map(|(id, address)| (Some(id), Some(&**address)));
         std::iter::once((None, None))
             .chain(others)
             .map(|forwarder| (self.queries_through(forwarder.0), forwarder))
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -452,8 +452,8 @@
         daemon.wake_at = daemon.state.wake_at(self.now);
         let lifetime = daemon.lifetime;
         let requests = count_requests(&effects);
-        let searches = daemon.state.work().vm_scans;
-        let step_time = daemon.processor.handle(self.now, requests, searches);
+        let work = daemon.state.work();
+        let step_time = daemon.processor.handle(self.now, requests, work.vm_scans);
         daemon.state.record_step_time(step_time);
         for effect in effects {
             match effect {
