--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -177,13 +177,13 @@
         let (service, priority) = (&queue.service, queue.priority);
         let is_advised = queue.advice.is_some();
         let spec = &submission.steps[usize::from(key.step)];
+        if !self.usage.allows(cx, job.team.as_ref(), &spec.demand) {
+            return WaitReason::Cap;
+        }
         if is_advised && !round.may_query(priority) && !self.has_use_for_round(cx, key, spec) {
             return self.reason_without_ticket(round, key, priority);
         }
         self.work.steps_examined += 1;
-        if !self.usage.allows(cx, job.team.as_ref(), &spec.demand) {
-            return WaitReason::Cap;
-        }
         if self.is_held(cx.now, key) {
             return WaitReason::CrashHold;
         }
