--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,53 @@
+//! Stand-ins and driver of the cases of the second review: `cases-2 CASE RECORD`, in the root of the
+//! repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod cases;
+mod cell;
+mod http;
+mod json;
+mod judge;
+mod minion;
+mod record;
+mod store;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use record::Record;
+
+/// Number of breaches that are shown.
+const SHOWN: usize = 10;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, path] = &args[..] else {
+        eprintln!("usage: cases-2 CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = match Record::create(path.as_ref()) {
+        Ok(record) => Arc::new(record),
+        Err(err) => {
+            eprintln!("{path}: {err}");
+            return ExitCode::from(2);
+        }
+    };
+    record.line(&format!("case {case}, with the disruption: {trouble}"));
+    let result = match &**case {
+        "ends-beyond-a-list" => cases::ends_beyond_a_list(&record, trouble),
+        _ => Err(format!("no case {case}")),
+    };
+    let (line, code) = match &result {
+        Ok(breaches) if breaches.is_empty() => ("the rule held".to_string(), 0),
+        Ok(breaches) => (format!("the rule is broken, {} times", breaches.len()), 1),
+        Err(reason) => (format!("the case couldn't run: {reason}"), 2),
+    };
+    for breach in result.iter().flatten().take(SHOWN) {
+        record.line(breach);
+        println!("{breach}");
+    }
+    record.line(&line);
+    record.flush();
+    println!("{line}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/review/standins-2/minion.rs
@@ -0,0 +1,319 @@
+//! Stand-in for a minion: runs tasks under a lease, as the page "Running tasks" says. A task works for
+//! the time that its job's `spec` names (`ms=900`) and then ends as `done`.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{self, Answer, Request};
+use crate::json::{Json, map, num, text};
+use crate::record::Record;
+use crate::store::{Store, server_entry};
+
+/// Longest lease (`holdMaxMs`).
+pub const HOLD_MAX_MS: u64 = 6_000;
+
+/// Largest number of ended runs in one answer.
+const MAX_FINISHED: usize = 500;
+
+/// Time that a stop takes; `stopTimeoutMs` is 900.
+const STOP_MS: u64 = 100;
+
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+const TICK: Duration = Duration::from_millis(5);
+
+pub struct Shape {
+    pub id: String,
+    pub zone: String,
+    pub rack: String,
+    pub cpu: u64,
+    pub mem: u64,
+}
+
+pub struct Minion {
+    pub shape: Shape,
+    pub addr: SocketAddr,
+    start: Instant,
+    born: u64,
+    state: Mutex<State>,
+    ended: Condvar,
+    record: Arc<Record>,
+    log: Arc<RunLog>,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    /// End of the lease on the minion's clock.
+    lease: u64,
+    running: BTreeMap<(String, u64), Work>,
+    finished: Vec<Finished>,
+    last_number: u64,
+    /// Highest run of each task that was stopped or ended here.
+    highest: BTreeMap<String, u64>,
+}
+
+struct Work {
+    ends_at: u64,
+    stopped: bool,
+}
+
+struct Finished {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+}
+
+/// A run of a task as the minions saw it.
+#[derive(Clone, Debug)]
+pub struct RunSeen {
+    pub task: String,
+    pub run: u64,
+    pub minion: String,
+    pub spec: String,
+    pub token: u64,
+    pub began: Instant,
+    pub ended: Option<(Instant, &'static str)>,
+    /// When `ackCursor` reached the end.
+    pub noted: Option<Instant>,
+    /// Whether the minion's lease was over at any moment between the end and `noted`.
+    pub lapsed_between: bool,
+}
+
+#[derive(Default)]
+pub struct RunLog(pub Mutex<Vec<RunSeen>>);
+
+impl RunLog {
+    fn with(&self, minion: &str, task: &str, run: u64, change: impl FnOnce(&mut RunSeen)) {
+        let mut runs = self.0.lock().unwrap();
+        let mut runs = runs.iter_mut().rev();
+        if let Some(seen) = runs.find(|seen| seen.task == task && seen.run == run && seen.minion == minion) {
+            change(seen);
+        }
+    }
+}
+
+impl Minion {
+    pub fn start(
+        shape: Shape,
+        ip: &str,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        log: &Arc<RunLog>,
+    ) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let minion = Arc::new(Self {
+            shape,
+            addr: listener.local_addr()?,
+            start: Instant::now(),
+            born,
+            state: Mutex::default(),
+            ended: Condvar::new(),
+            record: Arc::clone(record),
+            log: Arc::clone(log),
+        });
+        let served = Arc::clone(&minion);
+        http::serve(listener, move |req| served.handle(&req));
+        let ticking = Arc::clone(&minion);
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(TICK);
+                ticking.tick();
+            }
+        });
+        let (beating, store) = (Arc::clone(&minion), Arc::clone(store));
+        std::thread::spawn(move || {
+            for sequence in 1.. {
+                beating.report(&store, sequence);
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+        Ok(minion)
+    }
+
+    /// Returns the number of tasks that are running.
+    pub fn running(&self) -> usize {
+        self.state.lock().unwrap().running.len()
+    }
+
+    fn report(&self, store: &Store, sequence: u64) {
+        let shape = &self.shape;
+        let entry = server_entry(
+            "svc-a", self.addr, &shape.zone, "ready", shape.cpu, shape.mem, &shape.rack,
+            &format!("m-{}", shape.id), self.born, self.clock(), sequence,
+        );
+        store.put("servers", &shape.id, &entry.to_string());
+    }
+
+    fn clock(&self) -> u64 {
+        1_000 + self.start.elapsed().as_millis() as u64
+    }
+
+    /// Ends the tasks whose work is done, and all of them once the lease is over.
+    fn tick(&self) {
+        let now = self.clock();
+        let mut state = self.state.lock().unwrap();
+        let lapsed = now > state.lease;
+        if lapsed {
+            let mut runs = self.log.0.lock().unwrap();
+            for seen in runs.iter_mut().filter(|seen| seen.minion == self.shape.id) {
+                seen.lapsed_between |= seen.ended.is_some() && seen.noted.is_none();
+            }
+        }
+        let over = state.running.iter().filter_map(|(key, work)| {
+            let how = match work.stopped {
+                _ if now >= work.ends_at && work.stopped => "stopped",
+                _ if now >= work.ends_at => "done",
+                _ if lapsed => "lapsed",
+                _ => return None,
+            };
+            Some((key.clone(), how))
+        });
+        let over: Vec<_> = over.collect();
+        for ((task, run), how) in over {
+            state.running.remove(&(task.clone(), run));
+            state.last_number += 1;
+            let highest = state.highest.entry(task.clone()).or_default();
+            *highest = run.max(*highest);
+            self.record.line(&format!("{} ended {task} run {run} {how}", self.shape.id));
+            self.log.with(&self.shape.id, &task, run, |seen| seen.ended = Some((Instant::now(), how)));
+            let number = state.last_number;
+            state.finished.push(Finished { number, task, run, how });
+            self.ended.notify_all();
+        }
+    }
+
+    fn handle(&self, req: &Request) -> Answer {
+        if req.path == "/health" {
+            return Some((200, "{}".into()));
+        }
+        let expected = req.header("ragwortstall-expect-instance");
+        if !expected.is_empty() && expected != self.shape.id {
+            return self.answer(421, "");
+        }
+        let Some(body) = Json::parse(&req.body) else { return self.answer(400, "") };
+        let token = body.get("fencingToken").int().unwrap_or(0);
+        {
+            let mut state = self.state.lock().unwrap();
+            if token < state.fence {
+                drop(state);
+                self.record.line(&format!("{} refused token {token} {}", self.shape.id, req.path));
+                return self.answer(409, "fence");
+            }
+            state.fence = token;
+        }
+        match &*req.path {
+            "/-/run-start" => self.run_start(&body, token),
+            "/-/run-stop" => self.run_stop(&body),
+            "/-/hold" => self.hold(&body),
+            "/-/pace" => self.answer(200, ""),
+            _ => self.answer(404, ""),
+        }
+    }
+
+    fn answer(&self, status: u16, reason: &str) -> Answer {
+        let mut fields = vec![("clockMs".to_string(), num(self.clock()))];
+        if !reason.is_empty() {
+            fields.push(("reason".into(), text(reason)));
+        }
+        Some((status, Json::Map(fields).to_string()))
+    }
+
+    fn run_start(&self, body: &Json, token: u64) -> Answer {
+        let (task, run) = (body.get("task").text().to_string(), body.get("run").int().unwrap_or(0));
+        let (spec, now) = (body.get("spec").text().to_string(), self.clock());
+        let mut state = self.state.lock().unwrap();
+        if state.running.contains_key(&(task.clone(), run)) {
+            return self.answer(200, "");
+        }
+        if !state.hold_until(body.get("deadlineMs").int(), now) {
+            return self.answer(409, "late");
+        }
+        if state.highest.get(&task).is_some_and(|&highest| run <= highest) {
+            return self.answer(409, "old");
+        }
+        let work_ms = spec.split_whitespace().find_map(|word| word.strip_prefix("ms=")?.parse().ok());
+        let ends_at = now + work_ms.unwrap_or(1_000);
+        state.running.insert((task.clone(), run), Work { ends_at, stopped: false });
+        self.record.line(&format!("{} began {task} run {run} token {token}", self.shape.id));
+        self.log.0.lock().unwrap().push(RunSeen {
+            task,
+            run,
+            minion: self.shape.id.clone(),
+            spec,
+            token,
+            began: Instant::now(),
+            ended: None,
+            noted: None,
+            lapsed_between: false,
+        });
+        self.answer(200, "")
+    }
+
+    fn run_stop(&self, body: &Json) -> Answer {
+        let (task, run) = (body.get("task").text().to_string(), body.get("run").int().unwrap_or(0));
+        let now = self.clock();
+        let mut state = self.state.lock().unwrap();
+        let highest = state.highest.entry(task.clone()).or_default();
+        *highest = run.max(*highest);
+        if let Some(work) = state.running.get_mut(&(task.clone(), run)) {
+            work.ends_at = work.ends_at.min(now + STOP_MS);
+            work.stopped = true;
+            self.record.line(&format!("{} is told to stop {task} run {run}", self.shape.id));
+        }
+        self.answer(200, "")
+    }
+
+    fn hold(&self, body: &Json) -> Answer {
+        let wait = body.get("waitMs").int().unwrap_or(0).min(2_000);
+        let seen = body.get("ackCursor").int().unwrap_or(0);
+        let mut state = self.state.lock().unwrap();
+        state.hold_until(body.get("deadlineMs").int(), self.clock());
+        for ended in state.finished.iter().filter(|ended| ended.number <= seen) {
+            self.log.with(&self.shape.id, &ended.task, ended.run, |seen| {
+                seen.noted.get_or_insert(Instant::now());
+            });
+        }
+        state.finished.retain(|ended| ended.number > seen);
+        let until = Instant::now() + Duration::from_millis(wait);
+        while state.finished.is_empty() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            state = self.ended.wait_timeout(state, left).unwrap().0;
+        }
+        let running = state.running.keys().map(|(task, run)| {
+            Json::List(vec![text(task), num(*run), text(""), num(100), num(0)])
+        });
+        let finished = state.finished.iter().take(MAX_FINISHED).map(|ended| {
+            let (number, run) = (num(ended.number), num(ended.run));
+            Json::List(vec![number, text(&ended.task), run, text(ended.how), text("")])
+        });
+        let body = map([
+            ("clockMs", num(self.clock())),
+            ("born", num(self.born)),
+            ("running", Json::List(running.collect())),
+            ("finished", Json::List(finished.collect())),
+        ]);
+        if state.finished.len() > MAX_FINISHED {
+            self.record.line(&format!(
+                "{} lists {MAX_FINISHED} of {} ends", self.shape.id, state.finished.len()
+            ));
+        }
+        Some((200, body.to_string()))
+    }
+}
+
+impl State {
+    /// Extends the lease, by the longest time at most. Returns whether the time is still to come.
+    fn hold_until(&mut self, deadline: Option<u64>, now: u64) -> bool {
+        let Some(deadline) = deadline else { return true };
+        self.lease = self.lease.max(deadline.min(now + HOLD_MAX_MS));
+        deadline >= now
+    }
+}
