--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,9 +1,10 @@
 //! The cases. Each returns the breaches of its rule.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
-use crate::cell::{Cell, Result};
+use crate::cell::{Cell, MAX_ATTEMPTS, Result};
 use crate::judge;
 use crate::minion::Shape;
 use crate::record::Record;
@@ -11,6 +12,9 @@
 /// Number of tasks whose ends the successor has to learn of; two minions have room for all of them.
 const MANY_TASKS: usize = 1_400;
 
+/// Number of tasks of four cores, which leaves room on eight minions for those that start again.
+const LONG_TASKS: usize = 24;
+
 /// Minions of 32 cores and 128 GB, six in a rack.
 fn shapes(count: usize) -> Vec<Shape> {
     let shape = |n: usize| Shape {
@@ -59,3 +63,114 @@
     std::thread::sleep(Duration::from_secs(4));
     Ok(judge::twice(&cell.log))
 }
+
+/// The leader loses the store while the store is slow, and a minion has no path to the successor.
+pub fn renewed_beyond_the_grace(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
+    let mut cell = Cell::new(record, shapes(8), 4)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let id = "5c0e7a21d94b36f9";
+    let body = format!(
+        "{{\"spec\":\"ms=16000\",\"steps\":[{{\"count\":{LONG_TASKS},\"cpu\":4000,\"memMb\":1024,\"estimateMs\":16000,\"antiAffinity\":4}}]}}"
+    );
+    let (status, _) = cell.call("POST", id, &body);
+    if status != 200 {
+        return Err(format!("the job is not accepted: {status}"));
+    }
+    let all_run = |cell: &Cell| cell.minions.iter().map(|minion| minion.running()).sum::<usize>() == LONG_TASKS;
+    cell.wait_until("all tasks run at the same time", Duration::from_secs(10), all_run)?;
+    std::thread::sleep(Duration::from_secs(2));
+    if trouble {
+        let leader = cell.leader().ok_or("no daemon leads")?;
+        let token = 1 + cell.token().ok_or("no daemon leads")?;
+        let minion = cell.minions.iter().find(|minion| minion.running() > 0).cloned();
+        let minion = minion.ok_or("no minion has tasks")?;
+        let start = Instant::now();
+        let at = |seconds: f64| {
+            std::thread::sleep((start + Duration::from_secs_f64(seconds)).saturating_duration_since(Instant::now()));
+        };
+        record.line(&format!("{} is cut off from the store", cell.daemons[leader].name));
+        cell.daemons[leader].to_store.silent.store(true, Ordering::Relaxed);
+        record.line("the store's answers take 60 times as long");
+        cell.store.slow.store(60, Ordering::Relaxed);
+        at(2.0);
+        record.line(&format!("{} loses the path to a successor, of token {token} or more", minion.shape.id));
+        minion.cut_from_token.store(token, Ordering::Relaxed);
+        at(4.5);
+        record.line("the store's answers take the usual time");
+        cell.store.slow.store(1, Ordering::Relaxed);
+        at(5.5);
+        record.line(&format!("{} reaches the store again", cell.daemons[leader].name));
+        cell.daemons[leader].to_store.silent.store(false, Ordering::Relaxed);
+        at(7.0);
+        record.line(&format!("{} has all paths again", minion.shape.id));
+        minion.cut_from_token.store(0, Ordering::Relaxed);
+    }
+    wait_for_state(&mut cell, id, "completed", Duration::from_secs(50))?;
+    Ok(judge::twice(&cell.log))
+}
+
+/// A route is removed and comes back, and between the two the leading process is killed.
+pub fn route_away_at_a_takeover(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
+    let mut cell = Cell::new(record, shapes(4), 3)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let id = "5c0e7a21d94b36fa";
+    let body = "{\"spec\":\"ms=6000 fail=1\",\"steps\":[{\"count\":4,\"cpu\":2000,\"memMb\":1024,\"estimateMs\":6000}]}";
+    let (status, _) = cell.call("POST", id, body);
+    if status != 200 {
+        return Err(format!("the job is not accepted: {status}"));
+    }
+    let all_run = |cell: &Cell| cell.minions.iter().map(|minion| minion.running()).sum::<usize>() == 4;
+    cell.wait_until("all tasks run", Duration::from_secs(10), all_run)?;
+    let start = Instant::now();
+    let at = |seconds: f64| {
+        std::thread::sleep((start + Duration::from_secs_f64(seconds)).saturating_duration_since(Instant::now()));
+    };
+    if trouble {
+        at(0.5);
+        cell.put_config(8, false);
+        at(1.5);
+        let leader = cell.leader().ok_or("no daemon leads")?;
+        cell.signal(leader, "KILL");
+        at(3.0);
+        cell.start_daemon(leader)?;
+        at(9.0);
+        cell.put_config(9, true);
+    }
+    at(22.0);
+    let (status, state) = cell.call("GET", id, "");
+    let failures = cell.log.failures(&format!("{id}.0.0.0"));
+    match status {
+        200 if state.contains("completed") || state.contains("running") => Ok(Vec::new()),
+        200 if state.contains("failed") => Ok(vec![format!(
+            "{id} is shown as {state} after {failures} of {MAX_ATTEMPTS} attempts of a task have ended `failed`"
+        )]),
+        410 => Ok(vec![format!("{id}, which was accepted, is answered 410")]),
+        _ => Err(format!("GET is answered {status} {state}")),
+    }
+}
+
+/// One tenant hands in jobs of many tasks, and the platform kills a process over its memory.
+pub fn many_tasks(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
+    let mut cell = Cell::new(record, shapes(8), 4)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let step = "{\"count\":10000,\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000}";
+    let steps = vec![step; 9].join(",");
+    let n = std::env::var("N").ok().and_then(|n| n.parse().ok()).unwrap_or(10);
+    if trouble {
+        for n in 0..n {
+            let id = format!("5c0e7a21d95{n:05x}");
+            cell.call("POST", &id, &format!("{{\"spec\":\"ms=1000\",\"steps\":[{steps}]}}"));
+        }
+    }
+    for _ in 0..40 {
+        for daemon in &cell.daemons {
+            let id = daemon.child.as_ref().map_or(0, std::process::Child::id);
+            let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+            let rss = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("-").to_string();
+            record.line(&format!("{} {rss}", daemon.name));
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    cell.wait_until("x", Duration::from_secs(1), |_| true)?;
+    Ok(vec![])
+}
--- a/review/standins-2/cell.rs
+++ b/review/standins-2/cell.rs
@@ -9,6 +9,7 @@
 use crate::http;
 use crate::json::{Json, map, num, text};
 use crate::minion::{Minion, RunLog, Shape};
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -19,6 +20,9 @@
 pub const PREFIX: &str = "/lohu930/";
 pub const KEY: &str = "key-of-t1";
 
+/// Number of failed runs of a task after which its job has failed.
+pub const MAX_ATTEMPTS: u64 = 3;
+
 pub struct Cell {
     pub store: Arc<Store>,
     pub record: Arc<Record>,
@@ -34,6 +38,8 @@
     pub name: String,
     pub front: SocketAddr,
     pub child: Option<Child>,
+    /// Way of the daemon to the store.
+    pub to_store: Proxy,
     settings: PathBuf,
 }
 
@@ -61,7 +67,7 @@
             let minion = Minion::start(shape, &ip, &cell.store, record, &cell.log);
             cell.minions.push(minion.map_err(|err| err.to_string())?);
         }
-        cell.store.put("op", "config", &cell.config().to_string());
+        cell.put_config(7, true);
         for n in 0..daemons {
             let daemon = cell.settings(n)?;
             cell.daemons.push(daemon);
@@ -73,43 +79,14 @@
         Ok(cell)
     }
 
-    fn config(&self) -> Json {
-        let route = map([
-            ("name", text("r-a")),
-            ("host", text(HOST)),
-            ("pathPrefix", text(PREFIX)),
-            ("type", text("unsafe")),
-            ("timeoutMs", num(3_000)),
-            ("targetLatencyMs", num(250)),
-            ("priority", num(0)),
-            ("service", text("svc-a")),
-            ("maxAttempts", num(2)),
-            ("stretch", Json::Num(2.2)),
-            ("public", Json::Bool(false)),
-        ]);
-        let service = map([
-            ("name", text("svc-a")),
-            ("healthPath", text("/health")),
-            ("maxConns", num(64)),
-            ("protocol", text("h1")),
-            ("rejectsOverload", Json::Bool(false)),
-        ]);
-        let cap = map([("cpu", num(0)), ("memMb", num(0)), ("gpu", num(0))]);
-        let tenant = map([
-            ("name", text("t1")),
-            ("apiKeys", Json::List(vec![text(KEY)])),
-            ("weight", num(1)),
-            ("cap", cap),
-        ]);
-        map([
-            ("version", num(7)),
-            ("routes", Json::List(vec![route])),
-            ("services", Json::List(vec![service])),
-            ("tenants", Json::List(vec![tenant])),
-            ("limits", map([])),
-        ])
+    /// Writes a version of the desired state, with the route that the cases use or without it.
+    pub fn put_config(&self, version: u64, with_route: bool) {
+        let routes = [("r-b", "/pufi791/"), ("r-a", PREFIX)];
+        let routes = routes.into_iter().take(1 + usize::from(with_route));
+        let routes: Vec<Json> = routes.map(|(name, prefix)| route(name, prefix)).collect();
+        self.record.line(&format!("desired state {version}, with the route: {with_route}"));
+        self.store.put("op", "config", &config(version, routes).to_string());
     }
-
     fn settings(&self, n: usize) -> Result<Daemon> {
         let ip = format!("{}.{}", self.net, 10 + n);
         let port = || -> Result<u16> {
@@ -118,7 +95,8 @@
         };
         let (front, ready, inner) = (port()?, port()?, port()?);
         let (zone, name) = (["a", "b", "c", "d"][n % 4], format!("front-{}-{n}", ["a", "b", "c", "d"][n % 4]));
-        let store = self.store.addr;
+        let to_store = Proxy::start(&ip, self.store.addr).map_err(|err| err.to_string())?;
+        let store = to_store.addr;
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"scheduler\"\nmachineClass = \"front\"\nserves = [\"front\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"r\"\ninternalPorts = [{inner},{inner}]\n\
@@ -136,7 +114,7 @@
         let settings = self.dir.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|err| err.to_string())?;
         let front = SocketAddr::new(ip.parse().map_err(|_| "address")?, front);
-        Ok(Daemon { name, front, child: None, settings })
+        Ok(Daemon { name, front, child: None, to_store, settings })
     }
 
     /// Starts a daemon as the deploy file says. Its log goes to the temporary folder.
@@ -162,6 +140,11 @@
         self.daemons.iter().position(|daemon| daemon.name == name)
     }
 
+    /// Returns the fencing token of the daemon that leads.
+    pub fn token(&self) -> Option<u64> {
+        Json::parse(&self.store.value("jobs", "p0", "owner")?)?.get("epoch").int()
+    }
+
     /// Sends a signal to a daemon by its process id.
     pub fn signal(&self, n: usize, signal: &str) {
         let daemon = &self.daemons[n];
@@ -218,3 +201,44 @@
         }
     }
 }
+
+/// Returns a route to the service of the minions.
+fn route(name: &str, prefix: &str) -> Json {
+    map([
+        ("name", text(name)),
+        ("host", text(HOST)),
+        ("pathPrefix", text(prefix)),
+        ("type", text("unsafe")),
+        ("timeoutMs", num(3_000)),
+        ("targetLatencyMs", num(250)),
+        ("priority", num(0)),
+        ("service", text("svc-a")),
+        ("maxAttempts", num(MAX_ATTEMPTS)),
+        ("stretch", Json::Num(2.2)),
+        ("public", Json::Bool(false)),
+    ])
+}
+
+fn config(version: u64, routes: Vec<Json>) -> Json {
+    let service = map([
+        ("name", text("svc-a")),
+        ("healthPath", text("/health")),
+        ("maxConns", num(64)),
+        ("protocol", text("h1")),
+        ("rejectsOverload", Json::Bool(false)),
+    ]);
+    let cap = map([("cpu", num(0)), ("memMb", num(0)), ("gpu", num(0))]);
+    let tenant = map([
+        ("name", text("t1")),
+        ("apiKeys", Json::List(vec![text(KEY)])),
+        ("weight", num(1)),
+        ("cap", cap),
+    ]);
+    map([
+        ("version", num(version)),
+        ("routes", Json::List(routes)),
+        ("services", Json::List(vec![service])),
+        ("tenants", Json::List(vec![tenant])),
+        ("limits", map([])),
+    ])
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod judge;
 mod minion;
+mod proxy;
 mod record;
 mod store;
 
@@ -35,6 +36,9 @@
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let result = match &**case {
         "ends-beyond-a-list" => cases::ends_beyond_a_list(&record, trouble),
+        "renewed-beyond-the-grace" => cases::renewed_beyond_the_grace(&record, trouble),
+        "route-away-at-a-takeover" => cases::route_away_at_a_takeover(&record, trouble),
+        "many-tasks" => cases::many_tasks(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let (line, code) = match &result {
--- a/review/standins-2/minion.rs
+++ b/review/standins-2/minion.rs
@@ -1,8 +1,10 @@
 //! Stand-in for a minion: runs tasks under a lease, as the page "Running tasks" says. A task works for
-//! the time that its job's `spec` names (`ms=900`) and then ends as `done`.
+//! the time that its job's `spec` names (`ms=900`) and then ends as `done`; its first runs end as
+//! `failed`, as many as `spec` names (`fail=1`).
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,6 +41,8 @@
     born: u64,
     state: Mutex<State>,
     ended: Condvar,
+    /// Least fencing token whose sender has no path to the minion; zero if all have.
+    pub cut_from_token: AtomicU64,
     record: Arc<Record>,
     log: Arc<RunLog>,
 }
@@ -58,6 +62,7 @@
 struct Work {
     ends_at: u64,
     stopped: bool,
+    fails: bool,
 }
 
 struct Finished {
@@ -87,6 +92,13 @@
 pub struct RunLog(pub Mutex<Vec<RunSeen>>);
 
 impl RunLog {
+    /// Returns the number of runs of a task that have ended as `failed`.
+    pub fn failures(&self, task: &str) -> u64 {
+        let runs = self.0.lock().unwrap();
+        let failed = |seen: &&RunSeen| seen.task == task && seen.ended.is_some_and(|(_, how)| how == "failed");
+        runs.iter().filter(failed).count() as u64
+    }
+
     fn with(&self, minion: &str, task: &str, run: u64, change: impl FnOnce(&mut RunSeen)) {
         let mut runs = self.0.lock().unwrap();
         let mut runs = runs.iter_mut().rev();
@@ -96,6 +108,11 @@
     }
 }
 
+/// Returns the number after a prefix in a job's `spec`.
+fn number_in(spec: &str, prefix: &str) -> Option<u64> {
+    spec.split_whitespace().find_map(|word| word.strip_prefix(prefix)?.parse().ok())
+}
+
 impl Minion {
     pub fn start(
         shape: Shape,
@@ -113,6 +130,7 @@
             born,
             state: Mutex::default(),
             ended: Condvar::new(),
+            cut_from_token: AtomicU64::new(0),
             record: Arc::clone(record),
             log: Arc::clone(log),
         });
@@ -167,6 +185,7 @@
         let over = state.running.iter().filter_map(|(key, work)| {
             let how = match work.stopped {
                 _ if now >= work.ends_at && work.stopped => "stopped",
+                _ if now >= work.ends_at && work.fails => "failed",
                 _ if now >= work.ends_at => "done",
                 _ if lapsed => "lapsed",
                 _ => return None,
@@ -197,6 +216,12 @@
         }
         let Some(body) = Json::parse(&req.body) else { return self.answer(400, "") };
         let token = body.get("fencingToken").int().unwrap_or(0);
+        if self.is_cut_from(token) {
+            while self.is_cut_from(token) {
+                std::thread::sleep(TICK);
+            }
+            return None;
+        }
         {
             let mut state = self.state.lock().unwrap();
             if token < state.fence {
@@ -215,6 +240,12 @@
         }
     }
 
+    /// Returns whether the calls of a sender, known by its token, don't reach the minion.
+    fn is_cut_from(&self, token: u64) -> bool {
+        let least = self.cut_from_token.load(Ordering::Relaxed);
+        least > 0 && token >= least
+    }
+
     fn answer(&self, status: u16, reason: &str) -> Answer {
         let mut fields = vec![("clockMs".to_string(), num(self.clock()))];
         if !reason.is_empty() {
@@ -236,9 +267,9 @@
         if state.highest.get(&task).is_some_and(|&highest| run <= highest) {
             return self.answer(409, "old");
         }
-        let work_ms = spec.split_whitespace().find_map(|word| word.strip_prefix("ms=")?.parse().ok());
-        let ends_at = now + work_ms.unwrap_or(1_000);
-        state.running.insert((task.clone(), run), Work { ends_at, stopped: false });
+        let ends_at = now + number_in(&spec, "ms=").unwrap_or(1_000);
+        let fails = self.log.failures(&task) < number_in(&spec, "fail=").unwrap_or(0);
+        state.running.insert((task.clone(), run), Work { ends_at, stopped: false, fails });
         self.record.line(&format!("{} began {task} run {run} token {token}", self.shape.id));
         self.log.0.lock().unwrap().push(RunSeen {
             task,
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -19,6 +19,9 @@
 /// Time that a transaction takes (`txMs` of the settings).
 const TX_TIME: Duration = Duration::from_millis(8);
 
+/// Time that an answer takes; the store is slow by a factor of this.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
 type Id = (String, String, String);
 
 #[derive(Clone)]
@@ -41,7 +44,7 @@
     changed: Condvar,
     start: Instant,
     pub addr: SocketAddr,
-    /// Factor by which transactions are slow.
+    /// Factor by which answers are slow.
     pub slow: AtomicU64,
 }
 
@@ -69,15 +72,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes a row of a minion.
-    pub fn remove(&self, table: &str, key: &str) {
-        let id = (table.to_string(), String::new(), key.to_string());
-        let mut state = self.state.lock().unwrap();
-        state.version += 1;
-        state.set(id, None);
-        self.changed.notify_all();
-    }
-
     /// Returns the value of a row as text, if it exists.
     pub fn value(&self, table: &str, part: &str, key: &str) -> Option<String> {
         let id = (table.to_string(), part.to_string(), key.to_string());
@@ -87,6 +81,7 @@
     }
 
     fn handle(&self, req: &Request) -> Answer {
+        std::thread::sleep(ANSWER_TIME * self.slow.load(Ordering::Relaxed) as u32);
         match (&*req.method, &*req.path) {
             ("POST", "/-/rows-tx") => Some(self.transact(&req.body)),
             ("GET", "/-/rows-get") => Some((200, self.read(req))),
@@ -108,7 +103,7 @@
         if written.clone().any(|row| matches!(row.get("table").text(), "op" | "servers")) {
             return (403, "{}".into());
         }
-        std::thread::sleep(TX_TIME * self.slow.load(Ordering::Relaxed) as u32);
+        std::thread::sleep(TX_TIME);
         let mut state = self.state.lock().unwrap();
         let holds = |row: &Json| {
             let current = state.rows.get(&id(row)).filter(|row| row.value.is_some());
