--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -15,6 +15,23 @@
 /// Number of tasks of four cores, which leaves room on eight minions for those that start again.
 const LONG_TASKS: usize = 24;
 
+/// Tasks of a job, for all of which two minions have room.
+const SMALL_TASKS: usize = 600;
+
+/// Orders of a thousand that are late.
+const LATE_OF_1000: u64 = 67;
+
+/// Time for a cancelling to take effect (`cancel_ms` of the settings).
+const CANCEL_MS: u64 = 3_000;
+
+/// Memory of a machine (`memoryMb` of the settings).
+const MEMORY_MB: u64 = 260;
+
+/// Jobs of a tenant, each of many tasks.
+const LARGE_JOBS: usize = 30;
+const LARGE_STEPS: usize = 9;
+const LARGE_STEP: usize = 10_000;
+
 /// Minions of 32 cores and 128 GB, six in a rack.
 fn shapes(count: usize) -> Vec<Shape> {
     let shape = |n: usize| Shape {
@@ -149,28 +166,70 @@
     }
 }
 
-/// One tenant hands in jobs of many tasks, and the platform kills a process over its memory.
-pub fn many_tasks(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
-    let mut cell = Cell::new(record, shapes(8), 4)?;
+/// A job is cancelled while its starts wait in the leading process for a minion that leaves some orders
+/// unanswered.
+pub fn starts_after_a_cancel(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
+    let mut cell = Cell::new(record, shapes(2), 3)?;
     std::thread::sleep(Duration::from_secs(2));
-    let step = "{\"count\":10000,\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000}";
-    let steps = vec![step; 9].join(",");
-    let n = std::env::var("N").ok().and_then(|n| n.parse().ok()).unwrap_or(10);
     if trouble {
-        for n in 0..n {
-            let id = format!("5c0e7a21d95{n:05x}");
-            cell.call("POST", &id, &format!("{{\"spec\":\"ms=1000\",\"steps\":[{steps}]}}"));
+        for minion in &cell.minions {
+            minion.late_of_1000.store(LATE_OF_1000, Ordering::Relaxed);
         }
+        record.line(&format!("{LATE_OF_1000} of 1,000 orders are left unanswered and carried out 2 to 12 s later"));
+    }
+    let id = "5c0e7a21d94b36fc";
+    let body = format!(
+        "{{\"spec\":\"ms=20000\",\"steps\":[{{\"count\":{SMALL_TASKS},\"cpu\":50,\"memMb\":64,\"estimateMs\":20000}}]}}"
+    );
+    let (status, _) = cell.call("POST", id, &body);
+    if status != 200 {
+        return Err(format!("the job is not accepted: {status}"));
+    }
+    let (status, _) = cell.call("DELETE", id, "");
+    let acked = Instant::now();
+    if !matches!(status, 200 | 410) {
+        return Err(format!("the cancelling is not acknowledged: {status}"));
+    }
+    std::thread::sleep(Duration::from_millis(5_500));
+    for minion in &cell.minions {
+        minion.late_of_1000.store(0, Ordering::Relaxed);
     }
-    for _ in 0..40 {
-        for daemon in &cell.daemons {
-            let id = daemon.child.as_ref().map_or(0, std::process::Child::id);
-            let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-            let rss = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("-").to_string();
-            record.line(&format!("{} {rss}", daemon.name));
+    cell.wait_until("no task runs", Duration::from_secs(40), |cell| {
+        cell.minions.iter().all(|minion| minion.running() == 0)
+    })?;
+    Ok(judge::started_after_cancel(&cell.log, id, acked, CANCEL_MS))
+}
+
+/// One tenant hands in many large jobs, and the platform kills each process that is over its memory.
+pub fn memory_of_large_jobs(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>> {
+    let mut cell = Cell::new(record, shapes(8), 4)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let small = "5c0e7a21d94b36fb";
+    let body = "{\"spec\":\"ms=1000\",\"steps\":[{\"count\":2,\"cpu\":2000,\"memMb\":1024,\"estimateMs\":1000}]}";
+    if trouble {
+        let step = |n: usize| {
+            let after = if n == 0 { String::new() } else { format!(",\"after\":[{}]", n - 1) };
+            format!("{{\"count\":{LARGE_STEP},\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000{after}}}")
+        };
+        let steps: Vec<String> = (0..LARGE_STEPS).map(step).collect();
+        let body = format!("{{\"spec\":\"ms=1000\",\"steps\":[{}]}}", steps.join(","));
+        for n in 0..LARGE_JOBS {
+            cell.call("POST", &format!("5c0e7a21d95{n:05x}"), &body);
+            cell.supervise(MEMORY_MB);
         }
-        std::thread::sleep(Duration::from_millis(500));
     }
-    cell.wait_until("x", Duration::from_secs(1), |_| true)?;
-    Ok(vec![])
+    cell.call("POST", small, body);
+    let until = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < until {
+        cell.supervise(MEMORY_MB);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let mut breaches = Vec::new();
+    let often: Vec<&str> = cell.daemons.iter().filter(|d| d.memory_kills >= 3).map(|d| &*d.name).collect();
+    if often.len() >= 2 {
+        breaches.push(format!("the memory limit has ended the processes of {often:?} three times or more"));
+    }
+    let (status, state) = cell.call("GET", small, "");
+    record.line(&format!("the small job after 60 s: {status} {state}"));
+    Ok(breaches)
 }
--- a/review/standins-2/cell.rs
+++ b/review/standins-2/cell.rs
@@ -23,6 +23,9 @@
 /// Number of failed runs of a task after which its job has failed.
 pub const MAX_ATTEMPTS: u64 = 3;
 
+/// Delay before a process that has ended is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 pub struct Cell {
     pub store: Arc<Store>,
     pub record: Arc<Record>,
@@ -38,6 +41,9 @@
     pub name: String,
     pub front: SocketAddr,
     pub child: Option<Child>,
+    /// Number of processes that were over the memory limit.
+    pub memory_kills: u32,
+    restart_at: Option<Instant>,
     /// Way of the daemon to the store.
     pub to_store: Proxy,
     settings: PathBuf,
@@ -114,7 +120,7 @@
         let settings = self.dir.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|err| err.to_string())?;
         let front = SocketAddr::new(ip.parse().map_err(|_| "address")?, front);
-        Ok(Daemon { name, front, child: None, to_store, settings })
+        Ok(Daemon { name, front, child: None, memory_kills: 0, restart_at: None, to_store, settings })
     }
 
     /// Starts a daemon as the deploy file says. Its log goes to the temporary folder.
@@ -154,9 +160,26 @@
         }
     }
 
-    /// Returns how a daemon's process has ended, if it has.
-    pub fn exit_of(&mut self, n: usize) -> Option<std::process::ExitStatus> {
-        self.daemons[n].child.as_mut()?.try_wait().ok()?
+    /// Kills each process over the memory limit and starts those that have ended after a short delay, as
+    /// the platform does.
+    pub fn supervise(&mut self, memory_mb: u64) {
+        for n in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[n];
+            if daemon.restart_at.is_some_and(|at| Instant::now() >= at) {
+                daemon.restart_at = None;
+                let _ = self.start_daemon(n);
+                continue;
+            }
+            let Some(child) = daemon.child.as_mut() else { continue };
+            let used = memory_kb(child.id());
+            if used > memory_mb * 1_024 {
+                let _ = (child.kill(), child.wait());
+                daemon.child = None;
+                daemon.memory_kills += 1;
+                daemon.restart_at = Some(Instant::now() + RESTART_DELAY);
+                self.record.line(&format!("{} has {used} kB and is killed", daemon.name));
+            }
+        }
     }
 
     /// Sends a call of the requester, for up to four attempts, each at another daemon.
@@ -202,6 +225,13 @@
     }
 }
 
+/// Returns the resident memory of a process, in kilobytes.
+fn memory_kb(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 /// Returns a route to the service of the minions.
 fn route(name: &str, prefix: &str) -> Json {
     map([
--- a/review/standins-2/judge.rs
+++ b/review/standins-2/judge.rs
@@ -1,6 +1,7 @@
 //! The rules, as far as the cases need them, judged by what minions and requesters have seen.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use crate::minion::{RunLog, RunSeen};
 
@@ -34,3 +35,16 @@
     }
     breaches
 }
+
+/// Returns the breaches of UNASKED for a cancelled job: starts later than `cancel_ms` after the
+/// acknowledgement, but for orders that a minion carried out late.
+pub fn started_after_cancel(log: &RunLog, job: &str, acked: Instant, cancel_ms: u64) -> Vec<String> {
+    let runs = log.0.lock().unwrap();
+    let last = acked + Duration::from_millis(cancel_ms);
+    let late = runs.iter().filter(|run| run.task.starts_with(job) && !run.late && run.began > last);
+    let breaches = late.map(|run| {
+        let after = run.began.duration_since(acked).as_millis();
+        format!("{}: run {} began on {} {after} ms after the cancelling was acknowledged", run.task, run.run, run.minion)
+    });
+    breaches.collect()
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -38,7 +38,8 @@
         "ends-beyond-a-list" => cases::ends_beyond_a_list(&record, trouble),
         "renewed-beyond-the-grace" => cases::renewed_beyond_the_grace(&record, trouble),
         "route-away-at-a-takeover" => cases::route_away_at_a_takeover(&record, trouble),
-        "many-tasks" => cases::many_tasks(&record, trouble),
+        "starts-after-a-cancel" => cases::starts_after_a_cancel(&record, trouble),
+        "memory-of-large-jobs" => cases::memory_of_large_jobs(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let (line, code) = match &result {
--- a/review/standins-2/minion.rs
+++ b/review/standins-2/minion.rs
@@ -24,6 +24,13 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
+/// Round trip between zones that are 1.4 ms apart.
+const ROUND_TRIP: Duration = Duration::from_micros(2_800);
+
+/// Orders that get no answer are carried out 2 to 12 s later.
+const LEAST_DELAY: Duration = Duration::from_millis(2_000);
+const MORE_DELAY_MS: u64 = 10_000;
+
 const TICK: Duration = Duration::from_millis(5);
 
 pub struct Shape {
@@ -43,6 +50,10 @@
     ended: Condvar,
     /// Least fencing token whose sender has no path to the minion; zero if all have.
     pub cut_from_token: AtomicU64,
+    /// Of a thousand orders, so many get no answer and are carried out late.
+    pub late_of_1000: AtomicU64,
+    /// Number of orders since then.
+    orders: AtomicU64,
     record: Arc<Record>,
     log: Arc<RunLog>,
 }
@@ -78,14 +89,14 @@
     pub task: String,
     pub run: u64,
     pub minion: String,
-    pub spec: String,
-    pub token: u64,
     pub began: Instant,
     pub ended: Option<(Instant, &'static str)>,
     /// When `ackCursor` reached the end.
     pub noted: Option<Instant>,
     /// Whether the minion's lease was over at any moment between the end and `noted`.
     pub lapsed_between: bool,
+    /// Whether the minion carried the order out late.
+    pub late: bool,
 }
 
 #[derive(Default)]
@@ -131,11 +142,13 @@
             state: Mutex::default(),
             ended: Condvar::new(),
             cut_from_token: AtomicU64::new(0),
+            late_of_1000: AtomicU64::new(0),
+            orders: AtomicU64::new(0),
             record: Arc::clone(record),
             log: Arc::clone(log),
         });
         let served = Arc::clone(&minion);
-        http::serve(listener, move |req| served.handle(&req));
+        http::serve(listener, move |req| served.handle_or_delay(&req));
         let ticking = Arc::clone(&minion);
         std::thread::spawn(move || {
             loop {
@@ -206,7 +219,25 @@
         }
     }
 
-    fn handle(&self, req: &Request) -> Answer {
+    /// Carries an order out at once, or late and without an answer.
+    fn handle_or_delay(&self, req: &Request) -> Answer {
+        std::thread::sleep(ROUND_TRIP);
+        let late_of_1000 = self.late_of_1000.load(Ordering::Relaxed);
+        let is_order = matches!(&*req.path, "/-/run-start" | "/-/run-stop");
+        if late_of_1000 == 0 || !is_order {
+            return self.handle(req, false);
+        }
+        let number = self.orders.fetch_add(1, Ordering::Relaxed);
+        if number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32 & 0xffff_ffff >= late_of_1000 * ((1 << 32) / 1_000) {
+            return self.handle(req, false);
+        }
+        std::thread::sleep(LEAST_DELAY + Duration::from_millis(number * 1_237 % MORE_DELAY_MS));
+        self.record.line(&format!("{} carries an order out late", self.shape.id));
+        self.handle(req, true);
+        None
+    }
+
+    fn handle(&self, req: &Request, late: bool) -> Answer {
         if req.path == "/health" {
             return Some((200, "{}".into()));
         }
@@ -232,7 +263,7 @@
             state.fence = token;
         }
         match &*req.path {
-            "/-/run-start" => self.run_start(&body, token),
+            "/-/run-start" => self.run_start(&body, token, late),
             "/-/run-stop" => self.run_stop(&body),
             "/-/hold" => self.hold(&body),
             "/-/pace" => self.answer(200, ""),
@@ -254,7 +285,7 @@
         Some((status, Json::Map(fields).to_string()))
     }
 
-    fn run_start(&self, body: &Json, token: u64) -> Answer {
+    fn run_start(&self, body: &Json, token: u64, late: bool) -> Answer {
         let (task, run) = (body.get("task").text().to_string(), body.get("run").int().unwrap_or(0));
         let (spec, now) = (body.get("spec").text().to_string(), self.clock());
         let mut state = self.state.lock().unwrap();
@@ -275,12 +306,11 @@
             task,
             run,
             minion: self.shape.id.clone(),
-            spec,
-            token,
             began: Instant::now(),
             ended: None,
             noted: None,
             lapsed_between: false,
+            late,
         });
         self.answer(200, "")
     }
