--- a/review/standins-2/cell.rs
+++ b/review/standins-2/cell.rs
@@ -1,9 +1,10 @@
 //! A small installation on loopback: the store, minions, and the project's daemons as processes.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -23,6 +24,9 @@
 /// Number of failed runs of a task after which its job has failed.
 pub const MAX_ATTEMPTS: u64 = 3;
 
+/// Ids of the processes that were started and not yet reaped.
+static STARTED: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
 /// Delay before a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -126,6 +130,9 @@
     /// Starts a daemon as the deploy file says. Its log goes to the temporary folder.
     pub fn start_daemon(&mut self, n: usize) -> Result<()> {
         let daemon = &mut self.daemons[n];
+        if let Some(mut former) = daemon.child.take() {
+            end(&mut former);
+        }
         let path = self.dir.join(format!("{}.log", daemon.name));
         let log = std::fs::File::options().create(true).append(true).open(path);
         let child = Command::new(Path::new(PROGRAM).canonicalize().map_err(|err| format!("{PROGRAM}: {err}"))?)
@@ -134,7 +141,9 @@
             .stdin(Stdio::null())
             .stdout(log.map_err(|err| err.to_string())?)
             .spawn();
-        daemon.child = Some(child.map_err(|err| err.to_string())?);
+        let child = child.map_err(|err| err.to_string())?;
+        STARTED.lock().unwrap().insert(child.id());
+        daemon.child = Some(child);
         self.record.line(&format!("{} is started", daemon.name));
         Ok(())
     }
@@ -173,7 +182,7 @@
             let Some(child) = daemon.child.as_mut() else { continue };
             let used = memory_kb(child.id());
             if used > memory_mb * 1_024 {
-                let _ = (child.kill(), child.wait());
+                end(child);
                 daemon.child = None;
                 daemon.memory_kills += 1;
                 daemon.restart_at = Some(Instant::now() + RESTART_DELAY);
@@ -215,8 +224,7 @@
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
             if let Some(mut child) = daemon.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
+                end(&mut child);
             }
         }
         if std::env::var_os("KEEP_LOGS").is_none() {
@@ -225,6 +233,19 @@
     }
 }
 
+/// Ends a process and reaps it.
+fn end(child: &mut Child) {
+    let _ = (child.kill(), child.wait());
+    STARTED.lock().unwrap().remove(&child.id());
+}
+
+/// Ends all processes that were started, by their ids.
+pub fn kill_all() {
+    for id in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
+
 /// Returns the resident memory of a process, in kilobytes.
 fn memory_kb(id: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -13,9 +13,13 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use record::Record;
 
+/// Time after which a run is ended, with all processes that it started.
+const LONGEST_RUN: Duration = Duration::from_secs(100);
+
 /// Number of breaches that are shown.
 const SHOWN: usize = 10;
 
@@ -33,6 +37,14 @@
             return ExitCode::from(2);
         }
     };
+    let watched = Arc::clone(&record);
+    std::thread::spawn(move || {
+        std::thread::sleep(LONGEST_RUN);
+        watched.line("the case takes too long");
+        watched.flush();
+        cell::kill_all();
+        std::process::exit(2);
+    });
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let result = match &**case {
         "ends-beyond-a-list" => cases::ends_beyond_a_list(&record, trouble),
