--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,5 @@
 # Build first: the deploy file's build and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases-2 ] || exit 2
+export TROUBLE="${TROUBLE:-1}"
 exec timeout --kill-after=2 110 target/review/cases-2 ends-beyond-a-list review/6/record.txt
