--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -232,6 +232,9 @@
     if status != 200 {
         return Err(format!("the job is not accepted: {status}"));
     }
+    cell.wait_until("a task runs", Duration::from_secs(5), |cell| {
+        running(cell) > 0
+    })?;
     let (status, _) = cell.call("DELETE", id, "");
     let acked = Instant::now();
     if !matches!(status, 200 | 410) {
