Look at an order to a VM again when its turn comes

Cause: a placement round handed all starts of a job to the platform's client, where they waited for one of three places for orders to their VM, each held for 0.6 s by an order without an answer. A start was complete when it was planned, and nothing looked at it before it was sent; stops waited behind the starts.

Evidence: the record of the case shows starts to the VM go on through the acknowledgement without a pause, three at a time, with gaps of 0.6 s at the unanswered ones.

Fix: the reducer keeps the queue of orders to each VM and hands out as many as may be in flight. Each is made when its turn comes: a start is withdrawn if its job has ended, its run is to be stopped, its VM accepts no starts, its ticket has run out or another placer may have taken over, and gets its deadline then. Stops and speed limits go first. The client's limiter is gone. It works because the reducer knows of the cancellation before it is acknowledged to the VM's orders: no start of the job is made after that.

tests/workload/overtaken_orders.rs: all six cases failed before (12 starts handed out at once, 3 expected). Nothing stored or sent has changed.

--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -196,6 +196,18 @@
             | Self::Relayed(..) => None,
         }
     }
+
+    /// Returns the VM whose order this answers; `None` for other answers.
+    #[must_use]
+    pub fn order_vm(&self) -> Option<&VmId> {
+        match self {
+            Self::Started(order, _)
+            | Self::Checked(order, _)
+            | Self::Stopped(order, _)
+            | Self::SpeedSet(order, _) => Some(&order.vm),
+            _ => None,
+        }
+    }
 }
 
 impl ReadPurpose {
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -104,6 +104,8 @@
     pub renewal_margin: Duration,
     /// Timeout of an order.
     pub order_timeout: Duration,
+    /// Maximum number of concurrent orders to a VM, in addition to its renewal.
+    pub max_orders: usize,
     /// Minimum interval between renewals of a VM, so that several ended runs are reported in one
     /// answer.
     pub renewal_gap: Duration,
@@ -212,6 +214,7 @@
             unresponsive_after: Duration::from_millis(250),
             renewal_margin: Duration::from_millis(500),
             order_timeout: Duration::from_millis(600),
+            max_orders: 3,
             renewal_gap: Duration::from_millis(30),
             retry_delay: Duration::from_millis(250),
             stop_timeout: Duration::from_secs(1),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -333,6 +333,20 @@
         {
             return None;
         }
+        let vm_key = answer.order_vm().and_then(|vm| self.fleet.key(vm));
+        if let Some(vm) = vm_key.and_then(|key| self.fleet.vms.get_mut(&key)) {
+            vm.orders.end_order();
+        }
+        let lost = self.apply_answer(cx, answer);
+        if lost.is_none()
+            && let Some(key) = vm_key
+        {
+            self.send_orders(cx, key);
+        }
+        lost
+    }
+
+    fn apply_answer(&mut self, cx: &mut Cx, answer: Answer) -> RoleLoss {
         match answer {
             Answer::Renewed(renewal, result) => self.handle_renewal_answer(cx, &renewal, result),
             Answer::Started(order, result) => self.handle_start_answer(cx, &order, result),
--- a/src/core/workload/placer/orders/checks.rs
+++ b/src/core/workload/placer/orders/checks.rs
@@ -14,6 +14,7 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::Release;
 use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::queue::QueuedOrder;
 use crate::core::workload::placer::orders::starts::REFUSAL_PAUSE;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -25,17 +26,28 @@
 use crate::core::workload::task::RunNumber;
 
 impl Placer {
-    /// Sends the check that goes before the start of a run.
+    /// Sends the check that goes before the start of a run, or withdraws the start. Returns whether the
+    /// check was sent.
     pub(in crate::core::workload::placer) fn send_check(
         &mut self,
         cx: &mut Cx,
         vm_key: VmKey,
         task: TaskKey,
         run: RunNumber,
-    ) {
+    ) -> bool {
+        let vm = self.fleet.vms.get(&vm_key);
+        let queued = vm.and_then(|vm| vm.runs.get(&task));
+        let is_wanted = |queued: &Run| queued.number == run && queued.awaits_check();
+        if !queued.is_some_and(is_wanted) {
+            return false;
+        }
+        if let Some(reason) = self.start_obstacle(cx, vm_key) {
+            self.release_unsent_runs(cx, task, reason);
+            return false;
+        }
         let name = self.registry.task_name(task);
         let (Some(name), Some(vm)) = (name, self.fleet.vms.get_mut(&vm_key)) else {
-            return;
+            return false;
         };
         vm.unanswered_since.get_or_insert(cx.now);
         cx.send(Request::Check {
@@ -44,6 +56,7 @@
             epoch: self.owner.epoch,
             timeout: cx.options.vms.order_timeout,
         });
+        true
     }
 
     /// Handles the answer to a check: sends the start, for a gang once the VMs of all members have
@@ -67,7 +80,7 @@
         }
         let task = self.registry.find_task(&order.task)?;
         let run = vm.runs.get_mut(&task);
-        if let Some(run) = run.filter(|run| run.awaits_check(order)) {
+        if let Some(run) = run.filter(|run| run.number == order.run && run.awaits_check()) {
             if let Some(reason) = failure {
                 vm.avoid_until = cx.now + REFUSAL_PAUSE;
                 self.release_unsent_runs(cx, task, &reason);
@@ -87,26 +100,37 @@
         }
         let runs = self.unsent_runs_with(task);
         let is_ready = |run: &UnsentRun| run.delivery == Delivery::AwaitsMembers;
-        let accepts = |run: &UnsentRun| {
-            let vm = self.fleet.vms.get(&run.vm);
-            vm.is_some_and(|vm| vm.accepts_starts(cx))
-        };
-        if !runs.iter().all(accepts) {
-            self.release_unsent_runs(cx, task, "the VM accepts no starts");
-        } else if self.is_partitioned(cx) {
-            self.release_unsent_runs(cx, task, "another placer may have taken over");
+        let mut obstacles = runs
+            .iter()
+            .filter_map(|run| self.start_obstacle(cx, run.vm));
+        if let Some(reason) = obstacles.next() {
+            self.release_unsent_runs(cx, task, reason);
         } else if self.lacks_members(task) {
             self.release_unsent_runs(cx, task, "a member of the gang was lost");
         } else if runs.iter().all(is_ready) {
             for run in runs {
-                self.send_start(cx, run.vm, run.task, Delivery::Checked);
+                self.queue_checked_start(cx, &run);
             }
         }
     }
 
+    fn queue_checked_start(&mut self, cx: &mut Cx, unsent: &UnsentRun) {
+        let vm = self.fleet.vms.get_mut(&unsent.vm);
+        if let Some(run) = vm.and_then(|vm| vm.runs.get_mut(&unsent.task)) {
+            run.delivery = Delivery::Queued;
+        }
+        let order = QueuedOrder::Start(unsent.task, unsent.number, Delivery::Checked);
+        self.queue_order(cx, unsent.vm, order);
+    }
+
     /// Releases the run of a task, with those of all other members if it is a gang, as far as their
     /// starts have not been sent.
-    fn release_unsent_runs(&mut self, cx: &mut Cx, task: TaskKey, reason: &str) {
+    pub(in crate::core::workload::placer) fn release_unsent_runs(
+        &mut self,
+        cx: &mut Cx,
+        task: TaskKey,
+        reason: &str,
+    ) {
         for run in self.unsent_runs_with(task) {
             let vm = self.fleet.vms.get(&run.vm).map(|vm| vm.id.clone());
             if let (Some(vm), Some(name)) = (vm, self.registry.task_name(run.task)) {
@@ -178,10 +202,8 @@
 }
 
 impl Run {
-    /// Returns whether the run waits for the answer to the check of this order.
-    fn awaits_check(&self, order: &OrderId) -> bool {
-        self.number == order.run
-            && self.phase == Phase::Starting
-            && self.delivery == Delivery::AwaitsCheck
+    /// Returns whether the run waits for the answer to its check, or for the check to be sent.
+    fn awaits_check(&self) -> bool {
+        self.phase == Phase::Starting && self.delivery == Delivery::AwaitsCheck
     }
 }
--- a/src/core/workload/placer/orders/mod.rs
+++ b/src/core/workload/placer/orders/mod.rs
@@ -5,6 +5,7 @@
 pub(in crate::core::workload::placer) mod checks;
 pub(in crate::core::workload::placer) mod completion;
 pub(in crate::core::workload::placer) mod crashes;
+pub(in crate::core::workload::placer) mod queue;
 pub(in crate::core::workload::placer) mod reconcile;
 pub(in crate::core::workload::placer) mod renewal;
 pub(in crate::core::workload::placer) mod stalls;
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -11,7 +11,9 @@
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::StartError;
 use crate::core::workload::placer::Placer;
+use crate::core::workload::placer::Release;
 use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::queue::QueuedOrder;
 use crate::core::workload::placer::rounds::dispatch::PlannedStart;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Placement;
@@ -61,10 +63,13 @@
             return;
         }
         let mut new_run = Run::new(run, job.spec(task.step.step), start.caution, cx.now);
-        let is_checked = start.caution != Caution::None;
-        if is_checked {
-            new_run.delivery = Delivery::AwaitsCheck;
-        }
+        let (delivery, order) = if start.caution == Caution::None {
+            let order = QueuedOrder::Start(task, run, Delivery::Unchecked);
+            (Delivery::Queued, order)
+        } else {
+            (Delivery::AwaitsCheck, QueuedOrder::Check(task, run))
+        };
+        new_run.delivery = delivery;
         let team = job.team.clone();
         let Some(step) = self.registry.step_mut(task.step) else {
             return;
@@ -75,21 +80,86 @@
         step.waiting -= 1;
         vm.add_run(task, new_run);
         self.usage.add(team.as_ref(), &new_run.demand);
-        if is_checked {
-            self.send_check(cx, vm_key, task, run);
+        self.queue_order(cx, vm_key, order);
+    }
+
+    /// Returns why no start may be sent to a VM at present, if so.
+    pub(in crate::core::workload::placer) fn start_obstacle(
+        &self,
+        cx: &Cx,
+        vm_key: VmKey,
+    ) -> Option<&'static str> {
+        let vm = self.fleet.vms.get(&vm_key);
+        if self.release != Release::NotRequested {
+            Some("the role is being released")
+        } else if self.is_partitioned(cx) {
+            Some("another placer may have taken over")
+        } else if !vm.is_some_and(|vm| vm.accepts_starts(cx)) {
+            Some("the VM accepts no starts")
         } else {
-            self.send_start(cx, vm_key, task, Delivery::Unchecked);
+            None
         }
     }
 
-    /// Sends the start of a run that is assigned to a VM.
+    /// Sends the start of a run whose turn has come, or withdraws it. Returns whether it was sent.
     pub(in crate::core::workload::placer) fn send_start(
         &mut self,
         cx: &mut Cx,
         vm_key: VmKey,
         task: TaskKey,
+        run: RunNumber,
         delivery: Delivery,
+    ) -> bool {
+        let vm = self.fleet.vms.get(&vm_key);
+        let queued = vm.and_then(|vm| vm.runs.get(&task));
+        let is_wanted = |queued: &Run| queued.number == run && queued.delivery == Delivery::Queued;
+        if !queued.is_some_and(is_wanted) {
+            return false;
+        }
+        let obstacle = self.start_obstacle(cx, vm_key);
+        let obstacle = obstacle.or_else(|| self.lacks_ticket(cx, vm_key, task));
+        if let Some(reason) = obstacle {
+            self.withdraw_start(cx, vm_key, task, reason);
+            return false;
+        }
+        self.send_wanted_start(cx, vm_key, task, delivery);
+        true
+    }
+
+    /// Returns a reason if the VM would reject the start of a task, as its ticket is no longer valid.
+    fn lacks_ticket(&self, cx: &Cx, vm_key: VmKey, task: TaskKey) -> Option<&'static str> {
+        let job = self.registry.jobs.get(&task.step.job)?;
+        let step = self.registry.step(task.step)?;
+        let is_advised = job.queue.advice.is_some();
+        let lacks = is_advised && step.advice.ticket(vm_key, cx.now).is_none();
+        lacks.then_some("the ticket is no longer valid")
+    }
+
+    /// Releases a run whose start was not sent, and with it the other members of a gang whose starts
+    /// were not sent either.
+    pub(in crate::core::workload::placer) fn withdraw_start(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+        reason: &str,
     ) {
+        let vm = self.fleet.vms.get(&vm_key);
+        let run = vm.and_then(|vm| Some((vm.id.clone(), vm.runs.get(&task)?.number)));
+        if let (Some((vm, run)), Some(name)) = (run, self.registry.task_name(task)) {
+            cx.log(Decision::NotStarted {
+                task: name.to_string().into(),
+                id: name.job,
+                run,
+                vm,
+                reason: format!("withdrawn: {reason}").into(),
+            });
+        }
+        self.release_and_requeue(cx, vm_key, task);
+        self.release_unsent_runs(cx, task, reason);
+    }
+
+    fn send_wanted_start(&mut self, cx: &mut Cx, vm_key: VmKey, task: TaskKey, delivery: Delivery) {
         let Some(name) = self.registry.task_name(task) else {
             return;
         };
--- a/src/core/workload/placer/orders/stops.rs
+++ b/src/core/workload/placer/orders/stops.rs
@@ -14,6 +14,7 @@
 use crate::core::workload::event::OrderId;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::queue::QueuedOrder;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::JobKey;
@@ -47,7 +48,7 @@
 
 impl Placer {
     /// Stops a run, or repeats the stop if that is due. The order is sent once the stops row names
-    /// the VM.
+    /// the VM. A run whose start was not sent is released at once.
     pub(in crate::core::workload::placer) fn order_stop(
         &mut self,
         cx: &mut Cx,
@@ -55,15 +56,15 @@
         task: TaskKey,
         reason: &'static str,
     ) {
-        let Some(name) = self.registry.task_name(task) else {
-            return;
-        };
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
             return;
         };
         let Some(run) = vm.runs.get_mut(&task) else {
             return;
         };
+        if !run.is_sent() {
+            return self.withdraw_start(cx, vm_key, task, reason);
+        }
         if let Phase::Stopping { acked_at, retry_at } = run.phase
             && (acked_at.is_some() || cx.now < retry_at)
         {
@@ -75,14 +76,13 @@
             self.progress.request_stops_write();
             return;
         }
+        // Not repeated before it is sent.
         run.phase = Phase::Stopping {
             acked_at: None,
-            retry_at: cx.now + cx.options.vms.order_timeout,
+            retry_at: Now::MAX,
         };
-        let number = run.number;
-        let order = vm.order_for(name, number, cx.now);
-        let address = vm.address.clone();
-        self.send_stop(cx, order, address, reason);
+        let order = QueuedOrder::Stop(task, run.number, reason);
+        self.queue_order(cx, vm_key, order);
     }
 
     /// Stops a run that is not assigned to the VM that reports it.
@@ -108,7 +108,7 @@
             reason,
         };
         if vm.stop_record == StopRecord::Written {
-            return self.send_unexpected_stop(cx, vm_key, unexpected);
+            return self.queue_order(cx, vm_key, QueuedOrder::StopUnexpected(unexpected));
         }
         if !vm.unexpected_runs.contains(&unexpected) {
             vm.unexpected_runs.push(unexpected);
@@ -117,13 +117,46 @@
         self.progress.request_stops_write();
     }
 
-    fn send_unexpected_stop(&mut self, cx: &mut Cx, vm_key: VmKey, unexpected: UnexpectedRun) {
+    /// Sends the stop of a run that is not assigned to the VM. Returns whether it was sent.
+    pub(in crate::core::workload::placer) fn send_unexpected_stop(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        unexpected: UnexpectedRun,
+    ) -> bool {
         let Some(vm) = self.fleet.vms.get(&vm_key) else {
-            return;
+            return false;
         };
         let order = vm.order_for(unexpected.task, unexpected.run, cx.now);
+        self.send_stop_order(cx, order, vm.address.clone(), unexpected.reason);
+        true
+    }
+
+    /// Sends the stop of a run, unless the run has ended. Returns whether it was sent.
+    pub(in crate::core::workload::placer) fn send_stop(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+        number: RunNumber,
+        reason: &'static str,
+    ) -> bool {
+        let name = self.registry.task_name(task);
+        let (Some(name), Some(vm)) = (name, self.fleet.vms.get_mut(&vm_key)) else {
+            return false;
+        };
+        let run = vm.runs.get_mut(&task);
+        let Some(run) = run.filter(|run| run.number == number) else {
+            return false;
+        };
+        run.phase = Phase::Stopping {
+            acked_at: None,
+            retry_at: cx.now + cx.options.vms.order_timeout,
+        };
+        let order = vm.order_for(name, number, cx.now);
         let address = vm.address.clone();
-        self.send_stop(cx, order, address, unexpected.reason);
+        self.send_stop_order(cx, order, address, reason);
+        true
     }
 
     /// Returns the value of the stops row to write, with the keys of its VMs; `None` if the stored row
@@ -186,7 +219,7 @@
                 self.order_stop(cx, key, task, reason);
             }
             for unexpected in unexpected_runs {
-                self.send_unexpected_stop(cx, key, unexpected);
+                self.queue_order(cx, key, QueuedOrder::StopUnexpected(unexpected));
             }
         }
     }
@@ -296,7 +329,13 @@
         }
     }
 
-    fn send_stop(&self, cx: &mut Cx, order: OrderId, address: Box<str>, reason: &'static str) {
+    fn send_stop_order(
+        &self,
+        cx: &mut Cx,
+        order: OrderId,
+        address: Box<str>,
+        reason: &'static str,
+    ) {
         cx.log(Decision::StopOrdered {
             id: order.task.job.clone(),
             task: order.task.to_string().into(),
--- a/src/core/workload/placer/orders/throttle.rs
+++ b/src/core/workload/placer/orders/throttle.rs
@@ -14,10 +14,12 @@
 use crate::core::workload::event::OrderId;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
+use crate::core::workload::placer::orders::queue::QueuedOrder;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
+use crate::core::workload::task::RunNumber;
 
 /// Speed of a task that is not throttled, in percent.
 pub(in crate::core::workload::placer) const FULL_SPEED_PERCENT: u32 = 100;
@@ -132,6 +134,7 @@
         let tasks = vm.runs.iter().filter(|(_, run)| needs_change(run));
         let mut tasks: Vec<TaskKey> = tasks.map(|(&task, _)| task).collect();
         tasks.sort_unstable();
+        let mut orders = Vec::with_capacity(tasks.len());
         for task in tasks {
             let (Some(name), Some(run)) = (self.registry.task_name(task), vm.runs.get_mut(&task))
             else {
@@ -147,17 +150,39 @@
                 tail_ms,
                 target_ms,
             });
-            let number = run.number;
-            let order = vm.order_for(name, number, cx.now);
-            cx.send(Request::SetSpeed {
-                order,
-                address: vm.address.clone(),
-                epoch: self.owner.epoch,
-                percent,
-                timeout: cx.options.vms.order_timeout,
-            });
+            orders.push(QueuedOrder::Speed(task, run.number));
+        }
+        for order in orders {
+            self.queue_order(cx, key, order);
         }
     }
+
+    /// Sends the speed limit that is requested last for a run, unless the run has ended. Returns
+    /// whether it was sent.
+    pub(in crate::core::workload::placer) fn send_speed(
+        &mut self,
+        cx: &mut Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+        number: RunNumber,
+    ) -> bool {
+        let name = self.registry.task_name(task);
+        let (Some(name), Some(vm)) = (name, self.fleet.vms.get(&vm_key)) else {
+            return false;
+        };
+        let run = vm.runs.get(&task).filter(|run| run.number == number);
+        let Some(percent) = run.and_then(|run| run.requested_speed_percent) else {
+            return false;
+        };
+        cx.send(Request::SetSpeed {
+            order: vm.order_for(name, number, cx.now),
+            address: vm.address.clone(),
+            epoch: self.owner.epoch,
+            percent,
+            timeout: cx.options.vms.order_timeout,
+        });
+        true
+    }
 }
 
 fn is_running(run: &Run, now: Now) -> bool {
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -14,6 +14,7 @@
 use crate::core::workload::event::ConnectionId;
 use crate::core::workload::event::OrderId;
 use crate::core::workload::event::VmRow;
+use crate::core::workload::placer::orders::queue::OrderQueue;
 use crate::core::workload::placer::orders::stops::StopRecord;
 use crate::core::workload::placer::orders::stops::UnexpectedRun;
 use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
@@ -127,6 +128,7 @@
     /// Number of runs whose task has a latency target.
     pub latency_tasks: u32,
     pub runs: FxHashMap<TaskKey, Run>,
+    pub orders: OrderQueue,
     pub renewal: RenewalState,
     /// When the VM last answered a renewal; initially when it was added.
     pub last_answer_at: Now,
@@ -245,6 +247,7 @@
             speed_changed_at: Now::ZERO,
             latency_tasks: 0,
             runs: FxHashMap::default(),
+            orders: OrderQueue::default(),
             renewal: RenewalState::default(),
             last_answer_at: now,
             avoid_until: Now::ZERO,
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -43,6 +43,7 @@
         self.inherits_stops = false;
         self.inherited_stops_until = Now::ZERO;
         self.unexpected_runs.clear();
+        self.orders.begin_lifetime();
         self.unanswered_since = None;
         self.preempted_until = Now::ZERO;
         self.processed_seq = 0;
--- a/src/core/workload/placer/state/run.rs
+++ b/src/core/workload/placer/state/run.rs
@@ -30,7 +30,8 @@
     pub delivery: Delivery,
     /// Lifetime of the VM in which the run executes.
     pub host: HostLifetime,
-    /// When the start order was sent, or when the run of an earlier placer was adopted.
+    /// When the start order was sent, or queued if it is not sent yet, or when the run of an earlier
+    /// placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
     /// Speed limit that the VM last accepted, in percent.
@@ -67,6 +68,8 @@
     AwaitsCheck,
     /// Not sent: the VM has answered, but not the VMs of all other members of the gang.
     AwaitsMembers,
+    /// Not sent: waits for its turn among the orders to the VM.
+    Queued,
     /// Sent to a VM that may have been down already.
     Unchecked,
     /// Sent right after the VM had answered a check.
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -1,12 +1,10 @@
-//! HTTP over compio sockets: a server, a client with pooled connections and a limiter of concurrent
-//! exchanges with each server.
+//! HTTP over compio sockets: a server and a client with pooled connections.
 
 mod client;
 mod deadline;
 mod error;
 mod exec;
 mod label;
-mod limiter;
 mod pool;
 mod progress;
 mod server;
@@ -19,8 +17,6 @@
 pub use error::Result;
 pub use exec::LocalExecutor;
 pub use label::CallLabel;
-pub use limiter::ExchangePermit;
-pub use limiter::PerServerLimiter;
 pub use pool::ConnId;
 pub use server::Body;
 pub use server::StopReceiver;
--- a/tests/workload/cut_off.rs
+++ b/tests/workload/cut_off.rs
@@ -84,7 +84,7 @@
 }
 
 impl Daemon {
-    fn answer_all_commits(&mut self) {
+    pub(crate) fn answer_all_commits(&mut self) {
         while self
             .requests
             .iter()
@@ -95,7 +95,7 @@
     }
 
     /// Answers all renewals: those of the silent VM with an error, the others with a report.
-    fn answer_renewals(&mut self, silent: Option<&str>) {
+    pub(crate) fn answer_renewals(&mut self, silent: Option<&str>) {
         let is_renewal = |req: &Request| matches!(req, Request::Renew { .. });
         while self.requests.iter().any(is_renewal) {
             let req = self.take(is_renewal);
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -26,6 +26,7 @@
 mod lost_starts;
 mod moves;
 mod odd_rows;
+mod overtaken_orders;
 mod pace;
 mod partial_outage;
 mod preemption;
--- a/tests/workload/terms.rs
+++ b/tests/workload/terms.rs
@@ -15,6 +15,7 @@
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::Call;
+use ragwortstall::core::workload::event::EvacuationRow;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedAnswer;
 use ragwortstall::core::workload::event::FeedRow;
@@ -187,7 +188,7 @@
     }
 
     /// Tells the daemon that another one holds the role; returns that one's owner row.
-    fn lose_role(&mut self) -> TableRow {
+    pub(crate) fn lose_role(&mut self) -> TableRow {
         let owner = r#"{"epoch":2,"daemon":"entry-1","nonce":7}"#;
         let beat = format!(r#"{{"owner":{owner},"released":false,"loading":false}}"#);
         let row = self.row("beat", &beat);
@@ -271,13 +272,19 @@
     /// Answers a renewal with a report of a VM on which nothing runs or has ended, as far as it can
     /// tell yet.
     pub(crate) fn report(&mut self, req: &Request) {
+        self.report_with_clock(req, Duration::ZERO);
+    }
+
+    /// Does the same for a VM whose clock has started at a time.
+    pub(crate) fn report_with_clock(&mut self, req: &Request, clock_start: Now) {
         let Request::Renew { renewal, .. } = req else {
             panic!("unexpected request {req:?}");
         };
+        let clock = self.now.saturating_sub(clock_start);
         let report = RenewalReport {
             connection: 1,
             started_ms: 0,
-            clock_ms: u64::try_from(self.now.as_millis()).expect("a short test"),
+            clock_ms: u64::try_from(clock.as_millis()).expect("a short test"),
             running: Vec::new(),
             ended: Vec::new(),
         };
@@ -285,6 +292,16 @@
         self.apply(Event::Answer(Answer::Renewed(renewal, Ok(report))));
     }
 
+    /// Receives a request of an operator to evacuate a zone.
+    pub(crate) fn evacuate(&mut self, zone: &str) {
+        let row = EvacuationRow {
+            zone: zone.into(),
+            requested: true,
+            fault: None,
+        };
+        self.answer_feed(Feed::Config, vec![FeedRow::Evacuation(row)]);
+    }
+
     fn is_settled(&self, term: u64) -> bool {
         let mut decisions = self.decisions.iter();
         decisions.any(|line| matches!(line, Decision::Settled { epoch, .. } if *epoch == term))
