Count a VM as known after a takeover once it has listed all its ends

Cause: a VM lists 500 ended runs at most. The successor took a VM for settled with its first report, full or not, and started the tasks again whose ends came with the next lists.

Fix: a VM delays `settled` until a report that is not full is processed, or until its lease is over if it is lost. It works because a report that is not full names every end that is not acknowledged, and ends are acknowledged only once their effects are stored.

Nothing stored or sent has changed.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -132,7 +132,8 @@
             let lease_end = vm.lease_deadline_ms(cx.now, options.lease);
             let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
-            let waits = vm.fenced && vm.stored_seq == vm.processed_seq && vm.renewal.failures == 0;
+            let is_stored = vm.stored_seq == vm.processed_seq;
+            let waits = vm.fully_reported && is_stored && vm.renewal.failures == 0;
             let wait = if waits {
                 vm.stall.limit_wait(cx.now, renewal_wait)
             } else {
@@ -219,7 +220,7 @@
     }
 
     /// Checks whether every run that an earlier placer may have started is accounted for: each VM
-    /// in the roster has answered a renewal of this epoch, or its lease must have expired; and the
+    /// in the roster has listed all its runs to this epoch, or its lease must have expired; and the
     /// runs that an earlier placer was stopping, whose tasks may start again, have ended.
     fn check_settled(&mut self, cx: &mut Cx) {
         if self.settled {
@@ -227,8 +228,13 @@
         }
         let expiry = self.former_renews_until + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
         let is_pending = |vm: &&Vm| {
-            let may_run_unknown = !vm.fenced && vm.roster_state.is_inherited() && cx.now < expiry;
-            may_run_unknown || cx.now < vm.inherited_stops_until
+            let is_lost = if vm.fenced {
+                vm.renewal.failures > 0 && vm.is_lease_expired(cx.now)
+            } else {
+                cx.now >= expiry
+            };
+            let is_unknown = vm.roster_state.is_inherited() && !vm.fully_reported;
+            is_unknown && !is_lost || cx.now < vm.inherited_stops_until
         };
         let pending = self.fleet.vms.values().filter(is_pending);
         let vms: Box<[VmId]> = pending.map(|vm| vm.id.clone()).collect();
@@ -295,6 +301,7 @@
         let last_seq = report.ended.iter().map(|ended| ended.seq).max();
         vm.processed_seq = vm.processed_seq.max(last_seq.unwrap_or(0));
         let is_complete = report.ended.len() < MAX_ENDED_PER_REPORT;
+        vm.fully_reported |= is_complete;
         self.process_ended_tasks(cx);
         self.missing.clear_runs(key);
         self.reconcile(cx, key, sent, &report.running, is_complete);
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -92,6 +92,9 @@
     pub lease_end_ms: u64,
     /// Whether the VM has answered a renewal of this epoch, and so rejects earlier epochs.
     pub fenced: bool,
+    /// Whether the VM has listed all runs that had ended before a report, and so all runs of earlier
+    /// placers are known.
+    pub fully_reported: bool,
     /// Time before which no tasks are placed: a run that is being stopped may still use resources
     /// although the VM lists it neither as running nor as ended.
     pub capacity_uncertain_until: Now,
@@ -231,6 +234,7 @@
             clock: None,
             lease_end_ms: 0,
             fenced: false,
+            fully_reported: false,
             capacity_uncertain_until: Now::ZERO,
             uncounted_runs: 0,
             inherits_stops: false,
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -37,6 +37,7 @@
         self.clock = None;
         self.lease_end_ms = 0;
         self.fenced = false;
+        self.fully_reported = false;
         self.roster_state = self.roster_state.after_restart();
         self.capacity_uncertain_until = Now::ZERO;
         self.uncounted_runs = 0;
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -15,6 +15,7 @@
 mod evacuation_moves;
 mod evacuation_view;
 mod faults;
+mod full_reports;
 mod harness;
 mod isolation;
 mod jobs;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -21,6 +21,9 @@
 /// Default time that a VM takes to stop a run.
 pub(crate) const STOP_TIME: Duration = Duration::from_millis(700);
 
+/// Largest number of ended runs in one report.
+pub(crate) const MAX_ENDED_PER_REPORT: usize = 500;
+
 /// Longest lease that a VM grants, in milliseconds of its clock.
 const MAX_LEASE_MS: u64 = 6_000;
 
@@ -221,6 +224,7 @@
         self.ended.retain(|ended| ended.seq > ack);
         let acknowledged = self.ended_at.len() - self.ended.len();
         self.ended_at.drain(..acknowledged);
+        let listed = self.ended.iter().take(MAX_ENDED_PER_REPORT);
         let live = self.runs.iter().filter(|(_, run)| run.stopped_at.is_none());
         let running = live.map(|(task, run)| RunningTask {
             task: task.clone(),
@@ -238,7 +242,7 @@
             started_ms: self.started_ms,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: listed.cloned().collect(),
         })
     }
 
