Renew leases without the table only while most VMs confirm it

Cause: a placer that had lost the table, but reached its VMs, renewed leases beyond the grace that its heartbeat names, until the first VM refused its epoch. The successor counted that it stops at the end of the grace. A VM that only the former placer reached held its lease for longer than the successor waited. A placer that woke from a freeze renewed all leases in the same way.

Fix: beyond the grace a placer renews leases and starts tasks only while more than three quarters of its VMs have accepted a call that it sent lately. The successor counts from the time at which it has reached a third of the VMs, plus the age up to which such calls count, which the heartbeat names. It works because the two shares overlap: a VM that the successor has reached refuses the former placer's epoch, so that it lacks an answer after that age.

Work survives a table that is away for all daemons: tests renew the leases of 30 and 250 VMs through 20 s. Heartbeats have one more field, which earlier versions ignore; without it the longest age counts.

The checks of how long a successor waits assumed its former rule; they now have two VMs that the successor reaches, and compare with the later of both times.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -260,6 +260,13 @@
         vms: Box<[VmId]>,
         latest_ms: u64,
     },
+    /// The placer stops renewing leases, as the table does not answer and too few VMs confirm that it
+    /// has not been replaced, or renews them again.
+    RenewalAuthority {
+        epoch: Epoch,
+        held: bool,
+        heartbeat_age_ms: u64,
+    },
     /// All VMs of the former placer are fenced or their leases have expired.
     Settled { epoch: Epoch, took_ms: u64 },
     /// A followed table became unavailable or available again. `age_ms` is the time since its last
--- a/src/core/workload/former.rs
+++ b/src/core/workload/former.rs
@@ -16,8 +16,11 @@
 pub(super) struct Former {
     /// Daemon; empty if unknown.
     pub daemon: DaemonId,
-    /// Latest time at which it, or a holder before it, may still renew leases.
+    /// Latest time at which it, or a holder before it, may still renew leases by heartbeats alone.
     pub renews_until: Now,
+    /// Age up to which answers of VMs allow one of them to renew leases after that; `None` if they are
+    /// known to be inactive.
+    pub confirms: Option<Duration>,
     /// Whether it has released the role.
     pub released: bool,
 }
@@ -29,6 +32,7 @@
         Self {
             daemon: last.map_or("".into(), |last| last.row.owner.daemon.clone()),
             renews_until: renews_until(cx, feeds, heartbeats),
+            confirms: confirms(cx, heartbeats),
             released: last.is_some_and(|last| last.row.released),
         }
     }
@@ -58,6 +62,22 @@
     own.max(earlier)
 }
 
+/// Returns the age up to which answers of VMs allow the former holder, or one before it, to renew
+/// leases without the table; `None` if they are known to be inactive.
+fn confirms(cx: &Cx, heartbeats: &HeartbeatMonitor) -> Option<Duration> {
+    let longest = cx.options.longest_confirmation_age();
+    let Some(last) = heartbeats.heartbeat() else {
+        return Some(longest);
+    };
+    let is_settled = !last.row.loading && last.row.former_renews_ms == 0;
+    if !is_settled {
+        return Some(longest);
+    }
+    let is_inactive = is_inactive(cx, &last.row) || heartbeats.holder_has_ended();
+    let own = last.row.confirms_ms.map_or(longest, Duration::from_millis);
+    (!is_inactive).then_some(own)
+}
+
 /// Returns whether the sender of a heartbeat is known to be inactive: an earlier process of this
 /// daemon, or a holder that has released the role.
 pub(super) fn is_inactive(cx: &Cx, heartbeat: &HeartbeatRow) -> bool {
--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -98,6 +98,9 @@
     pub max_renewal_wait: Duration,
     /// Target for the maximum rate of renewals, per second.
     pub renewals_per_second: u32,
+    /// Shortest interval of the calls to a VM by which a placer without the table finds out whether it
+    /// has been replaced.
+    pub confirmation_interval: Duration,
     /// Time beyond the wait of a renewal after which a VM that does not answer gets no new tasks.
     pub unresponsive_after: Duration,
     /// Time beyond its wait after which a renewal times out.
@@ -162,6 +165,30 @@
         )
     }
 
+    /// Returns the interval of the calls to a VM by which a placer without the table finds out whether
+    /// it has been replaced, in a fleet of this size.
+    #[must_use]
+    pub fn confirmation_interval(&self, vms: usize) -> Duration {
+        let options = &self.vms;
+        let vms = u32::try_from(vms).unwrap_or(u32::MAX);
+        let interval = Duration::from_secs(1) * vms / options.renewals_per_second.max(1);
+        interval.clamp(options.confirmation_interval, options.max_renewal_wait)
+    }
+
+    /// Returns the age up to which the answer of a VM confirms that a placer without the table has not
+    /// been replaced, in a fleet of this size. It is counted from the call.
+    #[must_use]
+    pub fn max_confirmation_age(&self, vms: usize) -> Duration {
+        self.confirmation_interval(vms) + self.vms.renewal_margin
+    }
+
+    /// Returns the same for a fleet of any size. A placer of an earlier version, which does without such
+    /// answers, is refused by a VM that its successor has reached within that time.
+    #[must_use]
+    pub fn longest_confirmation_age(&self) -> Duration {
+        self.max_confirmation_age(usize::MAX)
+    }
+
     /// Returns the age up to which the view of the evacuation requests may be relied on; `None` for
     /// any age.
     #[must_use]
@@ -211,6 +238,7 @@
             renewal_wait: Duration::from_millis(900),
             max_renewal_wait: Duration::from_secs(2),
             renewals_per_second: 100,
+            confirmation_interval: Duration::from_millis(400),
             unresponsive_after: Duration::from_millis(250),
             renewal_margin: Duration::from_millis(500),
             order_timeout: Duration::from_millis(600),
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -30,7 +30,6 @@
 use super::policy::admission::WaitEstimator;
 use super::policy::advice_use::AdviceUse;
 use super::policy::authority::NamedGrace;
-use super::policy::authority::is_minority;
 use super::policy::estimates::RunTimeEstimates;
 use super::policy::round_interval::RoundTimer;
 use super::policy::wait_reasons::WaitTimes;
@@ -66,8 +65,14 @@
     granted_at: Now,
     /// Time up to which all changes of the jobs table are applied.
     jobs_known_at: Now,
-    /// Latest time at which a former placer, or one before it, may still renew leases.
+    /// Latest time at which a former placer, or one before it, may still renew leases by heartbeats
+    /// alone.
     former_renews_until: Now,
+    /// Age up to which answers of VMs allow a former placer to renew leases after that; `None` if
+    /// there is none that may be active.
+    former_confirms: Option<Duration>,
+    /// When this placer had reached so many VMs that a former one stops; `None` before.
+    share_fenced_at: Option<Now>,
     /// Send time of the last progress write that was committed; initially the time of the grant.
     last_commit_sent_at: Now,
     /// Send time of the last heartbeat that was stored; initially the time of the grant. A successor
@@ -75,6 +80,8 @@
     last_heartbeat_sent_at: Now,
     /// Grace that the heartbeats since then have named.
     named_grace: NamedGrace,
+    /// Whether this placer might renew leases and start tasks when that was last looked at.
+    had_authority: bool,
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
@@ -205,9 +212,12 @@
         self.write_late_heartbeat(cx);
         self.archive_jobs(cx);
         self.read_missing_parts(cx);
-        if !self.is_partitioned(cx) {
+        let has_authority = self.update_authority(cx);
+        if has_authority {
             self.check_stalls(cx);
-            self.send_renewals(cx);
+        }
+        self.send_renewals(cx, has_authority);
+        if has_authority {
             self.run_round(cx, heartbeats);
         }
         None
@@ -231,7 +241,8 @@
         );
         at = earliest(at, self.late_heartbeat_at(cx));
         at = earliest(at, self.missing.wake_at());
-        if self.is_partitioned(cx) {
+        at = earliest(at, self.fleet.next_renewal_at());
+        if !self.has_authority(cx) {
             return at;
         }
         at = earliest(
@@ -239,8 +250,7 @@
             self.next_round_at
                 .map(|at| self.earliest_round_at(cx).max(at)),
         );
-        at = earliest(at, Some(self.stall_checks.next_at()));
-        earliest(at, self.fleet.next_renewal_at())
+        earliest(at, Some(self.stall_checks.next_at()))
     }
 
     /// Applies the current configuration to all jobs.
@@ -377,22 +387,6 @@
         self.release == Release::Done
     }
 
-    /// Returns whether this daemon seems to be on the minority side of a network partition: neither
-    /// the table nor a large share of the VMs answers.
-    ///
-    /// Another daemon may then hold the role without being able to reach the VMs that this daemon
-    /// still reaches. It can restart their tasks only after their leases have expired, so this
-    /// daemon must stop renewing them.
-    fn is_partitioned(&self, cx: &Cx) -> bool {
-        let grace = self.renewal_grace(cx).min(self.named_grace.shortest());
-        if cx.now < self.last_heartbeat_sent_at + grace {
-            return false;
-        }
-        let vms = self.fleet.vms.values();
-        let silent = vms.filter(|vm| vm.renewal.failures > 0).count();
-        is_minority(silent, self.fleet.vms.len())
-    }
-
     /// Returns the time for which leases may be renewed after a heartbeat, in the present fleet.
     fn renewal_grace(&self, cx: &Cx) -> Duration {
         cx.options.renewal_grace(self.renewal_wait(cx))
@@ -438,10 +432,14 @@
             waiting_age_ms: millis(cx.now.saturating_sub(self.jobs_known_at)),
             waits: self.wait_rows(),
             renews_ms: Some(millis(self.renewal_grace(cx))),
+            confirms_ms: Some(millis(
+                cx.options.max_confirmation_age(self.fleet.vms.len()),
+            )),
             former_renews_ms: if self.settled {
                 0
             } else {
-                millis(self.former_renews_until.saturating_sub(cx.now))
+                let left = self.former_renews_until.saturating_sub(cx.now);
+                millis(left).max(1)
             },
         }
     }
--- a/src/core/workload/placer/orders/mod.rs
+++ b/src/core/workload/placer/orders/mod.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+pub(in crate::core::workload::placer) mod authority;
 pub(in crate::core::workload::placer) mod checks;
 pub(in crate::core::workload::placer) mod completion;
 pub(in crate::core::workload::placer) mod crashes;
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -117,9 +117,14 @@
         }
     }
 
-    /// Sends the renewals that are due.
-    pub(in crate::core::workload::placer) fn send_renewals(&mut self, cx: &mut Cx) {
+    /// Sends the renewals that are due. Without the authority of the role, they only read the reports.
+    pub(in crate::core::workload::placer) fn send_renewals(
+        &mut self,
+        cx: &mut Cx,
+        has_authority: bool,
+    ) {
         let renewal_wait = self.renewal_wait(cx);
+        let may_wait = !self.needs_confirmations(cx);
         for key in self.fleet.due_renewals(cx.now) {
             self.fleet.begin_renewal(key, cx.now);
             let Some(vm) = self.fleet.vms.get_mut(&key) else {
@@ -128,12 +133,12 @@
             let options = &cx.options.vms;
             // A VM that failed to answer is polled without renewing its lease, so that the lease
             // can expire.
-            let renews = vm.renewal.failures == 0;
+            let renews = has_authority && vm.renewal.failures == 0;
             let lease_end = vm.lease_deadline_ms(cx.now, options.lease);
             let deadline_ms = lease_end.filter(|_| renews);
             vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
             let is_stored = vm.stored_seq == vm.processed_seq;
-            let waits = vm.fully_reported && is_stored && vm.renewal.failures == 0;
+            let waits = may_wait && vm.fully_reported && is_stored && vm.renewal.failures == 0;
             let wait = if waits {
                 vm.stall.limit_wait(cx.now, renewal_wait)
             } else {
@@ -226,7 +231,8 @@
         if self.settled {
             return;
         }
-        let expiry = self.former_renews_until + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
+        self.record_fenced_share(cx.now);
+        let expiry = self.former_stops_at() + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
         let is_pending = |vm: &&Vm| {
             let is_lost = if vm.fenced {
                 vm.renewal.failures > 0 && vm.is_lease_expired(cx.now)
@@ -289,6 +295,7 @@
             received_at: cx.now,
         });
         vm.report_connection = Some(report.connection);
+        vm.confirmed_at = vm.confirmed_at.max(sent);
         record_contact(cx, vm);
         vm.stall.reported_to = sent;
         for ended in report
@@ -307,15 +314,26 @@
         self.reconcile(cx, key, sent, &report.running, is_complete);
         self.update_uncounted_runs(key, is_complete);
         self.throttle_fillers(cx, key);
-        if let Some(vm) = self.fleet.vms.get(&key) {
-            let is_stored = vm.stored_seq == vm.processed_seq;
-            let has_lease = vm.lease_end_ms > report.clock_ms;
-            let delay = match (has_lease, is_stored) {
-                (false, _) => Duration::ZERO,
-                (true, true) => cx.options.vms.renewal_gap,
-                (true, false) => STORE_WAIT,
-            };
-            self.fleet.schedule_renewal(key, cx.now + delay);
+        let next_at = self.next_renewal_at(cx, key, sent);
+        self.fleet.schedule_renewal(key, next_at);
+    }
+
+    /// Returns the time of the renewal of a VM that follows an answered one, which was sent at `sent`.
+    fn next_renewal_at(&self, cx: &Cx, key: VmKey, sent: Now) -> Now {
+        let Some(vm) = self.fleet.vms.get(&key) else {
+            return cx.now;
+        };
+        let gap = cx.options.vms.renewal_gap;
+        let has_lease = vm.clock.is_some_and(|clock| vm.lease_end_ms > clock.ms);
+        if self.needs_confirmations(cx) && (has_lease || !self.had_authority) {
+            let interval = cx.options.confirmation_interval(self.fleet.vms.len());
+            return (sent + interval).max(cx.now + gap);
+        }
+        let is_stored = vm.stored_seq == vm.processed_seq;
+        match (has_lease, is_stored) {
+            (false, _) => cx.now,
+            (true, true) => cx.now + gap,
+            (true, false) => cx.now + STORE_WAIT,
         }
     }
 
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -92,7 +92,7 @@
         let vm = self.fleet.vms.get(&vm_key);
         if self.release != Release::NotRequested {
             Some("the role is being released")
-        } else if self.is_partitioned(cx) {
+        } else if !self.has_authority(cx) {
             Some("another placer may have taken over")
         } else if !vm.is_some_and(|vm| vm.accepts_starts(cx)) {
             Some("the VM accepts no starts")
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -135,6 +135,9 @@
     pub renewal: RenewalState,
     /// When the VM last answered a renewal; initially when it was added.
     pub last_answer_at: Now,
+    /// When the last renewal was sent whose epoch this lifetime of the VM has accepted; zero if none
+    /// was.
+    pub confirmed_at: Now,
     /// Time before which no tasks are placed, after a start failed or several jobs failed in a row.
     pub avoid_until: Now,
     /// When the first start was sent since the VM last answered an order or a renewal; `None` if
@@ -254,6 +257,7 @@
             orders: OrderQueue::default(),
             renewal: RenewalState::default(),
             last_answer_at: now,
+            confirmed_at: Now::ZERO,
             avoid_until: Now::ZERO,
             unanswered_since: None,
             preempted_until: Now::ZERO,
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -38,6 +38,7 @@
         self.lease_end_ms = 0;
         self.fenced = false;
         self.fully_reported = false;
+        self.confirmed_at = Now::ZERO;
         self.roster_state = self.roster_state.after_restart();
         self.capacity_uncertain_until = Now::ZERO;
         self.uncounted_runs = 0;
--- a/src/core/workload/policy/authority.rs
+++ b/src/core/workload/policy/authority.rs
@@ -1,12 +1,16 @@
-//! How long a placer may renew leases after its last heartbeat, and when it has to assume that it is
-//! on the smaller side of a network partition.
+//! When a placer may renew leases: for a time after its last heartbeat, and then only while most VMs
+//! confirm that no successor has reached them.
 
 use std::time::Duration;
 
-/// While the table does not answer, the placer assumes a network partition if at least one in this
-/// many VMs is silent.
+/// While the table does not answer, the placer assumes that it has been replaced if at least one in
+/// this many VMs does not confirm the contrary.
 const PARTITION_DIVISOR: usize = 4;
 
+/// A successor that has reached one in this many VMs has reached one of those that the former placer
+/// needs. It is a larger part than that, as the two may know different fleets.
+const FENCED_DIVISOR: usize = 3;
+
 /// Returns the time after a stored heartbeat for which a placer may renew leases although it stores
 /// no other. A cut that begins just before the next heartbeat is noticed when the renewals in flight
 /// time out, which takes `detection`; the second interval covers the way of the heartbeats.
@@ -69,9 +73,16 @@
     }
 }
 
-/// Returns whether so many VMs are silent that the placer may be cut off from a successor that can
-/// reach them.
+/// Returns whether so many VMs have not confirmed lately that the placer is not replaced that a
+/// successor may have reached them.
+#[must_use]
+pub fn is_minority(unconfirmed_vms: usize, vms: usize) -> bool {
+    unconfirmed_vms * PARTITION_DIVISOR >= vms
+}
+
+/// Returns whether a successor has reached so many VMs that a former placer without the table learns
+/// of it.
 #[must_use]
-pub fn is_minority(silent_vms: usize, vms: usize) -> bool {
-    silent_vms * PARTITION_DIVISOR >= vms
+pub fn stops_former(fenced_vms: usize, vms: usize) -> bool {
+    fenced_vms * FENCED_DIVISOR >= vms
 }
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -205,8 +205,12 @@
     /// storing another one; `None` from an earlier version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub renews_ms: Option<u64>,
-    /// Time in milliseconds for which earlier placers may renew leases after this heartbeat; zero
-    /// once no run of theirs can be unknown.
+    /// Age in milliseconds up to which answers of VMs allow the placer to renew leases after that time;
+    /// `None` from an earlier version, which renews them unless many VMs are silent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirms_ms: Option<u64>,
+    /// Time in milliseconds for which earlier placers may renew leases after this heartbeat without
+    /// answers of VMs; zero once no run of theirs can be unknown.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub former_renews_ms: u64,
 }
@@ -266,7 +270,7 @@
 impl HeartbeatRow {
     /// Returns a heartbeat of a placer that loads its rows and renews no lease yet. When it has
     /// loaded them, it may renew leases for at most `renews`. Earlier placers may do so for at most
-    /// `former_renews`.
+    /// `former_renews`, or longer by answers of VMs.
     pub fn loading(owner: OwnerRow, renews: Duration, former_renews: Duration) -> Self {
         Self {
             owner,
@@ -276,6 +280,7 @@
             waiting_age_ms: 0,
             waits: Vec::new(),
             renews_ms: Some(millis(renews)),
+            confirms_ms: None,
             former_renews_ms: millis(former_renews),
         }
     }
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -47,6 +47,9 @@
         {
             return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
         }
+        if let Some((timeout, answer)) = self.cut_order(daemon, &req) {
+            return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
+        }
         if let Some((timeout, answer)) = self.silent_start(&req) {
             return self.send_after(timeout, Message::Answer(daemon, lifetime, answer));
         }
@@ -154,6 +157,36 @@
         is_silent.then_some((timeout, answer))
     }
 
+    /// Returns the answer to an order or a renewal of a VM that a daemon cannot reach, and the time after
+    /// which it is given.
+    fn cut_order(&self, daemon: usize, req: &Request) -> Option<(Duration, Answer)> {
+        let err = OrderError::NoAnswer("timed out".into());
+        let (vm, timeout, answer) = match req {
+            Request::Start(start) => {
+                let order = start.order.clone();
+                let answer = Answer::Started(order, Err(StartError::Order(err)));
+                (&start.order.vm, start.timeout, answer)
+            }
+            Request::Check { order, timeout, .. } => {
+                let answer = Answer::Checked(order.clone(), Err(err));
+                (&order.vm, *timeout, answer)
+            }
+            Request::Stop { order, timeout, .. } => {
+                let answer = Answer::Stopped(order.clone(), Err(err));
+                (&order.vm, *timeout, answer)
+            }
+            Request::Renew {
+                renewal, timeout, ..
+            } => {
+                let answer = Answer::Renewed(renewal.clone(), Err(err));
+                (&renewal.vm, *timeout, answer)
+            }
+            _ => return None,
+        };
+        let is_cut = self.cut_paths.contains(&(daemon, vm.clone()));
+        is_cut.then_some((timeout, answer))
+    }
+
     /// Answers an advice query after the time that the service takes; rejects some VMs.
     fn answer_advice(&mut self, daemon: usize, lifetime: u64, query: AdviceQuery) {
         let timing = self.advice.expect("a queue with advice");
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -129,6 +129,8 @@
     pub remaining_failures: BTreeMap<TaskName, u32>,
     /// VMs that neither carry out nor answer anything, as if they were cut off.
     pub silent_vms: BTreeSet<Box<str>>,
+    /// Daemons and VMs between which no new call gets through.
+    pub cut_paths: BTreeSet<(usize, Box<str>)>,
     /// VMs whose answers to start orders are lost.
     pub lost_start_answers: BTreeSet<Box<str>>,
     /// Number of the next stop orders that are lost.
@@ -252,6 +254,7 @@
             vms: vms.collect(),
             remaining_failures: BTreeMap::new(),
             silent_vms: BTreeSet::new(),
+            cut_paths: BTreeSet::new(),
             lost_start_answers: BTreeSet::new(),
             lost_stops: 0,
             table_up: true,
--- a/tests/workload/renewal_grace.rs
+++ b/tests/workload/renewal_grace.rs
@@ -1,6 +1,7 @@
-//! A placer that is cut off together with some of the VMs renews their leases for no longer than its
-//! heartbeats say, and its successor waits for as long.
+//! How long a placer without the table renews leases, and how long its successor waits: as its heartbeats
+//! say, and after that as long as most VMs confirm that no successor has reached them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ragwortstall::core::model::Now;
@@ -13,8 +14,14 @@
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::ReadPurpose;
+use ragwortstall::core::workload::table::HEARTBEATS;
 use ragwortstall::core::workload::table::Page;
+use serde::Deserialize;
 
+use crate::harness::Harness;
+use crate::jobs::ID;
+use crate::jobs::job;
+use crate::jobs::step;
 use crate::support::cases;
 use crate::terms::Daemon;
 use crate::vm::SimVm;
@@ -29,6 +36,15 @@
 /// Lease of a VM, as long as it takes on a slow clock.
 const LEASE: Duration = Duration::from_millis(3_700);
 
+/// Time without the table that is much longer than the grace and a lease.
+const LONG_OUTAGE: Duration = Duration::from_secs(20);
+
+/// Longest time between two renewals of a lease that does not expire meanwhile.
+const MAX_RENEWAL_GAP: Duration = Duration::from_millis(3_500);
+
+/// Age of answers that count, according to a heartbeat without that field.
+const DEFAULT_CONFIRMATION_AGE: Duration = Duration::from_millis(2_500);
+
 /// Placer of a fleet of which one in `reachable_in` VMs stays reachable behind the cut.
 struct CutFleet {
     daemon: Daemon,
@@ -40,6 +56,10 @@
     heartbeat: (Now, Duration),
     /// Send time of the last renewal that prolongs a lease.
     last_renewal: Now,
+    /// Send times of the last renewals that prolong the leases, by VM.
+    renewed_at: BTreeMap<Box<str>, Now>,
+    /// Whether the table answers.
+    table_answers: bool,
 }
 
 impl CutFleet {
@@ -57,6 +77,8 @@
             cut_at: None,
             heartbeat: (Duration::ZERO, DEFAULT_GRACE),
             last_renewal: Duration::ZERO,
+            renewed_at: BTreeMap::new(),
+            table_answers: true,
         }
     }
 
@@ -65,7 +87,7 @@
             self.daemon.tick(TICK);
             self.collect_renewals();
             self.answer_renewals();
-            if self.cut_at.is_none() {
+            if self.cut_at.is_none() && self.table_answers {
                 self.answer_commits();
             }
         }
@@ -83,13 +105,19 @@
         let renewals: Vec<Request> = renewals;
         for req in renewals {
             let Request::Renew {
-                deadline_ms, wait, ..
+                renewal,
+                deadline_ms,
+                wait,
+                ..
             } = &req
             else {
                 continue;
             };
             if deadline_ms.is_some() {
                 self.last_renewal = now;
+                let before = self.renewed_at.insert(renewal.vm.clone(), now);
+                let gap = now.saturating_sub(before.unwrap_or(now));
+                assert!(gap < MAX_RENEWAL_GAP, "{} lapses: {gap:?}", renewal.vm);
             }
             self.renewals.push((now + *wait, req));
         }
@@ -140,6 +168,78 @@
     }
 }
 
+/// Guards against work that is lost because the table is away for all daemons, so that none can take
+/// over.
+fn leases_are_renewed_without_the_table(vms: usize) {
+    let mut fleet = CutFleet::new(vms);
+    fleet.run_for(Duration::from_secs(5));
+    fleet.table_answers = false;
+    fleet.run_for(LONG_OUTAGE);
+    let now = fleet.daemon.now();
+    assert_eq!(fleet.renewed_at.len(), vms);
+    let oldest = fleet.renewed_at.values().min().expect("renewals");
+    assert!(
+        now.saturating_sub(*oldest) < MAX_RENEWAL_GAP,
+        "{now:?}, {oldest:?}"
+    );
+    fleet.table_answers = true;
+    fleet.run_for(Duration::from_secs(5));
+}
+
+cases! {
+    leases_are_renewed_without_the_table;
+    leases_of_a_small_fleet_are_renewed_while_the_table_is_away(30),
+    leases_of_a_large_fleet_are_renewed_while_the_table_is_away(250),
+}
+
+/// Guards against a placer that wakes from a freeze, has been replaced, and renews the leases of all VMs
+/// before it hears of that from the first one.
+#[test]
+fn a_placer_that_wakes_from_a_freeze_renews_no_lease_before_its_vms_answer() {
+    let mut fleet = CutFleet::new(30);
+    fleet.run_for(Duration::from_secs(5));
+    fleet.table_answers = false;
+    let frozen_at = fleet.daemon.now();
+    fleet.daemon.tick(Duration::from_secs(4));
+    fleet.answer_renewals();
+    fleet.collect_renewals();
+    for _ in 0..10 {
+        fleet.daemon.tick(TICK);
+        fleet.collect_renewals();
+    }
+    let last = fleet.last_renewal;
+    assert!(
+        last <= frozen_at,
+        "renewed at {last:?}, frozen at {frozen_at:?}"
+    );
+    assert!(!fleet.renewals.is_empty(), "the VMs are not called");
+}
+
+/// Guards against a task that runs twice: a placer that has lost the table goes on renewing the lease of
+/// a VM that its successor does not reach, beyond the time from which the successor counts.
+#[test]
+fn a_task_on_a_vm_that_only_the_former_placer_reaches_runs_once() {
+    let mut harness = Harness::new(3, 8);
+    let mut spread = step(16, 16_000, &[]);
+    spread.max_per_vm = 3;
+    harness.submit(0, ID, job(vec![spread]));
+    harness.run_for(1_000);
+    assert_eq!(harness.starts.len(), 16);
+    let vm = harness.starts[0].3.clone();
+    let former = harness.placer().expect("a placer");
+    harness.set_table_reachable(former, false);
+    harness.table_latency = Duration::from_millis(150);
+    for daemon in (0..3).filter(|daemon| *daemon != former) {
+        harness.cut_paths.insert((daemon, vm.clone()));
+    }
+    // The cell asserts that no task runs on two VMs.
+    harness.run_for(12_000);
+    assert!(
+        harness.starts.len() > 16,
+        "the tasks of the VM never start again"
+    );
+}
+
 /// Returns whether a VM is cut off together with the placer: one in three.
 fn is_behind_cut(vm: &str) -> bool {
     vm.ends_with(['0', '3', '6'])
@@ -179,30 +279,34 @@
     daemon
 }
 
-/// Takes the role over and returns the time at which the placer counts all earlier runs as ended.
-fn settle(daemon: &mut Daemon) -> Now {
+/// Takes the role over, and reaches all VMs but one. Returns the time at which it has reached them, and
+/// the time at which it counts all earlier runs as ended.
+fn settle(daemon: &mut Daemon) -> (Now, Now) {
     daemon.tick(Duration::from_millis(1_600));
     let owner = daemon.row("owner", r#"{"epoch":2,"daemon":"entry-1","nonce":7}"#);
     daemon.claim(Some(owner));
-    let roster = daemon.row("vm-0", r#"{"address":"vm-0"}"#);
-    daemon.load(&[roster]);
+    let vms = ["vm-0", "vm-1", "vm-2"];
+    let roster = vms.map(|vm| daemon.row(vm, &format!(r#"{{"address":"{vm}"}}"#)));
+    daemon.load(&roster);
+    let reached_at = daemon.now();
     for _ in 0..2_000 {
+        daemon.answer_renewals(Some("vm-0"));
         daemon.tick(TICK);
         let is_settled = |line: &Decision| matches!(line, Decision::Settled { epoch: 3, .. });
         if daemon.decisions.iter().any(is_settled) {
-            return daemon.now();
+            return (reached_at, daemon.now());
         }
     }
     panic!("the placer does not settle");
 }
 
 /// Guards against a successor that waits for a fixed time, while the former placer, or one before
-/// it, may renew leases for longer.
-fn the_successor_waits(fields: &str, renews: Duration) {
+/// it, may renew leases for longer, by its heartbeats or by the answers of VMs.
+fn the_successor_waits(fields: &str, renews: Duration, confirms: Duration) {
     let mut daemon = daemon_with_heartbeat(fields);
     let heard_at = daemon.now();
-    let settled_at = settle(&mut daemon);
-    let least = heard_at + renews + LEASE;
+    let (reached_at, settled_at) = settle(&mut daemon);
+    let least = (heard_at + renews).max(reached_at + confirms) + LEASE;
     assert!(settled_at >= least, "settled at {settled_at:?}");
     let most = least + Duration::from_millis(100);
     assert!(settled_at < most, "settled at {settled_at:?}");
@@ -210,18 +314,68 @@
 
 cases! {
     the_successor_waits;
-    a_successor_waits_for_a_former_placer_of_a_small_fleet(r#""renews_ms":2000"#, Duration::from_secs(2)),
-    a_successor_waits_for_a_former_placer_of_a_large_fleet(r#""renews_ms":3000"#, Duration::from_secs(3)),
+    a_successor_waits_for_a_former_placer_of_a_small_fleet(
+        r#""renews_ms":2000,"confirms_ms":200"#,
+        Duration::from_secs(2),
+        Duration::from_millis(200),
+    ),
+    a_successor_waits_for_a_former_placer_of_a_large_fleet(
+        r#""renews_ms":3000,"confirms_ms":200"#,
+        Duration::from_secs(3),
+        Duration::from_millis(200),
+    ),
+    a_successor_waits_for_answers_of_vms_to_a_former_placer_to_grow_old(
+        r#""renews_ms":2000,"confirms_ms":1500"#,
+        Duration::from_secs(2),
+        Duration::from_millis(1_500),
+    ),
+    a_successor_waits_for_a_former_placer_of_an_earlier_version(
+        r#""renews_ms":2000"#,
+        Duration::from_secs(2),
+        DEFAULT_CONFIRMATION_AGE,
+    ),
+    a_successor_does_not_wait_for_a_placer_that_has_released_the_role(
+        r#""renews_ms":3000,"confirms_ms":1500,"released":true"#,
+        Duration::ZERO,
+        Duration::ZERO,
+    ),
     a_successor_waits_for_the_placer_before_one_that_has_released_the_role(
         r#""renews_ms":3000,"released":true,"former_renews_ms":2500"#,
         Duration::from_millis(2_500),
+        DEFAULT_CONFIRMATION_AGE,
     ),
     a_successor_waits_for_the_placer_before_one_that_was_lost(
-        r#""renews_ms":2000,"former_renews_ms":2500"#,
+        r#""renews_ms":2000,"confirms_ms":200,"former_renews_ms":2500"#,
         Duration::from_millis(2_500),
+        DEFAULT_CONFIRMATION_AGE,
     ),
 }
 
+/// Heartbeat, as the version before the answers of VMs reads it.
+#[derive(Debug, Deserialize)]
+struct FormerHeartbeat {
+    renews_ms: Option<u64>,
+    #[serde(default)]
+    former_renews_ms: u64,
+}
+
+/// Guards against a successor of the former version that cannot read the heartbeat, or that counts from
+/// less than the grace.
+#[test]
+fn the_former_version_reads_the_grace_of_a_heartbeat() {
+    let mut harness = Harness::new(2, 4);
+    harness.run_for(5_000);
+    let rows = harness.table.changes(HEARTBEATS, 0);
+    let row = rows.iter().find(|row| &*row.key == "beat").expect("a row");
+    let value = row.value.as_deref().expect("a value");
+    let beat: FormerHeartbeat = serde_json::from_slice(value).expect("a readable row");
+    assert_eq!(
+        beat.renews_ms.map(Duration::from_millis),
+        Some(DEFAULT_GRACE)
+    );
+    assert_eq!(beat.former_renews_ms, 0);
+}
+
 /// Guards against a successor that counts from a heartbeat before an outage of the table: the former
 /// placer may have renewed leases all the while, and have been cut off at its end.
 #[test]
@@ -235,7 +389,7 @@
     daemon.tick(Duration::from_millis(10));
     daemon.answer_feed(Feed::Heartbeats, Vec::new());
     let recovered_at = daemon.now();
-    let settled_at = settle(&mut daemon);
+    let (_, settled_at) = settle(&mut daemon);
     let least = recovered_at + renews + LEASE;
     assert!(
         settled_at >= least,
