Decide nothing final by the terms of a queue that is not known

Cause: a job's row did not hold the terms of its queue. A placer that loaded a job whose queue is not configured took a stand-in with one attempt, and failed the job by it.

Evidence: in the record of the case the job fails with the first ends after the takeover, while the queue is away.

Fix: the row has the terms of the queue at acceptance, which count while the queue is not configured. Of a job of an earlier version, whose row lacks them, nothing final is decided meanwhile: a step with a failed task waits. It works because each final state now comes from a number that a configuration has had, or waits for one. Earlier versions ignore the new field.

--- a/src/core/workload/callers/calls.rs
+++ b/src/core/workload/callers/calls.rs
@@ -30,6 +30,7 @@
 use crate::core::workload::placer::job_progress;
 use crate::core::workload::rows::JobRow;
 use crate::core::workload::rows::ProgressRow;
+use crate::core::workload::rows::QueueTerms;
 use crate::core::workload::rows::cancel_key;
 use crate::core::workload::rows::decode;
 use crate::core::workload::rows::encode;
@@ -401,6 +402,7 @@
         team,
         at: admission.acceptance_time(cx, &id, queue, &job),
         job: Some(job),
+        terms: Some(QueueTerms::of(queue)),
         withdrawn: false,
     };
     if encode(&row).len() > max_value_bytes {
--- a/src/core/workload/callers/withdrawals.rs
+++ b/src/core/workload/callers/withdrawals.rs
@@ -68,6 +68,7 @@
             team,
             at: cx.unix_time,
             job: None,
+            terms: None,
             withdrawn: true,
         };
         let key = job_row(&id, &id);
--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
@@ -57,7 +59,7 @@
 }
 
 /// Timing of the advice service for a queue.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceTiming {
     /// Processing time of a request, not counting its VMs.
     pub base_latency: Duration,
--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -258,11 +258,18 @@
         let Some(catalog) = cx.catalog else {
             return;
         };
-        for job in self.registry.jobs.values_mut() {
+        let mut with_new_terms = Vec::new();
+        for (&key, job) in &mut self.registry.jobs {
             if let Some(queue) = catalog.queue(&job.queue.name) {
                 job.queue = queue.clone();
+                if !std::mem::replace(&mut job.has_terms, true) {
+                    with_new_terms.push(key);
+                }
             }
         }
+        for key in with_new_terms {
+            self.fail_if_attempts_are_used_up(cx, key);
+        }
         self.estimates
             .retain(|queue| catalog.queue(queue).is_some());
         self.schedule_round(cx.now);
--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -11,6 +11,7 @@
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::JobKey;
 use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::Task;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::run::Phase;
 use crate::core::workload::placer::state::run::Run;
@@ -202,6 +203,7 @@
             return;
         }
         let max_attempts = job.queue.max_attempts.max(1) as usize;
+        let has_terms = job.has_terms;
         // The failures of a gang are counted on its first task.
         let counting_task = if traits.gang {
             TaskKey { index: 0, ..task }
@@ -215,7 +217,8 @@
             return;
         }
         state.failed.push(run);
-        let job_failed = state.failed.len() >= max_attempts && state.placement != Placement::Done;
+        let job_failed =
+            has_terms && state.failed.len() >= max_attempts && state.placement != Placement::Done;
         let active = self
             .registry
             .jobs
@@ -231,6 +234,24 @@
         }
     }
 
+    /// Fails a job if a task has used up its attempts, once the terms of its queue are known.
+    pub(in crate::core::workload::placer) fn fail_if_attempts_are_used_up(
+        &mut self,
+        cx: &mut Cx,
+        key: JobKey,
+    ) {
+        let Some(job) = self.registry.jobs.get(&key).filter(|job| job.is_active()) else {
+            return;
+        };
+        let max_attempts = job.queue.max_attempts.max(1) as usize;
+        let is_used_up =
+            |task: &Task| task.failed.len() >= max_attempts && task.placement != Placement::Done;
+        let mut steps = job.occurrences.values().flatten();
+        if steps.any(|step| step.tasks.iter().any(is_used_up)) {
+            self.finish_job(cx, key, JobState::Failed, "a task failed too often");
+        }
+    }
+
     /// Counts a failure against a VM unless the last failure there was of the same job.
     fn record_vm_failure(&mut self, cx: &Cx, vm_key: VmKey, task: TaskKey) {
         let Some(vm) = self.fleet.vms.get_mut(&vm_key) else {
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -68,6 +68,9 @@
 pub(in crate::core::workload::placer) struct Job {
     pub id: JobId,
     pub queue: Rc<Queue>,
+    /// Whether `queue` has the terms of the job's queue. They are not known of a queue that is not
+    /// configured if an earlier version has stored the job.
+    pub has_terms: bool,
     pub team: Option<TeamId>,
     /// Pool of VMs at the time of submission.
     pub service: ServiceId,
@@ -336,13 +339,22 @@
         self.state == JobState::Queued && self.is_active()
     }
 
+    /// Returns whether a step has a task that may have used up its attempts, as the terms of the queue
+    /// are not known.
+    pub fn awaits_terms(&self, steps: &[StepProgress], step: usize) -> bool {
+        let has_failed =
+            |step: &StepProgress| step.tasks.iter().any(|task| !task.failed.is_empty());
+        !self.has_terms && steps.get(step).is_some_and(has_failed)
+    }
+
     /// Returns the steps that are ready and have waiting tasks.
     pub fn ready_steps(&self, key: JobKey) -> impl Iterator<Item = StepKey> {
         self.occurrences
             .iter()
             .flat_map(move |(&occurrence, steps)| {
-                let steps = steps.iter().enumerate();
-                let ready = steps.filter(|(_, step)| step.ready_at.is_some() && step.waiting > 0);
+                let ready = steps.iter().enumerate();
+                let ready = ready.filter(|(_, step)| step.ready_at.is_some() && step.waiting > 0);
+                let ready = ready.filter(|(ix, _)| !self.awaits_terms(steps, *ix));
                 ready.map(move |(ix, _)| StepKey {
                     job: key,
                     occurrence,
--- a/src/core/workload/placer/storage/archive.rs
+++ b/src/core/workload/placer/storage/archive.rs
@@ -248,6 +248,7 @@
             team: self.team.clone(),
             at: self.accepted_at,
             job: None,
+            terms: None,
             withdrawn: false,
         }
     }
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -52,6 +52,7 @@
 use crate::core::workload::rows::OccurrenceRow;
 use crate::core::workload::rows::OwnerRow;
 use crate::core::workload::rows::ProgressRow;
+use crate::core::workload::rows::QueueTerms;
 use crate::core::workload::rows::RosterRow;
 use crate::core::workload::rows::SEQUENCE_KEY;
 use crate::core::workload::rows::STOPS_KEY;
@@ -69,6 +70,16 @@
 /// Time after a takeover within which all VMs have been listed.
 const VM_LISTING_GRACE: Duration = Duration::from_millis(1_800);
 
+/// Terms of a queue that is not configured, for a job whose row does not have them: its tasks go last,
+/// and a task that has failed waits for the configuration.
+const UNKNOWN_TERMS: QueueTerms = QueueTerms {
+    priority: u32::MAX,
+    max_attempts: u32::MAX,
+    stretch: 1.0,
+    target: Duration::ZERO,
+    advice: None,
+};
+
 /// Rows read from the table after the role was granted.
 #[derive(Debug, Default)]
 pub(in crate::core::workload) struct LoadedRows {
@@ -227,9 +238,10 @@
         row: JobRow,
     ) -> Job {
         let configured = cx.catalog.and_then(|catalog| catalog.queue(&row.queue));
+        let has_terms = configured.is_some() || row.terms.is_some();
         let queue = configured
             .cloned()
-            .unwrap_or_else(|| placeholder_queue(&row));
+            .unwrap_or_else(|| unconfigured_queue(&row));
         let run_floor = if version <= self.grant_version {
             (self.owner.epoch - 1) * RUNS_PER_EPOCH
         } else {
@@ -243,6 +255,7 @@
         Job {
             id: id.into(),
             queue,
+            has_terms,
             team: row.team,
             service: row.service,
             version,
@@ -471,18 +484,20 @@
     }
 }
 
-/// Returns a substitute for a queue that is no longer configured, so that its jobs can continue.
-fn placeholder_queue(row: &JobRow) -> Rc<Queue> {
+/// Returns a substitute for a queue that is not configured, so that its jobs can continue: with the terms
+/// at the acceptance of the job. If these are not known, nothing final may be decided by it.
+fn unconfigured_queue(row: &JobRow) -> Rc<Queue> {
+    let terms = row.terms.clone().unwrap_or(UNKNOWN_TERMS);
     Rc::new(Queue {
         name: row.queue.clone(),
         host: "".into(),
         path_prefix: "".into(),
         service: row.service.clone(),
-        priority: u32::MAX,
-        max_attempts: 1,
-        stretch: 1.0,
-        target: Duration::ZERO,
-        advice: None,
+        priority: terms.priority,
+        max_attempts: terms.max_attempts,
+        stretch: terms.stretch,
+        target: terms.target,
+        advice: terms.advice,
         public: false,
     })
 }
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -9,6 +9,8 @@
 use serde::de::DeserializeOwned;
 
 use super::capacity::HostCapacity;
+use super::catalog::AdviceTiming;
+use super::catalog::Queue;
 use super::catalog::QueueId;
 use super::cx::millis;
 use super::effect::JobState;
@@ -81,12 +83,32 @@
     /// row.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub job: Option<Submission>,
+    /// Terms of the queue when the job was accepted; `None` from an earlier version, and for a job that
+    /// has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<QueueTerms>,
     /// Whether the job was cancelled before it was accepted, so that there is none: the row keeps a late
     /// submission from taking effect. Earlier versions take it for the row of an ended job.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub withdrawn: bool,
 }
 
+/// Terms of a queue, which count for a job while the configuration does not have the queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct QueueTerms {
+    /// Priority; zero is the highest.
+    pub priority: u32,
+    /// Number of failed runs of a task after which its job fails.
+    pub max_attempts: u32,
+    /// Factor of the latency objective.
+    pub stretch: f64,
+    /// Constant part of the latency objective.
+    pub target: Duration,
+    /// Timing of the advice service; `None` if the queue does not use it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advice: Option<AdviceTiming>,
+}
+
 /// Progress of a job.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct ProgressRow {
@@ -267,6 +289,19 @@
     pub capacity: Resources,
 }
 
+impl QueueTerms {
+    /// Returns the terms of a queue.
+    pub fn of(queue: &Queue) -> Self {
+        Self {
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            stretch: queue.stretch,
+            target: queue.target,
+            advice: queue.advice,
+        }
+    }
+}
+
 impl HeartbeatRow {
     /// Returns a heartbeat of a placer that loads its rows and renews no lease yet. When it has
     /// loaded them, it may renew leases for at most `renews`. Earlier placers may do so for at most
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -143,6 +143,8 @@
     pub cap: Resources,
     /// Version of the configuration, for daemons that start from now on.
     pub config_version: u64,
+    /// Whether the configuration does not have the queue, for daemons that start from now on.
+    pub queue_is_away: bool,
     /// Advice on the queue, for daemons that start from now on.
     pub advice: Option<AdviceTiming>,
     /// VMs that the advice service rejects.
@@ -261,6 +263,7 @@
             lost_commit_answers: 0,
             cap: Resources::ZERO,
             config_version: 1,
+            queue_is_away: false,
             advice: None,
             unadvised_vms: BTreeSet::new(),
             priority: 0,
--- a/tests/workload/harness/operator.rs
+++ b/tests/workload/harness/operator.rs
@@ -82,6 +82,9 @@
         let mut catalog = catalog(self.cap, self.advice);
         catalog.version = self.config_version;
         Rc::make_mut(&mut catalog.queues[0]).priority = self.priority;
+        if self.queue_is_away {
+            catalog.queues.clear();
+        }
         if let Some(priority) = self.batch_priority {
             catalog.queues.push(Rc::new(batch_queue(priority)));
         }
