Keep ends of occurrences that the placer has not begun

Cause: a successor begins the occurrences for which the stored progress has room. VMs list also ends and runs of later ones, which the former placer had begun while it could not store its progress. The successor did not find these tasks, took them for tasks of occurrences that are over, acknowledged the ends and stopped the runs.

Fix: a run or an end that a VM lists begins its occurrence here, and those before it, as far as the row has room. Others are kept until there is room: not stopped, not acknowledged. It works because an end is acknowledged only once its task is known and its effect is stored.

Nothing stored or sent has changed.

--- a/src/core/workload/placer/orders/completion.rs
+++ b/src/core/workload/placer/orders/completion.rs
@@ -28,7 +28,7 @@
     /// Processes the ended runs that VMs have reported.
     pub(in crate::core::workload::placer) fn process_ended_tasks(&mut self, cx: &mut Cx) {
         for (vm_key, ended) in std::mem::take(&mut self.pending_ended_tasks) {
-            if self.is_unread(&ended.task.job) {
+            if self.is_unknown_yet(cx.now, &ended.task) {
                 let vm = self.fleet.vms.get(&vm_key);
                 let started_ms = vm.map_or(0, |vm| vm.started_ms);
                 self.missing.keep_end(vm_key, started_ms, ended);
--- a/src/core/workload/placer/orders/reconcile.rs
+++ b/src/core/workload/placer/orders/reconcile.rs
@@ -64,7 +64,7 @@
         key: VmKey,
         row: &RunningTask,
     ) {
-        if self.is_unread(&row.task.job) {
+        if self.is_unknown_yet(cx.now, &row.task) {
             return self.missing.keep_run(key, row);
         }
         let Some(task) = self.registry.find_task(&row.task) else {
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -48,6 +48,7 @@
         self.last_round_at = cx.now;
         self.round_timer.begin();
         self.work.rounds += 1;
+        self.reconcile_kept_runs(cx);
         self.retry_stops(cx);
         self.count_recent_losses(cx.now);
         self.count_inherited_tasks();
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -291,6 +291,25 @@
             .get_mut(usize::from(key.step))
     }
 
+    /// Begins the occurrence of a task that a VM lists, as an earlier placer has begun it, and those before
+    /// it, as far as the job's progress has room for them. Returns whether the occurrence has still not
+    /// begun.
+    pub fn awaits_occurrence(&mut self, name: &TaskName, now: Now) -> bool {
+        let key = self.key(&name.job);
+        let job = key.and_then(|key| self.jobs.get_mut(&key));
+        let Some(job) = job.filter(|job| job.is_active()) else {
+            return false;
+        };
+        if name.occurrence >= job.submission.occurrences() {
+            return false;
+        }
+        while job.begun <= name.occurrence && job.may_begin_occurrence() {
+            job.begin_occurrence(job.begun, now);
+            job.begun += 1;
+        }
+        job.begun <= name.occurrence
+    }
+
     /// Returns the full name of a task.
     pub fn task_name(&self, key: TaskKey) -> Option<TaskName> {
         let job = self.jobs.get(&key.step.job)?;
--- a/src/core/workload/placer/storage/missing.rs
+++ b/src/core/workload/placer/storage/missing.rs
@@ -1,6 +1,9 @@
 //! Parts of the jobs table that could not be read when the placer started, and what is known of
 //! their jobs meanwhile.
 //!
+//! The same is kept for occurrences of known jobs that an earlier placer has begun and this one has
+//! not, as the progress of the job has no room for them yet.
+//!
 //! The placer follows the jobs table from the lowest version that it has read, so each change since
 //! then is received also for these parts. The rows of a part are registered once they are all read.
 //! Until then the progress, the runs and the ended runs of its jobs are kept.
@@ -29,6 +32,7 @@
 use crate::core::workload::table::TableRow;
 use crate::core::workload::task::EndedTask;
 use crate::core::workload::task::RunningTask;
+use crate::core::workload::task::TaskName;
 
 /// Demand that no cap allows.
 const UNLIMITED: Resources = Resources::new(u32::MAX, u32::MAX, u32::MAX, u32::MAX);
@@ -43,13 +47,14 @@
     /// rows read.
     changes: FxHashMap<Box<str>, TableRow>,
     progress: FxHashMap<JobId, ProgressRow>,
-    /// Runs of unknown jobs, as in the last report of each VM.
+    /// Runs of unknown jobs and occurrences, as in the last report of each VM.
     running: BTreeMap<VmKey, Vec<RunningTask>>,
-    /// Ended runs of unknown jobs. They are not acknowledged, so that their VMs list them again.
+    /// Ended runs of unknown jobs and occurrences. They are not acknowledged, so that their VMs list
+    /// them again.
     ended: BTreeMap<VmKey, Vec<UnreadEnd>>,
 }
 
-/// Ended run of a job whose part is missing.
+/// Ended run of a job whose part is missing, or of an occurrence that has not begun.
 #[derive(Debug)]
 struct UnreadEnd {
     /// Start of the lifetime in which the VM reported it.
@@ -72,6 +77,11 @@
         }
     }
 
+    /// Returns whether runs or ends are kept.
+    pub fn has_runs(&self) -> bool {
+        !self.running.is_empty() || !self.ended.is_empty()
+    }
+
     /// Returns whether no part is missing.
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
@@ -182,6 +192,24 @@
         self.missing.has_part_of(job) && self.registry.key(job).is_none()
     }
 
+    /// Returns whether nothing is known yet of a task that a VM lists: its job's part is missing, or its
+    /// occurrence cannot begin here yet.
+    pub(in crate::core::workload::placer) fn is_unknown_yet(
+        &mut self,
+        now: Now,
+        task: &TaskName,
+    ) -> bool {
+        self.is_unread(&task.job) || self.registry.awaits_occurrence(task, now)
+    }
+
+    /// Processes the kept runs and ends of the jobs and occurrences that are now known, if there are any
+    /// that are not.
+    pub(in crate::core::workload::placer) fn reconcile_kept_runs(&mut self, cx: &mut Cx) {
+        if self.missing.has_runs() {
+            self.reconcile_unread_runs(cx);
+        }
+    }
+
     /// Sends the reads of missing parts that are due.
     pub(in crate::core::workload::placer) fn read_missing_parts(&mut self, cx: &mut Cx) {
         let epoch = self.epoch();
@@ -230,7 +258,7 @@
         for (vm, ends) in std::mem::take(&mut self.missing.ended) {
             let (unread, known): (Vec<_>, Vec<_>) = ends
                 .into_iter()
-                .partition(|end| self.is_unread(&end.ended.task.job));
+                .partition(|end| self.is_unknown_yet(cx.now, &end.ended.task));
             if !unread.is_empty() {
                 self.missing.ended.insert(vm, unread);
             }
@@ -263,16 +291,15 @@
         }
     }
 
-    /// Charges the caps of teams with the runs of unknown jobs, whose demands are not known.
+    /// Charges the caps of teams with the kept runs.
+    ///
+    /// The demands of those of known jobs are known.
     ///
     /// All of them together use at most what the runs of known jobs leave of their VM, so each team
     /// that owns one is charged with that; all teams are, where no progress tells the owner. Until
     /// the placer is settled, such runs may be on any VM, so no team with a cap may start a task.
     pub(in crate::core::workload::placer) fn count_unread_runs(&mut self, cx: &Cx) {
-        if self.missing.is_empty() {
-            return;
-        }
-        if !self.settled {
+        if !self.missing.is_empty() && !self.settled {
             return self.usage.charge_all_teams(&UNLIMITED);
         }
         for (key, rows) in self.missing.running() {
@@ -288,7 +315,20 @@
             } else {
                 vm.full_capacity.minus(&vm.used)
             };
-            let owners = rows.iter().map(|row| self.missing.progress(&row.task.job));
+            let mut unread = Vec::new();
+            for row in rows {
+                let job = self.registry.key(&row.task.job);
+                let Some(job) = job.and_then(|job| self.registry.jobs.get(&job)) else {
+                    unread.push(row);
+                    continue;
+                };
+                if let Some(step) = job.submission.steps.get(usize::from(row.task.step)) {
+                    self.usage.add_inherited(job.team.as_ref(), &step.demand);
+                }
+            }
+            let owners = unread
+                .iter()
+                .map(|row| self.missing.progress(&row.task.job));
             let owners: BTreeSet<Option<Option<&TeamId>>> = owners
                 .map(|progress| progress.map(|progress| progress.team.as_ref()))
                 .collect();
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -129,6 +129,8 @@
     pub remaining_failures: BTreeMap<TaskName, u32>,
     /// VMs that neither carry out nor answer anything, as if they were cut off.
     pub silent_vms: BTreeSet<Box<str>>,
+    /// Time by which the wall clocks of daemons are behind.
+    pub clock_lags: BTreeMap<usize, Duration>,
     /// Daemons and VMs between which no new call gets through.
     pub cut_paths: BTreeSet<(usize, Box<str>)>,
     /// VMs whose answers to start orders are lost.
@@ -256,6 +258,7 @@
             vms: vms.collect(),
             remaining_failures: BTreeMap::new(),
             silent_vms: BTreeSet::new(),
+            clock_lags: BTreeMap::new(),
             cut_paths: BTreeSet::new(),
             lost_start_answers: BTreeSet::new(),
             lost_stops: 0,
@@ -443,7 +446,8 @@
             }
             let daemon = &self.daemons[ix];
             if daemon.up && daemon.wake_at.is_some_and(|at| self.now >= at) {
-                let unix_time = START_TIME + self.now;
+                let lag = self.clock_lags.get(&ix).copied().unwrap_or_default();
+                let unix_time = (START_TIME + self.now).saturating_sub(lag);
                 self.apply(ix, Event::Tick { unix_time });
             }
         }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -45,6 +45,7 @@
 mod table;
 mod takeover;
 mod terms;
+mod unbegun_occurrences;
 mod unconfigured_queues;
 mod vm;
 mod vm_rows;
