Wait for leases that orders for a VM's former lifetime have given

Cause: a VM applies the deadline of a start or a renewal to all that runs there, also if it rejects the start.

Fix: no lease on a VM with a new lifetime counts as over before the last order with a deadline that was sent before the lifetime was known, plus the time to arrive, plus the longest lease. A successor does the same for VMs that have restarted since they were added to the roster. It works because a deadline of a former clock can come only from such an order, and starts that wait in the process get theirs when they are sent. Where nothing was on its way, nothing is waited for.

--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -136,7 +136,9 @@
             let renews = has_authority && vm.renewal.failures == 0;
             let lease_end = vm.lease_deadline_ms(cx.now, options.lease);
             let deadline_ms = lease_end.filter(|_| renews);
-            vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms.unwrap_or(0));
+            if let Some(deadline_ms) = deadline_ms {
+                vm.record_deadline(cx.now, deadline_ms);
+            }
             let is_stored = vm.stored_seq == vm.processed_seq;
             let waits = may_wait && vm.fully_reported && is_stored && vm.renewal.failures == 0;
             let wait = if waits {
@@ -204,20 +206,27 @@
     }
 
     fn drop_runs_of_expired_leases(&mut self, cx: &mut Cx) {
-        let max_lease = cx.options.vms.max_lease.mul_f64(LEASE_DRIFT_FACTOR);
-        let late_order = cx.options.vms.order_timeout;
-        let is_expired = |vm: &Vm| {
-            vm.is_lease_expired(cx.now)
-                || vm.is_unreported_lease_expired(cx.now, max_lease + late_order)
-        };
-        let is_lost = |vm: &Vm| vm.renewal.failures > 0 && !vm.runs.is_empty() && is_expired(vm);
         let now = cx.now;
+        let longest_order = self.longest_order(cx);
+        let is_expired = |vm: &Vm| vm.is_lease_expired(now) || vm.is_unreported_lease_expired(now);
+        let is_lost = |vm: &Vm| vm.renewal.failures > 0 && !vm.runs.is_empty() && is_expired(vm);
         for key in self.fleet.select(is_lost, usize::MAX) {
-            let is_over = |run: &Run| run.is_unknown_lease_over(now, max_lease);
+            let vm = &self.fleet.vms[&key];
+            let is_any_over = now > vm.deadline_sent_at + longest_order;
+            let is_over = |run: &Run| is_any_over || !run.may_be_in_unknown_lifetime();
             self.drop_lost_runs(cx, key, "lease expired", is_over);
         }
     }
 
+    /// Returns the longest time from the sending of an order or a renewal to the end of the lease that it
+    /// may give to a lifetime of the VM whose clock the placer does not know.
+    fn longest_order(&self, cx: &Cx) -> Duration {
+        let options = &cx.options.vms;
+        let renewal_timeout = self.renewal_wait(cx) + options.renewal_margin;
+        let arrival = options.order_timeout.max(renewal_timeout);
+        arrival + options.max_lease.mul_f64(LEASE_DRIFT_FACTOR)
+    }
+
     /// Returns whether another daemon may have taken over: the table has confirmed no write for half
     /// of the time after which that is due at the latest.
     fn may_be_replaced(&self, cx: &Cx) -> bool {
@@ -232,10 +241,14 @@
             return;
         }
         self.record_fenced_share(cx.now);
-        let expiry = self.former_stops_at() + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
+        let former_stops_at = self.former_stops_at();
+        let expiry = former_stops_at + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
+        let foreign_expiry = former_stops_at + self.longest_order(cx);
         let is_pending = |vm: &&Vm| {
             let is_lost = if vm.fenced {
                 vm.renewal.failures > 0 && vm.is_lease_expired(cx.now)
+            } else if vm.has_restarted_lately(cx.unix_time) {
+                cx.now >= foreign_expiry
             } else {
                 cx.now >= expiry
             };
@@ -274,6 +287,7 @@
             self.begin_vm_lifetime(cx, key, report.started_ms);
         }
         self.record_lifetime_of(cx, key, report);
+        let longest_lease = cx.options.vms.max_lease.mul_f64(LEASE_DRIFT_FACTOR);
         let Some(vm) = self.fleet.vms.get_mut(&key) else {
             return;
         };
@@ -282,6 +296,9 @@
         }
         if !vm.fenced {
             vm.fenced = true;
+            if vm.roster_state.is_inherited() && vm.has_restarted_lately(cx.unix_time) {
+                vm.foreign_lease_until = cx.now + longest_lease;
+            }
             if vm.inherits_stops {
                 vm.inherits_stops = false;
                 vm.inherited_stops_until = cx.now + cx.options.vms.stop_timeout + STOP_MARGIN;
@@ -362,8 +379,9 @@
         self.mark_unconfirmed_runs(cx, key);
         self.clear_suspicion(cx, key, "VM restarted");
         self.missing.clear_runs(key);
+        let longest_order = self.longest_order(cx);
         if let Some(vm) = self.fleet.vms.get_mut(&key) {
-            vm.begin_lifetime(started_ms, cx.now);
+            vm.begin_lifetime(started_ms, cx.now, longest_order);
         }
         self.fleet.abandon_renewal(key);
         self.fleet.schedule_renewal(key, cx.now);
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -185,7 +185,7 @@
         run.sent_at = cx.now;
         run.delivery = delivery;
         let run = run.number;
-        vm.lease_end_ms = vm.lease_end_ms.max(deadline_ms);
+        vm.record_deadline(cx.now, deadline_ms);
         vm.unanswered_since.get_or_insert(cx.now);
         let ticket = step.advice.ticket(vm_key, cx.now);
         if ticket.is_some() {
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -83,6 +83,8 @@
     /// Start of the current lifetime, in milliseconds since the Unix epoch; zero if unknown. A
     /// restart begins a new lifetime.
     pub started_ms: u64,
+    /// Start of the lifetime in which an earlier placer added the VM to the roster; zero if unknown.
+    pub registered_started_ms: u64,
     /// When the current lifetime became known. An answer to an order that was sent before may be of an
     /// earlier one.
     pub lifetime_since: Now,
@@ -90,6 +92,11 @@
     pub clock: Option<ClockReading>,
     /// Latest lease deadline requested, in milliseconds of the VM's clock.
     pub lease_end_ms: u64,
+    /// When the last order or renewal with a lease deadline was sent.
+    pub deadline_sent_at: Now,
+    /// Latest end of a lease that was requested with a deadline on the clock of a former lifetime. The VM
+    /// shortens such a lease to the longest one; it applies to all that runs there.
+    pub foreign_lease_until: Now,
     /// Whether the VM has answered a renewal of this epoch, and so rejects earlier epochs.
     pub fenced: bool,
     /// Whether the VM has listed all runs that had ended before a report, and so all runs of earlier
@@ -233,9 +240,12 @@
             drained_lifetime_ms: 0,
             roster_state: RosterState::Absent,
             started_ms: 0,
+            registered_started_ms: 0,
             lifetime_since: now,
             clock: None,
             lease_end_ms: 0,
+            deadline_sent_at: Now::ZERO,
+            foreign_lease_until: Now::ZERO,
             fenced: false,
             fully_reported: false,
             capacity_uncertain_until: Now::ZERO,
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -17,6 +17,9 @@
 /// Time past the lease deadline, on the VM's clock, before the placer treats the lease as expired.
 const EXPIRY_MARGIN_MS: u64 = 60;
 
+/// Time after a VM's start in which it counts as restarted lately, with room for clocks that differ.
+const RECENT_RESTART: Duration = Duration::from_secs(60);
+
 /// A reading of a VM's clock.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::core::workload::placer) struct ClockReading {
@@ -29,9 +32,12 @@
 }
 
 impl Vm {
-    /// Begins a new lifetime: resets the state that belongs to the former one. A restarted VM has no
-    /// lease and a new clock. The runs that are left may execute in the new lifetime.
-    pub fn begin_lifetime(&mut self, started_ms: u64, now: Now) {
+    /// Begins a new lifetime: resets the state that belongs to the former one. A restarted VM has a new
+    /// clock, and no lease but those from orders for the former lifetime that it has carried out, each for
+    /// at most `longest_order` from its sending. The runs that are left may execute in the new lifetime.
+    pub fn begin_lifetime(&mut self, started_ms: u64, now: Now, longest_order: Duration) {
+        let foreign_lease_end = self.deadline_sent_at + longest_order;
+        self.foreign_lease_until = self.foreign_lease_until.max(foreign_lease_end);
         self.started_ms = started_ms;
         self.lifetime_since = now;
         self.clock = None;
@@ -82,17 +88,33 @@
         Some(reading.estimated_ms(now) + millis(length))
     }
 
+    /// Records that an order or a renewal with this lease deadline is sent.
+    pub fn record_deadline(&mut self, now: Now, deadline_ms: u64) {
+        self.deadline_sent_at = now;
+        self.lease_end_ms = self.lease_end_ms.max(deadline_ms);
+    }
+
     /// Returns whether every lease requested by this placer has expired, even if the VM's clock is
     /// slow.
     pub fn is_lease_expired(&self, now: Now) -> bool {
         let reading = self.clock.as_ref();
-        reading.is_some_and(|reading| reading.min_ms(now) > self.lease_end_ms + EXPIRY_MARGIN_MS)
+        let is_over =
+            |reading: &ClockReading| reading.min_ms(now) > self.lease_end_ms + EXPIRY_MARGIN_MS;
+        now > self.foreign_lease_until && reading.is_some_and(is_over)
+    }
+
+    /// Returns whether every lease in a lifetime that has not reported yet has expired, which only orders
+    /// for a former lifetime can have requested.
+    pub fn is_unreported_lease_expired(&self, now: Now) -> bool {
+        self.clock.is_none() && now > self.lifetime_since.max(self.foreign_lease_until)
     }
 
-    /// Returns whether every lease in a lifetime that has not reported yet has expired: of the orders
-    /// that were sent before it was known, none can still hold the longest lease.
-    pub fn is_unreported_lease_expired(&self, now: Now, max_lease: Duration) -> bool {
-        self.clock.is_none() && now > self.lifetime_since + max_lease
+    /// Returns whether the VM has restarted lately, so that an earlier placer may have sent it orders with
+    /// deadlines on the clock of a former lifetime.
+    pub fn has_restarted_lately(&self, unix_time: Duration) -> bool {
+        let started = Duration::from_millis(self.started_ms);
+        let is_recent = self.started_ms != 0 && started + RECENT_RESTART > unix_time;
+        is_recent && self.started_ms != self.registered_started_ms
     }
 }
 
--- a/src/core/workload/placer/state/run.rs
+++ b/src/core/workload/placer/state/run.rs
@@ -1,7 +1,5 @@
 //! A run on a VM, from the order to start it to its end.
 
-use std::time::Duration;
-
 use crate::core::model::Now;
 use crate::core::model::Resources;
 use crate::core::workload::placer::orders::throttle::FULL_SPEED_PERCENT;
@@ -146,13 +144,10 @@
         self.host == HostLifetime::Current
     }
 
-    /// Returns whether the run cannot execute any more in a lifetime that the placer does not know.
-    /// The deadline of its start means nothing there, so that it may hold the longest lease.
-    pub fn is_unknown_lease_over(&self, now: Now, max_lease: Duration) -> bool {
-        match self.host {
-            HostLifetime::Ambiguous { since } => now > since + max_lease,
-            HostLifetime::Unconfirmed | HostLifetime::Current => true,
-        }
+    /// Returns whether the run may execute in a lifetime that the placer does not know. The deadlines
+    /// of the orders that were sent mean nothing there, so that it may hold the longest lease.
+    pub fn may_be_in_unknown_lifetime(&self) -> bool {
+        matches!(self.host, HostLifetime::Ambiguous { .. })
     }
 
     /// Discards what a former lifetime of the VM has answered to orders for the run.
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -345,6 +345,7 @@
                 let key = self.fleet.get_or_add(&row.key, &entry.address, cx.now);
                 if let Some(vm) = self.fleet.vms.get_mut(&key) {
                     vm.full_capacity = entry.capacity;
+                    vm.registered_started_ms = entry.started_ms;
                     vm.roster_state = RosterState::Inherited(row.version);
                     // `load_stops_row` clears this if the former placer's row does not name the VM.
                     vm.inherits_stops = true;
--- a/src/core/workload/placer/storage/roster.rs
+++ b/src/core/workload/placer/storage/roster.rs
@@ -105,6 +105,7 @@
             let entry = RosterRow {
                 address: vm.address.clone(),
                 capacity: vm.full_capacity,
+                started_ms: vm.started_ms,
             };
             let row = RowId::new(ROSTER, part, &vm.id);
             txn.put.push((row, encode(&entry)));
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -287,6 +287,10 @@
     /// time.
     #[serde(default)]
     pub capacity: Resources,
+    /// Start of the lifetime in which the VM was added, in milliseconds since the Unix epoch; zero if
+    /// unknown, and in rows of an earlier version.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub started_ms: u64,
 }
 
 impl QueueTerms {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -22,6 +22,7 @@
 mod late_answers;
 mod late_parts;
 mod late_submissions;
+mod leases_after_restarts;
 mod live_holder;
 mod long_queue;
 mod lost_starts;
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -18,6 +18,8 @@
 use ragwortstall::core::workload::task::RunningTask;
 use ragwortstall::core::workload::task::TaskName;
 
+use crate::harness::START_TIME;
+
 /// Default time that a VM takes to stop a run.
 pub(crate) const STOP_TIME: Duration = Duration::from_millis(700);
 
@@ -145,7 +147,8 @@
     /// Restarts the VM under the same id, with a new lifetime and no runs.
     pub(crate) fn restart(&mut self) {
         let id = self.id.clone();
-        let started_ms = self.started_ms + 1;
+        let born = u64::try_from((START_TIME + self.advanced_to).as_millis());
+        let started_ms = born.expect("a time").max(self.started_ms + 1);
         let (zone, machine) = (self.zone, self.machine.clone());
         let now = self.advanced_to;
         *self = Self::new(&id, self.capacity);
@@ -285,14 +288,16 @@
     ) -> Result<u64, StartError> {
         self.check_epoch(order.epoch).map_err(StartError::Order)?;
         self.advance(now);
-        if self.full {
-            return Err(StartError::NoRoom);
-        }
         let name = &order.order.task;
         let number = order.order.run;
         if self.clock_ms(now) > order.deadline_ms {
             return Err(StartError::Late);
         }
+        // Also if the start is rejected below.
+        self.extend_lease(now, order.deadline_ms);
+        if self.full {
+            return Err(StartError::NoRoom);
+        }
         if self
             .highest_runs
             .get(name)
@@ -300,7 +305,6 @@
         {
             return Err(StartError::OldRun);
         }
-        self.extend_lease(now, order.deadline_ms);
         let run = SimRun {
             number,
             step: step.clone(),
