Name what a VM has reported and the authority of the placer as states

VMs count as restarted lately for 20 s instead of 60 s: the longest lease from an order is over after 9 s, and clocks may differ by some seconds.

--- a/src/core/workload/placer/mod.rs
+++ b/src/core/workload/placer/mod.rs
@@ -80,8 +80,7 @@
     last_heartbeat_sent_at: Now,
     /// Grace that the heartbeats since then have named.
     named_grace: NamedGrace,
-    /// Whether this placer might renew leases and start tasks when that was last looked at.
-    had_authority: bool,
+    authority: orders::authority::Authority,
     registry: JobRegistry,
     fleet: Fleet,
     lost_vms: LostVms,
--- a/src/core/workload/placer/orders/authority.rs
+++ b/src/core/workload/placer/orders/authority.rs
@@ -24,6 +24,14 @@
 /// renew. Longer, and the tasks of a fleet of which most VMs are lost would never start again.
 const MAX_SETTLING_TIME: Duration = Duration::from_secs(10);
 
+/// Authority of a placer when it was last looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Authority {
+    Held,
+    /// Another placer may have taken over.
+    Suspended,
+}
+
 impl Placer {
     /// Returns whether the placer may renew leases and start tasks.
     pub(in crate::core::workload::placer) fn has_authority(&self, cx: &Cx) -> bool {
@@ -41,10 +49,15 @@
     /// do so again.
     pub(in crate::core::workload::placer) fn update_authority(&mut self, cx: &mut Cx) -> bool {
         let held = self.has_authority(cx);
-        if held == self.had_authority {
+        let authority = if held {
+            Authority::Held
+        } else {
+            Authority::Suspended
+        };
+        if authority == self.authority {
             return held;
         }
-        self.had_authority = held;
+        self.authority = authority;
         cx.log(Decision::RenewalAuthority {
             epoch: self.owner.epoch,
             held,
@@ -72,7 +85,7 @@
 
     /// Records the time at which this placer has reached so many VMs that a former one stops.
     pub(in crate::core::workload::placer) fn record_fenced_share(&mut self, now: Now) {
-        let fenced = self.fleet.vms.values().filter(|vm| vm.fenced).count();
+        let fenced = self.fleet.vms.values().filter(|vm| vm.is_fenced()).count();
         if self.share_fenced_at.is_none() && stops_former(fenced, self.fleet.vms.len()) {
             self.share_fenced_at = Some(now);
         }
--- a/src/core/workload/placer/orders/renewal.rs
+++ b/src/core/workload/placer/orders/renewal.rs
@@ -16,7 +16,9 @@
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::RoleLoss;
 use crate::core::workload::placer::orders::STOP_MARGIN;
+use crate::core::workload::placer::orders::authority::Authority;
 use crate::core::workload::placer::orders::crashes::DroppedRun;
+use crate::core::workload::placer::state::fleet::Reports;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::TaskKey;
@@ -140,7 +142,10 @@
                 vm.record_deadline(cx.now, deadline_ms);
             }
             let is_stored = vm.stored_seq == vm.processed_seq;
-            let waits = may_wait && vm.fully_reported && is_stored && vm.renewal.failures == 0;
+            let waits = may_wait
+                && vm.reports == Reports::Complete
+                && is_stored
+                && vm.renewal.failures == 0;
             let wait = if waits {
                 vm.stall.limit_wait(cx.now, renewal_wait)
             } else {
@@ -245,14 +250,14 @@
         let expiry = former_stops_at + cx.options.vms.lease.mul_f64(LEASE_DRIFT_FACTOR);
         let foreign_expiry = former_stops_at + self.longest_order(cx);
         let is_pending = |vm: &&Vm| {
-            let is_lost = if vm.fenced {
+            let is_lost = if vm.is_fenced() {
                 vm.renewal.failures > 0 && vm.is_lease_expired(cx.now)
             } else if vm.has_restarted_lately(cx.unix_time) {
                 cx.now >= foreign_expiry
             } else {
                 cx.now >= expiry
             };
-            let is_unknown = vm.roster_state.is_inherited() && !vm.fully_reported;
+            let is_unknown = vm.roster_state.is_inherited() && vm.reports != Reports::Complete;
             is_unknown && !is_lost || cx.now < vm.inherited_stops_until
         };
         let pending = self.fleet.vms.values().filter(is_pending);
@@ -294,8 +299,8 @@
         if report.started_ms != 0 {
             vm.started_ms = report.started_ms;
         }
-        if !vm.fenced {
-            vm.fenced = true;
+        if !vm.is_fenced() {
+            vm.reports = Reports::Incomplete;
             if vm.roster_state.is_inherited() && vm.has_restarted_lately(cx.unix_time) {
                 vm.foreign_lease_until = cx.now + longest_lease;
             }
@@ -325,7 +330,9 @@
         let last_seq = report.ended.iter().map(|ended| ended.seq).max();
         vm.processed_seq = vm.processed_seq.max(last_seq.unwrap_or(0));
         let is_complete = report.ended.len() < MAX_ENDED_PER_REPORT;
-        vm.fully_reported |= is_complete;
+        if is_complete {
+            vm.reports = Reports::Complete;
+        }
         self.process_ended_tasks(cx);
         self.missing.clear_runs(key);
         self.reconcile(cx, key, sent, &report.running, is_complete);
@@ -342,7 +349,7 @@
         };
         let gap = cx.options.vms.renewal_gap;
         let has_lease = vm.clock.is_some_and(|clock| vm.lease_end_ms > clock.ms);
-        if self.needs_confirmations(cx) && (has_lease || !self.had_authority) {
+        if self.needs_confirmations(cx) && (has_lease || self.authority == Authority::Suspended) {
             let interval = cx.options.confirmation_interval(self.fleet.vms.len());
             return (sent + interval).max(cx.now + gap);
         }
--- a/src/core/workload/placer/state/fleet.rs
+++ b/src/core/workload/placer/state/fleet.rs
@@ -97,11 +97,8 @@
     /// Latest end of a lease that was requested with a deadline on the clock of a former lifetime. The VM
     /// shortens such a lease to the longest one; it applies to all that runs there.
     pub foreign_lease_until: Now,
-    /// Whether the VM has answered a renewal of this epoch, and so rejects earlier epochs.
-    pub fenced: bool,
-    /// Whether the VM has listed all runs that had ended before a report, and so all runs of earlier
-    /// placers are known.
-    pub fully_reported: bool,
+    /// What the VM has reported to this epoch.
+    pub reports: Reports,
     /// Time before which no tasks are placed: a run that is being stopped may still use resources
     /// although the VM lists it neither as running nor as ended.
     pub capacity_uncertain_until: Now,
@@ -166,6 +163,17 @@
     pub stall: StallState,
 }
 
+/// What a VM has reported to an epoch in its present lifetime.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core::workload::placer) enum Reports {
+    /// It has not answered a renewal.
+    None,
+    /// It has answered, and so rejects earlier epochs, but had no room for all ended runs in its reports.
+    Incomplete,
+    /// One of its reports had room for all ended runs, so that all runs of earlier placers are known.
+    Complete,
+}
+
 /// State of a VM's lease renewals.
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::core::workload::placer) struct RenewalState {
@@ -246,8 +254,7 @@
             lease_end_ms: 0,
             deadline_sent_at: Now::ZERO,
             foreign_lease_until: Now::ZERO,
-            fenced: false,
-            fully_reported: false,
+            reports: Reports::None,
             capacity_uncertain_until: Now::ZERO,
             uncounted_runs: 0,
             inherits_stops: false,
@@ -319,7 +326,7 @@
                 self.roster_state,
                 RosterState::Absent | RosterState::Removing
             )
-            && self.fenced
+            && self.is_fenced()
             && self.draining_since.is_none()
             && self.renewal.failures == 0
             && now >= self.avoid_until
@@ -330,6 +337,11 @@
             && !self.has_lone_run()
     }
 
+    /// Returns whether the VM has answered a renewal of this epoch, and so rejects earlier epochs.
+    pub fn is_fenced(&self) -> bool {
+        self.reports != Reports::None
+    }
+
     /// Returns whether a run has the VM to itself for now.
     pub fn has_lone_run(&self) -> bool {
         let is_lone = |run: &Run| {
--- a/src/core/workload/placer/state/lifetime.rs
+++ b/src/core/workload/placer/state/lifetime.rs
@@ -8,6 +8,7 @@
 use crate::core::model::Now;
 use crate::core::workload::cx::millis;
 use crate::core::workload::effect::Acknowledgement;
+use crate::core::workload::placer::state::fleet::Reports;
 use crate::core::workload::placer::state::fleet::Vm;
 use crate::core::workload::placer::state::stall::StallState;
 
@@ -18,7 +19,7 @@
 const EXPIRY_MARGIN_MS: u64 = 60;
 
 /// Time after a VM's start in which it counts as restarted lately, with room for clocks that differ.
-const RECENT_RESTART: Duration = Duration::from_secs(60);
+const RECENT_RESTART: Duration = Duration::from_secs(20);
 
 /// A reading of a VM's clock.
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +43,7 @@
         self.lifetime_since = now;
         self.clock = None;
         self.lease_end_ms = 0;
-        self.fenced = false;
-        self.fully_reported = false;
+        self.reports = Reports::None;
         self.confirmed_at = Now::ZERO;
         self.roster_state = self.roster_state.after_restart();
         self.capacity_uncertain_until = Now::ZERO;
--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -17,6 +17,7 @@
 use crate::core::workload::former::Former;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::Release;
+use crate::core::workload::placer::orders::authority::Authority;
 use crate::core::workload::placer::rounds::advice::AdviceForwarders;
 use crate::core::workload::placer::state::fleet::Fleet;
 use crate::core::workload::placer::state::job_registry::Job;
@@ -141,7 +142,7 @@
             last_commit_sent_at: cx.now,
             last_heartbeat_sent_at: cx.now,
             named_grace: NamedGrace::new(),
-            had_authority: true,
+            authority: Authority::Held,
             registry: JobRegistry::default(),
             fleet: Fleet::default(),
             lost_vms: LostVms::default(),
