Send all members of a gang although their tickets expire meanwhile

Cause: a start that waits for its turn was withdrawn if its ticket had expired by then. The other members of its gang had started, and waited in vain.

Other starts with an expired ticket are still withdrawn.

tests/workload/overtaken_orders.rs: the new case failed before (6 of 12 members sent).

--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -126,13 +126,14 @@
         true
     }
 
-    /// Returns a reason if the VM would reject the start of a task, as its ticket is no longer valid.
+    /// Returns a reason if the VM is likely to reject the start of a task, as its ticket has expired since
+    /// the start was planned. The members of a gang are sent all the same: some may have started.
     fn lacks_ticket(&self, cx: &Cx, vm_key: VmKey, task: TaskKey) -> Option<&'static str> {
         let job = self.registry.jobs.get(&task.step.job)?;
         let step = self.registry.step(task.step)?;
-        let is_advised = job.queue.advice.is_some();
-        let lacks = is_advised && step.advice.ticket(vm_key, cx.now).is_none();
-        lacks.then_some("the ticket is no longer valid")
+        let may_lack = job.queue.advice.is_some() && !job.has_gang(task.step.step);
+        let lacks = may_lack && step.advice.ticket(vm_key, cx.now).is_none();
+        lacks.then_some("the ticket has expired")
     }
 
     /// Releases a run whose start was not sent, and with it the other members of a gang whose starts
@@ -187,7 +188,7 @@
         let run = run.number;
         vm.record_deadline(cx.now, deadline_ms);
         vm.unanswered_since.get_or_insert(cx.now);
-        let ticket = step.advice.ticket(vm_key, cx.now);
+        let ticket = step.advice.last_ticket(vm_key);
         if ticket.is_some() {
             self.advice_use.queue(&job.queue.name).ticketed_starts += 1;
         }
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -84,6 +84,11 @@
         self.tickets.get(&vm).filter(|ticket| now < ticket.until)
     }
 
+    /// Returns the ticket for a VM, which may have expired.
+    pub fn last_ticket(&self, vm: VmKey) -> Option<&AdviceTicket> {
+        self.tickets.get(&vm)
+    }
+
     /// Returns whether a query has been answered.
     pub fn has_answers(&self) -> bool {
         !self.tickets.is_empty() || !self.rejected.is_empty()
--- a/tests/workload/overtaken_orders.rs
+++ b/tests/workload/overtaken_orders.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use ragwortstall::core::model::Resources;
+use ragwortstall::core::workload::catalog::AdviceTiming;
 use ragwortstall::core::workload::effect::Request;
 use ragwortstall::core::workload::effect::StartOrder;
+use ragwortstall::core::workload::event::AdvisedVm;
 use ragwortstall::core::workload::event::Answer;
 use ragwortstall::core::workload::event::Feed;
 use ragwortstall::core::workload::event::FeedRow;
 use ragwortstall::core::workload::event::OrderError;
 use ragwortstall::core::workload::event::StartError;
+use ragwortstall::core::workload::submission::Step;
 
+use crate::catalog::catalog;
 use crate::jobs::ID;
 use crate::jobs::job;
 use crate::jobs::step;
@@ -37,20 +41,25 @@
     SimVm::new("vm-0", Resources::new(16_000, 64_000, 0, u32::MAX))
 }
 
-/// Returns a placer that has sent the first starts of a job to its only VM, which answers none.
-fn daemon_with_waiting_starts() -> Daemon {
-    let mut daemon = Daemon::new();
-    daemon.claim(None);
-    daemon.load(&[]);
-    daemon.answer_feed(Feed::Vms, vec![FeedRow::Vm(vm().row())]);
+/// Returns the row of a job of one step.
+fn job_row(step: Step) -> String {
     let row = serde_json::json!({
         "queue": "labels",
         "service": "pool",
         "team": "dairy",
         "at": {"secs": 1_700_000_000, "nanos": 0},
-        "job": job(vec![step(TASKS, 60_000, &[])]),
+        "job": job(vec![step]),
     });
-    daemon.add_job_row(ID, &row.to_string());
+    row.to_string()
+}
+
+/// Returns a placer that has sent the first starts of a job to its only VM, which answers none.
+fn daemon_with_waiting_starts() -> Daemon {
+    let mut daemon = Daemon::new();
+    daemon.claim(None);
+    daemon.load(&[]);
+    daemon.answer_feed(Feed::Vms, vec![FeedRow::Vm(vm().row())]);
+    daemon.add_job_row(ID, &job_row(step(TASKS, 60_000, &[])));
     for _ in 0..20 {
         daemon.pass(TICK);
     }
@@ -121,6 +130,42 @@
     }
 }
 
+/// Guards against a gang of which some members start and the others are withdrawn, as their tickets expire
+/// while their starts wait: those that have started wait in vain.
+#[test]
+fn all_members_of_a_gang_are_sent_although_their_tickets_expire_meanwhile() {
+    let mut daemon = Daemon::new();
+    daemon.claim(None);
+    daemon.load(&[]);
+    let advice = AdviceTiming {
+        base_latency: Duration::from_millis(10),
+        latency_per_vm: Duration::from_millis(1),
+        ticket_validity: Duration::from_millis(200),
+    };
+    let mut catalog = catalog(Resources::ZERO, Some(advice));
+    catalog.version = 2;
+    daemon.answer_feed(Feed::Config, vec![FeedRow::Config(Box::new(catalog))]);
+    daemon.answer_feed(Feed::Vms, vec![FeedRow::Vm(vm().row())]);
+    let mut gang = step(TASKS, 60_000, &[]);
+    gang.traits.gang = true;
+    daemon.add_job_row(ID, &job_row(gang));
+    while daemon.pending_starts().is_empty() {
+        daemon.pass(TICK);
+        daemon.answer_advice();
+    }
+    let mut sent = Vec::new();
+    for _ in 0..LONG.as_millis() / TICK.as_millis() {
+        // Each start in flight is answered after more than half of the time for which tickets are valid.
+        for _ in 0..6 {
+            daemon.tick(TICK);
+            daemon.answer_all_commits();
+        }
+        sent.extend(daemon.confirm_starts());
+    }
+    assert_eq!(sent.len(), TASKS as usize);
+    assert!(sent.iter().all(|start| start.ticket.is_some()));
+}
+
 /// Guards against the stops of a cancelled job that wait behind starts of other jobs, so that its tasks
 /// run on.
 #[test]
@@ -195,11 +240,30 @@
         starts
     }
 
-    /// Confirms the starts in flight.
-    fn confirm_starts(&mut self) {
+    /// Confirms the starts in flight; returns these.
+    fn confirm_starts(&mut self) -> Vec<StartOrder> {
         let clock_ms = u64::try_from(self.now().as_millis()).expect("a short test");
-        for start in self.take_starts() {
-            self.apply_answer(Answer::Started(start.order, Ok(clock_ms)));
+        let starts = self.take_starts();
+        for start in &starts {
+            let order = start.order.clone();
+            self.apply_answer(Answer::Started(order, Ok(clock_ms)));
+        }
+        starts
+    }
+
+    /// Approves the VMs that a pending query for advice names.
+    fn answer_advice(&mut self) {
+        let is_query = |req: &Request| matches!(req, Request::Advise { .. });
+        while self.requests.iter().any(is_query) {
+            let Request::Advise { query, .. } = self.take(is_query) else {
+                return;
+            };
+            let approved = query.vms.iter().map(|vm| AdvisedVm {
+                vm: vm.clone(),
+                ticket: "ticket".into(),
+            });
+            let approved = Ok(approved.collect());
+            self.apply_answer(Answer::Advised(query, approved));
         }
     }
 }
