Bound the open connections of each listener

What callers saw: a crowd of clients that open connections and send nothing, or stop short, took all descriptors of a daemon (612 of 512 in the tests), and with them those for the table, the VMs and the other daemons. Each connection took its memory too, without a bound, at the interfaces for clients, probes, metrics and other daemons alike.

Cause: the accept loop admitted every connection, and nothing closed one but hyper's timer of 30 s.

Fix: one place, src/shell/net/admission, admits the connections of all listeners. When the share is used up, the connection is closed that has gone longest without completing a request, so that clients that complete theirs keep their places; one whose request was received whole is never closed before its answer. Connections without traffic for twice the idle timeout are closed. Other tasks run between two accepts, and the accept loop waits until closed connections have released their memory. The buffers of the sockets and of compio's streams, which grew up to 64 MiB, are bounded. Counters by listener and reason, gauges, and at most one log line a second say what was closed.

--- a/src/core/model/mod.rs
+++ b/src/core/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod id;
 mod job;
+mod limits;
 mod member;
 mod resources;
 mod row;
@@ -31,6 +32,7 @@
 pub use id::ZoneId;
 pub use job::JobKind;
 pub use job::JobSpec;
+pub use limits::RequestLimits;
 pub use member::Member;
 pub use member::MemberRole;
 pub use member::MemberState;
--- a/src/shell/daemon/run.rs
+++ b/src/shell/daemon/run.rs
@@ -11,6 +11,7 @@
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use quick_error::quick_error;
+use spdlog::warn;
 
 use super::Daemon;
 use super::Ring;
@@ -19,14 +20,20 @@
 use crate::config::Config;
 use crate::core::Event;
 use crate::core::State;
+use crate::core::model::RequestLimits;
 use crate::core::timeline::HybridClock;
 use crate::shell::clock::Clock;
 use crate::shell::endpoint::EndpointClient;
 use crate::shell::http::Api;
 use crate::shell::net;
+use crate::shell::net::Admission;
+use crate::shell::net::ClosedConnections;
+use crate::shell::net::Listener;
+use crate::shell::net::MachineLimits;
 use crate::shell::net::StopSender;
 use crate::shell::net::listen;
 use crate::shell::net::serve_http1;
+use crate::shell::net::spawn_sweeps;
 use crate::shell::net::stop_channel;
 use crate::shell::peer;
 use crate::shell::peer::PeerClient;
@@ -39,6 +46,9 @@
 /// Interval between the reducer's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Memory of the process, of which shares bound the open connections, in bytes.
+const MEMORY_BYTES: usize = 256 << 20;
+
 /// Timeout of a VM sync.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -88,8 +98,11 @@
 
     let api = Rc::new(Api::new(Rc::clone(&daemon), config, metrics));
     let handler = Rc::new(move |req| Rc::clone(&api).serve(req));
-    let callers = compio::runtime::spawn(serve_http1(http, handler, http_stop_rx));
-    spawn_peer_server(&daemon, peers, peer_stop_rx);
+    let [for_callers, for_peers] = admissions(config);
+    let serving = serve_http1(http, Rc::clone(&for_callers), handler, http_stop_rx);
+    let callers = compio::runtime::spawn(serving);
+    spawn_peer_server(&daemon, peers, Rc::clone(&for_peers), peer_stop_rx);
+    spawn_sweeps(vec![for_callers, for_peers], log_closed);
     spawn_ticks(&daemon);
     spawn_signal_handlers(&daemon);
 
@@ -124,13 +137,53 @@
     })
 }
 
+/// Returns the admissions of callers and of other daemons.
+fn admissions(config: &Config) -> [Rc<Admission>; 2] {
+    let machine = MachineLimits {
+        memory_bytes: Some(MEMORY_BYTES),
+        descriptors: max_descriptors(),
+    };
+    let limits = RequestLimits {
+        body_bytes: config.limits.body_bytes,
+        ..RequestLimits::default()
+    };
+    [Listener::Clients, Listener::Peers]
+        .map(|listener| Admission::new(listener, machine.bounds(listener), move || limits))
+}
+
+/// Returns the number of descriptors that the system lets this process open; `None` if it is not known.
+fn max_descriptors() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let mut lines = limits.lines();
+    let soft = lines.find_map(|line| line.strip_prefix("Max open files"))?;
+    soft.split_whitespace().next()?.parse().ok()
+}
+
+fn log_closed(closed: ClosedConnections) {
+    let ClosedConnections {
+        listener,
+        by_reason,
+        open,
+        held_bytes,
+    } = closed;
+    warn!("closed connections of {listener}: {by_reason:?}; {open} open, {held_bytes} bytes held");
+}
+
 fn spawn_peer_server(
     daemon: &Rc<Daemon>,
     listener: compio::net::TcpListener,
+    admission: Rc<Admission>,
     stop: net::StopReceiver,
 ) {
     let (tx, mut rx) = mpsc::unbounded();
-    compio::runtime::spawn(peer::serve(listener, daemon.id.clone(), tx, stop)).detach();
+    compio::runtime::spawn(peer::serve(
+        listener,
+        admission,
+        daemon.id.clone(),
+        tx,
+        stop,
+    ))
+    .detach();
     let daemon = Rc::clone(daemon);
     compio::runtime::spawn(async move {
         while let Some(req) = rx.next().await {
--- a/src/shell/http/jobs.rs
+++ b/src/shell/http/jobs.rs
@@ -3,7 +3,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use super::Api;
 use super::Result;
@@ -14,10 +13,11 @@
 use crate::core::event::Call;
 use crate::core::model::JobSpec;
 use crate::shell::net::Body;
+use crate::shell::net::RequestBody;
 
 impl Api {
     /// Serves `/v1/jobs` and `/v1/jobs/{id}`.
-    pub(super) async fn jobs(&self, id: &str, req: Request<Incoming>) -> Result<Response<Body>> {
+    pub(super) async fn jobs(&self, id: &str, req: Request<RequestBody>) -> Result<Response<Body>> {
         let key = bearer_token(req.headers());
         let call = match (req.method().clone(), id) {
             (Method::POST, "") => {
--- a/src/shell/http/mod.rs
+++ b/src/shell/http/mod.rs
@@ -17,7 +17,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
-use hyper::body::Incoming;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::config::Config;
@@ -25,7 +24,7 @@
 use crate::core::key;
 use crate::shell::daemon::Daemon;
 use crate::shell::net::Body;
-use crate::shell::net::collect;
+use crate::shell::net::RequestBody;
 
 /// Result of handling a request; the error is a complete error response.
 type Result<T, E = Box<Response<Body>>> = std::result::Result<T, E>;
@@ -59,14 +58,14 @@
     }
 
     /// Handles one request.
-    pub async fn serve(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+    pub async fn serve(self: Rc<Self>, req: Request<RequestBody>) -> Response<Body> {
         match self.route(req).await {
             Ok(res) => res,
             Err(res) => *res,
         }
     }
 
-    async fn route(&self, req: Request<Incoming>) -> Result<Response<Body>> {
+    async fn route(&self, req: Request<RequestBody>) -> Result<Response<Body>> {
         let path = req.uri().path().to_owned();
         let Some(rest) = path.strip_prefix(PATH_PREFIX) else {
             return self.unversioned(&path).await;
@@ -86,8 +85,8 @@
         reply::into_response(self.daemon.call(call).await)
     }
 
-    async fn read_body(&self, req: Request<Incoming>) -> Result<Bytes> {
-        let body = collect(req.into_body(), self.max_body_bytes);
+    async fn read_body(&self, req: Request<RequestBody>) -> Result<Bytes> {
+        let body = req.into_body().collect_up_to(self.max_body_bytes);
         match time::timeout(BODY_TIMEOUT, body).await {
             Ok(body) => body.map_err(|err| reply::invalid(&err.to_string())),
             Err(_) => Err(reply::body_timeout()),
--- a/src/shell/http/records.rs
+++ b/src/shell/http/records.rs
@@ -7,7 +7,6 @@
 use http::StatusCode;
 use http::header::IF_MATCH;
 use http::header::IF_NONE_MATCH;
-use hyper::body::Incoming;
 
 use super::Api;
 use super::Result;
@@ -16,13 +15,14 @@
 use crate::core::event::Call;
 use crate::core::model::Rev;
 use crate::shell::net::Body;
+use crate::shell::net::RequestBody;
 
 impl Api {
     /// Serves `/v1/records/{space}/` and `/v1/records/{space}/{name}`.
     pub(super) async fn records(
         &self,
         key: &str,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<Response<Body>> {
         self.check_operator(req.headers())?;
         let key = Box::from(key);
--- a/src/shell/http/request.rs
+++ b/src/shell/http/request.rs
@@ -18,7 +18,6 @@
 use http::header::TRANSFER_ENCODING;
 use http::header::UPGRADE;
 use http::request::Parts;
-use hyper::body::Incoming;
 
 use super::Api;
 use super::Result;
@@ -29,6 +28,7 @@
 use crate::core::model::RequestId;
 use crate::shell::daemon::Reply;
 use crate::shell::net::Body;
+use crate::shell::net::RequestBody;
 
 /// Header with the request's id, under which it can be repeated without being run twice.
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -61,7 +61,7 @@
     pub(super) async fn forward(
         &self,
         target: &str,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<Response<Body>> {
         let (service, path) = target.split_once('/').unwrap_or((target, ""));
         let head = self.request_head(service, &req)?;
@@ -80,7 +80,7 @@
     }
 
     /// Returns the request's attributes, from its method and headers.
-    fn request_head(&self, service: &str, req: &Request<Incoming>) -> Result<RequestHead> {
+    fn request_head(&self, service: &str, req: &Request<RequestBody>) -> Result<RequestHead> {
         let headers = req.headers();
         let idempotent = match header_text(headers, IDEMPOTENT_HEADER)? {
             Some("true") => true,
--- a/src/shell/log/mod.rs
+++ b/src/shell/log/mod.rs
@@ -105,6 +105,17 @@
         /// Outcome.
         outcome: Box<str>,
     },
+    /// Connections were closed because of a limit.
+    ConnectionsClosed {
+        /// Interface on which they were open.
+        listener: &'static str,
+        /// Number of connections by reason, since the last such line.
+        by_reason: BTreeMap<&'static str, u64>,
+        /// Connections that are still open.
+        open: usize,
+        /// Bytes held for them beyond what counts with each connection.
+        held_bytes: usize,
+    },
     /// An operation failed that does not affect any request.
     #[serde(rename = "trouble")]
     BackgroundFailure {
--- a/src/shell/net/mod.rs
+++ b/src/shell/net/mod.rs
@@ -1,5 +1,7 @@
 //! HTTP over compio sockets: a server and a client with pooled connections.
 
+mod admission;
+mod body;
 mod client;
 mod deadline;
 mod error;
@@ -8,8 +10,17 @@
 mod pool;
 mod progress;
 mod server;
+mod stream;
 mod timer;
 
+pub use admission::Admission;
+pub use admission::Bounds;
+pub use admission::ClosedConnections;
+pub use admission::Listener;
+pub use admission::MachineLimits;
+pub use admission::spawn_sweeps;
+pub use body::Body;
+pub use body::RequestBody;
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::connect;
@@ -18,10 +29,8 @@
 pub use exec::LocalExecutor;
 pub use label::CallLabel;
 pub use pool::ConnId;
-pub use server::Body;
 pub use server::StopReceiver;
 pub use server::StopSender;
-pub use server::collect;
 pub use server::json;
 pub use server::listen;
 pub use server::serve_http1;
--- a/src/shell/net/server.rs
+++ b/src/shell/net/server.rs
@@ -3,15 +3,19 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::TcpListener;
+use compio::net::TcpSocket;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::Either;
@@ -21,12 +25,11 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::server::conn::http2;
+use hyper::service::HttpService;
 use hyper::service::Service;
 use hyper::service::service_fn;
 use serde::Serialize;
@@ -35,9 +38,15 @@
 use super::LocalExecutor;
 use super::Result;
 use super::RuntimeTimer;
-
-/// Body of the responses that a server sends.
-pub type Body = Full<Bytes>;
+use super::admission::Admission;
+use super::admission::Admitted;
+use super::admission::Exchange;
+use super::admission::Signal;
+use super::admission::Working;
+use super::body::Body;
+use super::body::CountedBody;
+use super::body::RequestBody;
+use super::stream::CountedStream;
 
 /// Interval at which shutdown checks whether all connections have closed.
 const CLOSE_POLL: Duration = Duration::from_millis(10);
@@ -45,6 +54,15 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Size of a connection's buffers in the system, for each direction, in bytes.
+const SOCKET_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: i32 = 128;
+
+/// Maximum number of times that other tasks run before the next connection is accepted.
+const MAX_YIELDS: usize = 64;
+
 /// Receiver of the stop signal; clones receive the same signal.
 #[derive(Clone, Debug)]
 pub struct StopReceiver(Shared<oneshot::Receiver<()>>);
@@ -80,72 +98,177 @@
     (StopSender(Cell::new(Some(tx))), StopReceiver(rx.shared()))
 }
 
-/// Opens a listening socket.
+/// Opens a listening socket. What the system buffers for its connections is bounded.
 pub async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::Listen(addr, err))
+    let listener = try_listen(addr).await;
+    listener.map_err(|err| Error::Listen(addr, err))
 }
 
-/// Serves HTTP/1.1 requests with `handler` until `stop` receives the signal. Requests in
-/// flight at that time are completed before the function returns.
-pub async fn serve_http1<F, Fut>(listener: TcpListener, handler: Rc<F>, stop: StopReceiver)
-where
-    F: Fn(Request<Incoming>) -> Fut + 'static,
+async fn try_listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+        SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.bind(addr).await?;
+    socket.listen(BACKLOG).await
+}
+
+/// Serves HTTP/1.1 requests with `handler` on the connections that `admission` admits, until `stop`
+/// receives the signal. Requests in flight at that time are completed before the function returns.
+pub async fn serve_http1<F, Fut>(
+    listener: TcpListener,
+    admission: Rc<Admission>,
+    handler: Rc<F>,
+    stop: StopReceiver,
+) where
+    F: Fn(Request<RequestBody>) -> Fut + 'static,
     Fut: Future<Output = Response<Body>> + 'static,
 {
-    accept_loop(listener, stop.clone(), move |stream| {
-        let handler = Rc::clone(&handler);
-        let stop = stop.clone();
-        async move {
-            let service = service_fn(move |req| {
-                let reply = handler(req);
-                async move { Ok::<_, Infallible>(reply.await) }
-            });
-            let conn = http1::Builder::new()
-                .timer(RuntimeTimer)
-                .serve_connection(HyperStream::new_plain(stream), service);
-            let mut conn = pin!(conn);
-            if let Either::Right(_) = select(conn.as_mut(), stop.0).await {
-                conn.as_mut().graceful_shutdown();
-                let _ = conn.await;
+    accept_loop(
+        listener,
+        admission,
+        stop.clone(),
+        move |stream, admitted| {
+            let handler = Rc::clone(&handler);
+            let stop = stop.clone();
+            async move {
+                let handle = admitted.handle();
+                let service = service_fn(move |req| {
+                    let exchange = Exchange::begin(&handle);
+                    let reply = handler(with_counted_body(req, &exchange));
+                    async move { Ok::<_, Infallible>(with_counted_answer(reply.await, exchange)) }
+                });
+                let stream = CountedStream::new(stream, admitted.handle());
+                let conn = http1::Builder::new()
+                    .timer(RuntimeTimer)
+                    .serve_connection(stream, service);
+                drive(conn, &admitted, stop).await;
             }
-        }
-    })
+        },
+    )
     .await;
 }
 
-/// Serves HTTP/2 requests with `service` until `stop` receives the signal. Requests in
-/// flight at that time are completed before the function returns.
-pub async fn serve_http2<S, B>(listener: TcpListener, service: S, stop: StopReceiver)
+/// Serves HTTP/2 requests, each received whole, with `service` on the connections that `admission` admits,
+/// until `stop` receives the signal. Requests in flight at that time are completed before the function
+/// returns.
+pub async fn serve_http2<S, B>(
+    listener: TcpListener,
+    admission: Rc<Admission>,
+    service: S,
+    stop: StopReceiver,
+) where
+    S: Service<Request<Body>, Response = Response<B>, Error = Infallible> + Clone + 'static,
+    S::Future: 'static,
+    B: hyper::body::Body + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    accept_loop(
+        listener,
+        admission,
+        stop.clone(),
+        move |stream, admitted| {
+            let service = service.clone();
+            let stop = stop.clone();
+            async move {
+                let handle = admitted.handle();
+                let service = service_fn(move |req| {
+                    let exchange = Exchange::begin(&handle);
+                    let service = service.clone();
+                    async move {
+                        let (head, body) = with_counted_body(req, &exchange).into_parts();
+                        let body = body.collect().await?;
+                        let req = Request::from_parts(head, Full::new(body));
+                        let Ok(res) = service.call(req).await;
+                        Ok::<_, Error>(with_counted_answer(res, exchange))
+                    }
+                });
+                let stream = CountedStream::new(stream, admitted.handle());
+                let conn = http2::Builder::new(LocalExecutor)
+                    .timer(RuntimeTimer)
+                    .serve_connection(stream, service);
+                drive(conn, &admitted, stop).await;
+            }
+        },
+    )
+    .await;
+}
+
+/// Connection of a server that can be asked to close after its requests in flight.
+trait GracefulShutdown: Future {
+    fn start_shutdown(self: Pin<&mut Self>);
+}
+
+impl<I, B, S> GracefulShutdown for http1::Connection<I, S>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    I: hyper::rt::Read + hyper::rt::Write + Unpin,
+    B: hyper::body::Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    fn start_shutdown(self: Pin<&mut Self>) {
+        self.graceful_shutdown();
+    }
+}
+
+impl<I, B, S> GracefulShutdown for http2::Connection<I, S, LocalExecutor>
 where
-    S: Service<Request<Incoming>, Response = Response<B>> + Clone + 'static,
+    S: HttpService<Incoming, ResBody = B>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     S::Future: 'static,
+    I: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
     B: hyper::body::Body + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    accept_loop(listener, stop.clone(), move |stream| {
-        let service = service.clone();
-        let stop = stop.clone();
-        async move {
-            let conn = http2::Builder::new(LocalExecutor)
-                .timer(RuntimeTimer)
-                .serve_connection(HyperStream::new_plain(stream), service);
-            let mut conn = pin!(conn);
-            if let Either::Right(_) = select(conn.as_mut(), stop.0).await {
-                conn.as_mut().graceful_shutdown();
-                let _ = conn.await;
-            }
+    fn start_shutdown(self: Pin<&mut Self>) {
+        self.graceful_shutdown();
+    }
+}
+
+/// Runs a connection until it ends or is to be closed. Shuts it down gracefully once `stop` receives the
+/// signal.
+async fn drive<C: GracefulShutdown>(conn: C, admitted: &Admitted, stop: StopReceiver) {
+    let mut conn = pin!(conn);
+    let mut stop = stop.0.fuse();
+    poll_fn(|cx| {
+        if admitted.poll_signal(cx) == Poll::Ready(Signal::Close) {
+            return Poll::Ready(());
         }
+        if stop.poll_unpin(cx).is_ready() {
+            conn.as_mut().start_shutdown();
+        }
+        conn.as_mut().poll(cx).map(drop)
     })
     .await;
 }
 
+fn with_counted_body(req: Request<Incoming>, exchange: &Exchange<Working>) -> Request<RequestBody> {
+    let (head, body) = req.into_parts();
+    let body = RequestBody::new(body, exchange.held());
+    Request::from_parts(head, body)
+}
+
+fn with_counted_answer<B: hyper::body::Body>(
+    res: Response<B>,
+    exchange: Exchange<Working>,
+) -> Response<CountedBody<B>> {
+    let bytes = usize::try_from(res.body().size_hint().lower()).unwrap_or(usize::MAX);
+    let exchange = exchange.answer(bytes);
+    res.map(|body| CountedBody::new(body, exchange))
+}
+
 /// Accepts connections until `stop` receives the signal, and returns once all of them have closed.
-async fn accept_loop<F, Fut>(listener: TcpListener, stop: StopReceiver, serve: F)
-where
-    F: Fn(TcpStream) -> Fut,
+async fn accept_loop<F, Fut>(
+    listener: TcpListener,
+    admission: Rc<Admission>,
+    stop: StopReceiver,
+    serve: F,
+) where
+    F: Fn(TcpStream, Admitted) -> Fut,
     Fut: Future<Output = ()> + 'static,
 {
     let connections = Rc::new(());
@@ -158,14 +281,24 @@
             compio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let connection = serve(stream);
-        let counted = Rc::clone(&connections);
-        compio::runtime::spawn(async move {
-            connection.await;
-            drop(counted);
-        })
-        .detach();
+        if let Some(admitted) = admission.admit() {
+            let _ = stream.set_nodelay(true);
+            let connection = serve(stream, admitted);
+            let counted = Rc::clone(&connections);
+            compio::runtime::spawn(async move {
+                connection.await;
+                drop(counted);
+            })
+            .detach();
+        }
+        // Connections that were closed to admit this one end before the next one is accepted.
+        yield_now().await;
+        for _ in 0..MAX_YIELDS {
+            if !admission.has_many_orphans() {
+                break;
+            }
+            yield_now().await;
+        }
     }
     drop(listener);
     while Rc::strong_count(&connections) > 1 {
@@ -173,15 +306,18 @@
     }
 }
 
-/// Reads a complete request body of at most `limit` bytes.
-pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) => match err.downcast::<hyper::Error>() {
-            Ok(err) => Err(Error::ReadBody(*err)),
-            Err(_) => Err(Error::TooLarge(limit)),
-        },
-    }
+/// Lets the other tasks that are ready run first.
+async fn yield_now() {
+    let mut has_yielded = false;
+    poll_fn(|cx| {
+        if has_yielded {
+            return Poll::Ready(());
+        }
+        has_yielded = true;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
 }
 
 /// Returns a response with a JSON body.
--- a/src/shell/peer/server.rs
+++ b/src/shell/peer/server.rs
@@ -1,5 +1,7 @@
 //! Server side of the protocol between daemons.
 
+use std::rc::Rc;
+
 use compio::net::TcpListener;
 use futures_channel::mpsc;
 use futures_channel::oneshot;
@@ -15,6 +17,8 @@
 use crate::proto::peer::Envelope;
 use crate::proto::peer::peer_server::Peer;
 use crate::proto::peer::peer_server::PeerServer;
+use crate::shell::net::Admission;
+use crate::shell::net::Body;
 use crate::shell::net::StopReceiver;
 use crate::shell::net::serve_http2;
 
@@ -68,17 +72,19 @@
     }
 }
 
-/// Serves other daemons until `stop` receives the signal; sends each message to `tx`.
+/// Serves other daemons on the connections that `admission` admits, until `stop` receives the signal; sends
+/// each message to `tx`.
 pub async fn serve(
     listener: TcpListener,
+    admission: Rc<Admission>,
     id: DaemonId,
     tx: mpsc::UnboundedSender<PeerRequest>,
     stop: StopReceiver,
 ) {
     let server = PeerServer::new(Service { id, tx });
-    let service = hyper::service::service_fn(move |req| {
+    let service = hyper::service::service_fn(move |req: http::Request<Body>| {
         let mut server = server.clone();
         async move { tower_service::Service::call(&mut server, req).await }
     });
-    serve_http2(listener, service, stop).await;
+    serve_http2(listener, admission, service, stop).await;
 }
--- a/src/shell/workload/peers.rs
+++ b/src/shell/workload/peers.rs
@@ -12,15 +12,22 @@
 use super::advice;
 use super::relay;
 use crate::proto::relay::relay_server::RelayServer;
+use crate::shell::net::Admission;
+use crate::shell::net::Body;
 use crate::shell::net::StopReceiver;
 use crate::shell::net::serve_http2;
 
-/// Serves the calls of other daemons until `stop`.
-pub async fn serve<B: Backend>(listener: TcpListener, runner: Rc<Runner<B>>, stop: StopReceiver) {
+/// Serves the calls of other daemons on the connections that `admission` admits, until `stop`.
+pub async fn serve<B: Backend>(
+    listener: TcpListener,
+    admission: Rc<Admission>,
+    runner: Rc<Runner<B>>,
+    stop: StopReceiver,
+) {
     let advice = advice::server(runner.backend());
     let relay = relay::server(runner);
     let relay_prefix = format!("/{}/", RelayServer::<relay::Service>::NAME);
-    let service = service_fn(move |req: http::Request<hyper::body::Incoming>| {
+    let service = service_fn(move |req: http::Request<Body>| {
         let is_relay = req.uri().path().starts_with(&relay_prefix);
         let (mut advice, mut relay) = (advice.clone(), relay.clone());
         async move {
@@ -31,5 +38,5 @@
             }
         }
     });
-    serve_http2(listener, service, stop).await;
+    serve_http2(listener, admission, service, stop).await;
 }
--- a/standins/src/endpoint/server.rs
+++ b/standins/src/endpoint/server.rs
@@ -22,12 +22,12 @@
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use ragwortstall::shell::net::collect;
 
 use super::model::EndpointModel;
 use super::model::Faults;
@@ -118,9 +118,7 @@
             return std::future::pending().await;
         }
         let tag = request_tag(&req);
-        let body = collect(req.into_body(), MAX_BODY_BYTES)
-            .await
-            .map_err(io::Error::other)?;
+        let body = collect(req.into_body()).await.map_err(io::Error::other)?;
         let Some(count) = self.model.borrow_mut().start(&tag) else {
             return Ok(not_started());
         };
@@ -158,9 +156,7 @@
     }
 
     async fn put_faults(&self, req: Request<Incoming>) -> Result<Response<Body>> {
-        let body = collect(req.into_body(), MAX_BODY_BYTES)
-            .await
-            .map_err(io::Error::other)?;
+        let body = collect(req.into_body()).await.map_err(io::Error::other)?;
         let status = match serde_json::from_slice(&body) {
             Ok(faults) => {
                 self.set_faults(faults);
@@ -172,6 +168,12 @@
     }
 }
 
+/// Receives a body of at most [`MAX_BODY_BYTES`].
+async fn collect(body: Incoming) -> io::Result<Bytes> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    Ok(body.map_err(io::Error::other)?.to_bytes())
+}
+
 /// Returns the identifier that the caller gave the request; empty if it gave none.
 fn request_tag(req: &Request<Incoming>) -> Box<str> {
     ["idempotency-key", "x-request-tag"]
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,3 +6,7 @@
 pub mod endpoint;
 pub mod platform;
 pub mod worker;
+
+mod admission;
+
+use admission::admission;
--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -15,7 +15,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use ragwortstall::core::model::Member;
 use ragwortstall::core::model::Txn;
 use ragwortstall::shell::net;
@@ -30,6 +29,7 @@
 use super::Members;
 use super::Outcome;
 use super::Table;
+use crate::admission;
 
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -101,12 +101,12 @@
     let shared = Rc::new(RefCell::new(platform));
     let handler = Rc::new(move |req| handle(Rc::clone(&shared), req));
     let (_stop_tx, stop_rx) = net::stop_channel();
-    net::serve_http1(listener, handler, stop_rx).await;
+    net::serve_http1(listener, admission(), handler, stop_rx).await;
 }
 
-async fn handle(platform: Shared, req: Request<Incoming>) -> Reply {
+async fn handle(platform: Shared, req: Request<net::RequestBody>) -> Reply {
     let (head, body) = req.into_parts();
-    let Ok(body) = net::collect(body, MAX_BODY_BYTES).await else {
+    let Ok(body) = body.collect_up_to(MAX_BODY_BYTES).await else {
         return status(StatusCode::PAYLOAD_TOO_LARGE);
     };
     let path = head.uri.path();
--- a/standins/src/worker/instance.rs
+++ b/standins/src/worker/instance.rs
@@ -12,7 +12,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use ragwortstall::core::model::Member;
 use ragwortstall::core::model::MemberRole;
 use ragwortstall::core::model::MemberState;
@@ -25,6 +24,7 @@
 
 use super::VmModel;
 use super::membership::MembershipClient;
+use crate::admission;
 
 /// Number of concurrent requests that an instance registers as its limit.
 const SLOTS: u32 = 8;
@@ -110,7 +110,8 @@
         let (server_stop_tx, server_stop_rx) = net::stop_channel();
         let name = self.name.clone();
         let handler = Rc::new(move |req| echo(name.clone(), req));
-        let server = compio::runtime::spawn(net::serve_http1(listener, handler, server_stop_rx));
+        let serving = net::serve_http1(listener, admission(), handler, server_stop_rx);
+        let server = compio::runtime::spawn(serving);
         stop.stopped().await;
         membership
             .put(&self.member(address, MemberState::Leaving))
@@ -137,8 +138,8 @@
 }
 
 /// Answers with the body of the request and the name of the instance.
-async fn echo(name: Box<str>, req: Request<Incoming>) -> Response<Body> {
-    let Ok(body) = net::collect(req.into_body(), MAX_BODY_BYTES).await else {
+async fn echo(name: Box<str>, req: Request<net::RequestBody>) -> Response<Body> {
+    let Ok(body) = req.into_body().collect_up_to(MAX_BODY_BYTES).await else {
         return net::text(StatusCode::BAD_REQUEST, "unreadable body");
     };
     let mut res = net::text(StatusCode::OK, body);
--- a/standins/src/worker/server.rs
+++ b/standins/src/worker/server.rs
@@ -10,7 +10,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use ragwortstall::core::model::Member;
 use ragwortstall::core::model::MemberRole;
 use ragwortstall::core::model::MemberState;
@@ -26,6 +25,7 @@
 use super::VmModel;
 use super::instance::Instances;
 use super::membership::MembershipClient;
+use crate::admission;
 
 /// Result of running a worker VM.
 pub type Result<T, E = net::Error> = std::result::Result<T, E>;
@@ -88,7 +88,7 @@
     compio::runtime::spawn(register_periodically(options, membership)).detach();
     compio::runtime::spawn(advance_periodically(Rc::clone(&vm))).detach();
     let handler = Rc::new(move |req| handle(Rc::clone(&vm), req));
-    net::serve_http1(listener, handler, stop).await;
+    net::serve_http1(listener, admission(), handler, stop).await;
     Ok(())
 }
 
@@ -116,10 +116,10 @@
     }
 }
 
-async fn handle(vm: Rc<Vm>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(vm: Rc<Vm>, req: Request<net::RequestBody>) -> Response<Body> {
     let method = req.method().clone();
     let path: Box<str> = req.uri().path().into();
-    let Ok(body) = net::collect(req.into_body(), MAX_BODY_BYTES).await else {
+    let Ok(body) = req.into_body().collect_up_to(MAX_BODY_BYTES).await else {
         return net::text(StatusCode::BAD_REQUEST, "unreadable body");
     };
     match (method, &*path) {
