Hold clients to the limits on heads that the configuration states

What callers saw: one header, or empty lines before a request, without end took 0.7 to 0.9 MB of the daemon for each connection (300 of them 279 and 283 MiB; 91 and 72 MiB with the connections bounded, of 64). A legal head of 16,384 bytes in many short headers was refused with 431.

Cause: hyper's own limits were in force, 400 KB and 100 headers. The configuration states maxHeaderBytes, headerTimeoutMs and idleTimeoutMs, and nothing read them.

Hyper refuses a head over its limit with 431, whatever the number of its headers, with 1 KiB of slack for what clients may not count. What is received of a head counts for the bytes that are held for all connections. If the limit on heads is raised, connections whose parser has the former one are closed between two requests, as a legal head would be refused on them.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::core::model::RequestLimits;
 use crate::core::model::Resources;
 use crate::core::model::ServiceId;
 use crate::core::model::TeamId;
@@ -28,6 +29,8 @@
     pub teams: FxHashMap<TeamId, Team>,
     /// Team of each API key.
     pub keys: FxHashMap<Box<str>, TeamId>,
+    /// Limits of clients' requests.
+    pub limits: RequestLimits,
 }
 
 /// Queue of jobs.
--- a/src/core/workload/state.rs
+++ b/src/core/workload/state.rs
@@ -43,6 +43,7 @@
 use super::table::CommitOutcome;
 use super::table::Page;
 use crate::core::model::Now;
+use crate::core::model::RequestLimits;
 use crate::core::model::Ticket;
 
 /// Builds the context of an event. It borrows single fields only, so that the others stay available.
@@ -152,6 +153,13 @@
         self.catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
+    /// Returns the limits of clients' requests in force: those of the configuration, or else the defaults.
+    #[must_use]
+    pub fn request_limits(&self) -> RequestLimits {
+        let catalog = self.catalog.as_ref();
+        catalog.map_or_else(RequestLimits::default, |catalog| catalog.limits)
+    }
+
     /// Returns the epoch of this daemon's placer role, if it is the placer.
     #[must_use]
     pub fn epoch(&mut self) -> Option<u64> {
--- a/src/shell/net/admission/conn.rs
+++ b/src/shell/net/admission/conn.rs
@@ -18,18 +18,26 @@
 pub(in crate::shell::net) enum Signal {
     /// Close the connection at once.
     Close,
+    /// Close the connection when it has no request.
+    Retire,
 }
 
 /// State of one open connection.
 #[derive(Debug, Default)]
 pub(super) struct Conn {
     pub rank: Cell<Rank>,
+    /// Maximum size of a head on this connection, in bytes.
+    pub max_head_bytes: usize,
     /// Requests that have begun and are not yet answered.
     pub requests: Cell<u32>,
     /// Those of them that the daemon works on: received as far as needed, and without an answer.
     pub in_work: Cell<u32>,
-    /// Bytes held for answers.
+    /// Bytes held for heads, bodies and answers.
     pub held: Cell<usize>,
+    /// Bytes received of a head that is not complete; part of `held`.
+    pub head_bytes: Cell<usize>,
+    /// Time at which the first byte of that head was received.
+    pub head_since: Cell<Option<Tick>>,
     /// Time at which bytes were last received or sent.
     pub progress_at: Cell<Tick>,
     /// Whether the connection no longer counts.
@@ -40,9 +48,10 @@
 
 impl Conn {
     /// Returns the state of a connection that is opened now.
-    pub fn new(rank: Rank, now: Tick) -> Self {
+    pub fn new(rank: Rank, max_head_bytes: usize, now: Tick) -> Self {
         Self {
             rank: Cell::new(rank),
+            max_head_bytes,
             progress_at: Cell::new(now),
             ..Self::default()
         }
@@ -59,7 +68,7 @@
         self.held.get().saturating_sub(INCLUDED_BYTES)
     }
 
-    /// Notifies the connection's task.
+    /// Notifies the connection's task. A signal to close replaces one to retire.
     pub fn send_signal(&self, signal: Signal) {
         self.signal.set(Some(signal));
         if let Some(waker) = self.waker.take() {
--- a/src/shell/net/admission/exchange.rs
+++ b/src/shell/net/admission/exchange.rs
@@ -39,6 +39,9 @@
 impl Exchange<Working> {
     /// Begins an exchange when the head of its request has been received.
     pub fn begin(handle: &Handle) -> Self {
+        let Handle { admission, conn } = handle;
+        conn.head_since.set(None);
+        admission.release(conn, conn.head_bytes.take());
         let open = Open::new(handle);
         let in_work = InWork::new(handle);
         let held = Held {
--- a/src/shell/net/admission/mod.rs
+++ b/src/shell/net/admission/mod.rs
@@ -20,6 +20,8 @@
 
 use metrics::counter;
 
+use super::Error;
+use super::Result;
 use crate::core::model::RequestLimits;
 
 pub use bounds::Bounds;
@@ -38,6 +40,13 @@
 /// Time in sweeps, which run at [`sweep::INTERVAL`].
 pub(super) type Tick = u32;
 
+/// Bytes by which a head may exceed its limit, for the empty lines before it and for bytes that clients do
+/// not count.
+const HEAD_SLACK_BYTES: usize = 1 << 10;
+
+/// Bytes that may be read beyond a head before its size is checked.
+const READ_AHEAD_BYTES: usize = 32 << 10;
+
 /// Requests of closed connections with which further connections are accepted.
 const MAX_ORPHANS: u32 = 16;
 
@@ -48,6 +57,10 @@
     Connections,
     /// The listener holds as many bytes as it may hold.
     Memory,
+    /// More bytes than a head may have were received without one.
+    HeadSize,
+    /// A head was not complete in time.
+    HeadTimeout,
     /// Nothing was received or sent for too long.
     IdleTimeout,
 }
@@ -87,6 +100,8 @@
         match self {
             Self::Connections => "connections",
             Self::Memory => "memory",
+            Self::HeadSize => "head_size",
+            Self::HeadTimeout => "head_timeout",
             Self::IdleTimeout => "idle_timeout",
         }
     }
@@ -129,7 +144,8 @@
             };
             self.close(&oldest, CloseReason::Connections);
         }
-        let conn = Rc::new(Conn::new(self.next_rank(), self.now.get()));
+        let max_head_bytes = self.limits().head_bytes + HEAD_SLACK_BYTES;
+        let conn = Rc::new(Conn::new(self.next_rank(), max_head_bytes, self.now.get()));
         let rank = conn.rank.get();
         self.conns.borrow_mut().insert(rank, Rc::clone(&conn));
         let admission = Rc::clone(self);
@@ -172,6 +188,22 @@
         }
     }
 
+    /// Counts bytes that are held for a connection. If there are too many, closes others or this one; fails
+    /// if this one is closed.
+    fn hold(&self, conn: &Conn, bytes: usize) -> Result<()> {
+        self.set_held(conn, conn.held.get() + bytes);
+        while self.held.get() > self.bounds.held_bytes && !conn.is_closed.get() {
+            match self.oldest_holder_to_close() {
+                Some(oldest) => self.close(&oldest, CloseReason::Memory),
+                None => self.close(conn, CloseReason::Memory),
+            }
+        }
+        if conn.is_closed.get() {
+            return Err(Error::Closed);
+        }
+        Ok(())
+    }
+
     /// Counts bytes of an answer that are held for a connection. If there are too many, closes others.
     fn hold_answer(&self, conn: &Conn, bytes: usize) {
         self.set_held(conn, conn.held.get() + bytes);
@@ -238,6 +270,11 @@
         self.0.clone()
     }
 
+    /// Returns the maximum size of a head on the connection, in bytes.
+    pub fn max_head_bytes(&self) -> usize {
+        self.0.conn.max_head_bytes
+    }
+
     /// Waits for a signal to the connection's task.
     pub fn poll_signal(&self, cx: &mut Context<'_>) -> Poll<Signal> {
         self.0.conn.poll_signal(cx)
@@ -251,10 +288,23 @@
 }
 
 impl Handle {
-    /// Counts that bytes were received.
-    pub fn add_received(&self) {
+    /// Counts bytes that were received. Without a request they belong to the head of the next one.
+    pub fn add_received(&self, bytes: usize) -> Result<()> {
         let Self { admission, conn } = self;
         conn.progress_at.set(admission.now.get());
+        if conn.requests.get() > 0 || admission.listener == Listener::Peers {
+            return Ok(());
+        }
+        if conn.head_since.get().is_none() {
+            conn.head_since.set(Some(admission.now.get()));
+        }
+        let head_bytes = conn.head_bytes.get() + bytes;
+        conn.head_bytes.set(head_bytes);
+        if head_bytes > conn.max_head_bytes + READ_AHEAD_BYTES {
+            admission.close(conn, CloseReason::HeadSize);
+            return Err(Error::Closed);
+        }
+        admission.hold(conn, bytes)
     }
 
     /// Counts that bytes were sent.
--- a/src/shell/net/admission/sweep.rs
+++ b/src/shell/net/admission/sweep.rs
@@ -10,6 +10,7 @@
 use super::CloseReason;
 use super::Conn;
 use super::Listener;
+use super::Signal;
 use super::Tick;
 use crate::core::model::RequestLimits;
 
@@ -51,7 +52,8 @@
 }
 
 impl Admission {
-    /// Closes connections that exceed a time limit.
+    /// Closes connections that exceed a time limit, and retires those whose limit on heads is lower than the
+    /// one in force.
     fn sweep(&self) {
         let now = self.now.get().wrapping_add(1);
         self.now.set(now);
@@ -60,6 +62,8 @@
         for conn in &conns {
             if let Some(reason) = self.overdue(conn, &limits, now) {
                 self.close(conn, reason);
+            } else if conn.max_head_bytes < limits.head_bytes {
+                conn.send_signal(Signal::Retire);
             }
         }
         self.report_gauges();
@@ -70,6 +74,10 @@
         if self.listener == Listener::Peers || !conn.may_be_closed() {
             return None;
         }
+        let head_since = conn.head_since.get();
+        if head_since.is_some_and(|since| exceeds(now, since, limits.head_timeout)) {
+            return Some(CloseReason::HeadTimeout);
+        }
         let is_idle = exceeds(now, conn.progress_at.get(), limits.idle_timeout);
         is_idle.then_some(CloseReason::IdleTimeout)
     }
--- a/src/shell/net/error.rs
+++ b/src/shell/net/error.rs
@@ -52,6 +52,10 @@
         Address(address: Box<str>) {
             display("address {address:?} is faulty")
         }
+        /// The connection was closed, as too much is held for all connections.
+        Closed {
+            display("the connection was closed")
+        }
         /// The body exceeds the limit, which is in bytes.
         TooLarge(limit: usize) {
             display("body exceeds {limit} bytes")
--- a/src/shell/net/server.rs
+++ b/src/shell/net/server.rs
@@ -63,6 +63,15 @@
 /// Maximum number of times that other tasks run before the next connection is accepted.
 const MAX_YIELDS: usize = 64;
 
+/// Smallest read buffer that hyper allows, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
+
+/// Size of the shortest header, in bytes: a name of one character, a colon and the end of the line.
+const MIN_HEADER_BYTES: usize = 4;
+
+/// Maximum number of headers, which fit into a header map.
+const MAX_HEADERS: usize = 8 << 10;
+
 /// Receiver of the stop signal; clones receive the same signal.
 #[derive(Clone, Debug)]
 pub struct StopReceiver(Shared<oneshot::Receiver<()>>);
@@ -142,9 +151,8 @@
                     async move { Ok::<_, Infallible>(with_counted_answer(reply.await, exchange)) }
                 });
                 let stream = CountedStream::new(stream, admitted.handle());
-                let conn = http1::Builder::new()
-                    .timer(RuntimeTimer)
-                    .serve_connection(stream, service);
+                let conn =
+                    http1_builder(admitted.max_head_bytes()).serve_connection(stream, service);
                 drive(conn, &admitted, stop).await;
             }
         },
@@ -230,15 +238,16 @@
 }
 
 /// Runs a connection until it ends or is to be closed. Shuts it down gracefully once `stop` receives the
-/// signal.
+/// signal or the connection is retired.
 async fn drive<C: GracefulShutdown>(conn: C, admitted: &Admitted, stop: StopReceiver) {
     let mut conn = pin!(conn);
     let mut stop = stop.0.fuse();
     poll_fn(|cx| {
-        if admitted.poll_signal(cx) == Poll::Ready(Signal::Close) {
+        let signal = admitted.poll_signal(cx);
+        if signal == Poll::Ready(Signal::Close) {
             return Poll::Ready(());
         }
-        if stop.poll_unpin(cx).is_ready() {
+        if stop.poll_unpin(cx).is_ready() || signal.is_ready() {
             conn.as_mut().start_shutdown();
         }
         conn.as_mut().poll(cx).map(drop)
@@ -246,6 +255,15 @@
     .await;
 }
 
+fn http1_builder(max_head_bytes: usize) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .max_header_size(max_head_bytes)
+        .max_buf_size(max_head_bytes.max(MIN_READ_BUFFER_BYTES))
+        .max_headers((max_head_bytes / MIN_HEADER_BYTES).min(MAX_HEADERS));
+    builder
+}
+
 fn with_counted_body(req: Request<Incoming>, exchange: &Exchange<Working>) -> Request<RequestBody> {
     let (head, body) = req.into_parts();
     let body = RequestBody::new(body, exchange.held());
--- a/src/shell/net/stream.rs
+++ b/src/shell/net/stream.rs
@@ -55,8 +55,8 @@
         let len = data.len().min(buf.remaining());
         buf.put_slice(&data[..len]);
         self.inner.as_mut().consume(len);
-        self.handle.add_received();
-        Poll::Ready(Ok(()))
+        let counted = self.handle.add_received(len);
+        Poll::Ready(counted.map_err(io::Error::other))
     }
 }
 
--- a/src/shell/workload/runner.rs
+++ b/src/shell/workload/runner.rs
@@ -23,6 +23,7 @@
 use super::meters::StatusGauges;
 use super::relay::forward_call;
 use crate::core::model::Now;
+use crate::core::model::RequestLimits;
 use crate::core::model::Ticket;
 use crate::core::workload::Effect;
 use crate::core::workload::Event;
@@ -143,6 +144,11 @@
         self.state.borrow().config_version()
     }
 
+    /// Returns the limits of clients' requests in force.
+    pub fn request_limits(&self) -> RequestLimits {
+        self.state.borrow().request_limits()
+    }
+
     /// Returns the external systems of the daemon.
     pub fn backend(&self) -> Rc<B> {
         Rc::clone(&self.backend)
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -140,6 +140,12 @@
     format!("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: {bytes}\r\n\r\n{body}")
 }
 
+/// Returns a request with a head of about `bytes` bytes.
+fn get_with_head(bytes: usize) -> String {
+    let fill = "v".repeat(bytes);
+    format!("GET /now HTTP/1.1\r\nHost: h\r\nx-fill: {fill}\r\n\r\n")
+}
+
 /// Guards against clients that stop short holding the places of those that complete their requests.
 #[test]
 fn the_connection_longest_without_a_completed_request_is_closed() {
@@ -194,6 +200,40 @@
     });
 }
 
+/// Guards against refusing a head that is legal since a change of the configuration: the connection, whose
+/// parser has the former limit, is closed between two requests.
+#[test]
+fn a_raised_limit_on_heads_retires_open_connections() {
+    run(async || {
+        let server = Server::start(WIDE).await;
+        let mut client = server.connect().await;
+        client.send(&get_with_head(20_000)).await;
+        assert_eq!(client.status().await, Some(431));
+        let mut client = server.connect().await;
+        assert_eq!(client.get().await, Some(200));
+        server.change_limits(|limits| limits.head_bytes = 32_000);
+        assert_eq!(client.status().await, None);
+        let mut client = server.connect().await;
+        client.send(&get_with_head(20_000)).await;
+        assert_eq!(client.status().await, Some(200));
+    });
+}
+
+/// Guards against a head whose end never comes holding its connection.
+#[test]
+fn a_head_that_is_not_completed_in_time_is_closed() {
+    run(async || {
+        let server = Server::start(WIDE).await;
+        server.change_limits(|limits| limits.head_timeout = Duration::from_millis(100));
+        let mut unfinished = server.connect().await;
+        unfinished.send("GET /now HTTP/1.1\r\n").await;
+        let mut idle = server.connect().await;
+        assert_eq!(idle.get().await, Some(200));
+        assert_eq!(unfinished.status().await, None);
+        assert_eq!(idle.get().await, Some(200));
+    });
+}
+
 #[test]
 fn an_idle_connection_is_closed_after_its_timeout() {
     run(async || {
