Count what is held for bodies, and receive them into blocks

What callers saw: bodies of legal size, whole or in chunks, that stop just short of their end and stay open took 0.6 MB each, chunks of one byte with extensions 11 MB and more (300 connections: 189 MiB to 3.4 GiB; with the connections bounded up to 869 MiB), until the process was ended for its memory.

Cause: a body was collected frame by frame, without a bound over all connections. Each frame of a few bytes kept the read buffer that it was a part of, and the limit counted bytes of content. A job of many tiny steps took a multiple of its body once parsed.

Fix: a body is copied into blocks of 16 KiB as it arrives, and no frame is kept. When the bound is reached, the connection is closed that has gone longest without completing a request among those that hold more. A request counts until it has been answered. A body whose stated length is over the limit, which the configuration states too, is refused with 413 before it is read: a status that says nothing of a job with the same id. A job of more than 200 steps, which was refused after parsing, is refused at the first step beyond.

--- a/src/core/workload/submission.rs
+++ b/src/core/workload/submission.rs
@@ -1,9 +1,16 @@
 //! Jobs as submitted by callers: steps of tasks with their resource demands and constraints.
 
+use std::fmt;
+use std::fmt::Formatter;
+use std::marker::PhantomData;
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error as _;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
 
 use crate::core::model::Resources;
 
@@ -44,6 +51,7 @@
     /// Opaque text that is passed to every task at its start.
     pub payload: Box<str>,
     /// Steps in topological order: a step comes after those it depends on.
+    #[serde(deserialize_with = "bounded_steps")]
     pub steps: Vec<Step>,
     /// Schedule of the occurrences; `None` to run once, immediately.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -112,6 +120,38 @@
     pub filler: bool,
 }
 
+/// Deserializes a list of at most [`MAX_STEPS`] steps. Fails at the first one beyond, so that what a long
+/// list takes in memory is bounded.
+pub fn bounded_steps<'de, D, T>(de: D) -> std::result::Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    struct Steps<T>(PhantomData<T>);
+
+    impl<'de, T: Deserialize<'de>> Visitor<'de> for Steps<T> {
+        type Value = Vec<T>;
+
+        fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
+            write!(f, "a list of steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = seq.next_element()? {
+                if steps.len() == MAX_STEPS {
+                    let reason = format!("a job has 1 to {MAX_STEPS} steps");
+                    return Err(A::Error::custom(reason));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    de.deserialize_seq(Steps(PhantomData))
+}
+
 impl Submission {
     /// Checks all constraints that do not depend on the state of the cell.
     pub fn validate(&self) -> Result<()> {
--- a/src/shell/http/mod.rs
+++ b/src/shell/http/mod.rs
@@ -24,6 +24,7 @@
 use crate::core::key;
 use crate::shell::daemon::Daemon;
 use crate::shell::net::Body;
+use crate::shell::net::Error;
 use crate::shell::net::RequestBody;
 
 /// Result of handling a request; the error is a complete error response.
@@ -88,6 +89,7 @@
     async fn read_body(&self, req: Request<RequestBody>) -> Result<Bytes> {
         let body = req.into_body().collect_up_to(self.max_body_bytes);
         match time::timeout(BODY_TIMEOUT, body).await {
+            Ok(Err(err @ Error::TooLarge(_))) => Err(reply::too_large(&err.to_string())),
             Ok(body) => body.map_err(|err| reply::invalid(&err.to_string())),
             Err(_) => Err(reply::body_timeout()),
         }
--- a/src/shell/http/reply.rs
+++ b/src/shell/http/reply.rs
@@ -81,6 +81,12 @@
     Box::new(with_outcome(res, NOT_RUN))
 }
 
+/// Returns the error response for a body over the limit, whose work was not run.
+pub(super) fn too_large(message: &str) -> Box<Response<Body>> {
+    let res = json(StatusCode::PAYLOAD_TOO_LARGE, &ErrorBody { error: message });
+    Box::new(with_outcome(res, NOT_RUN))
+}
+
 /// Returns the error response for a body that was not received within the timeout.
 pub(super) fn body_timeout() -> Box<Response<Body>> {
     let message = "the body did not arrive in time";
--- a/src/shell/net/admission/exchange.rs
+++ b/src/shell/net/admission/exchange.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::Handle;
+use super::Result;
 
 /// A request from its head to the end of its answer, in one phase.
 pub(in crate::shell::net) struct Exchange<P> {
@@ -72,6 +73,13 @@
 }
 
 impl Held {
+    /// Counts more bytes. Fails if there is no room for them; the connection is then closed.
+    pub fn add(&self, bytes: usize) -> Result<()> {
+        self.bytes.set(self.bytes.get() + bytes);
+        let Handle { admission, conn } = &self.handle;
+        admission.hold(conn, bytes)
+    }
+
     /// Lets the connection be closed for as long as the result exists.
     pub fn receive(&self) -> Receiving<'_> {
         let in_work = &self.handle.conn.in_work;
@@ -82,7 +90,8 @@
     /// Returns the maximum size of a body, in bytes.
     pub fn max_body_bytes(&self) -> usize {
         let admission = &self.handle.admission;
-        admission.limits().body_bytes
+        let limit = admission.limits().body_bytes;
+        limit.min(admission.bounds.held_bytes)
     }
 
     fn replace(&self, bytes: usize) {
--- a/src/shell/net/body.rs
+++ b/src/shell/net/body.rs
@@ -7,9 +7,10 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -24,12 +25,26 @@
 /// Body of the responses that a server sends.
 pub type Body = Full<Bytes>;
 
+/// Size of a block of a body, in bytes.
+const BLOCK_BYTES: usize = 16 << 10;
+
 /// Body of a request that has not been received yet.
 pub struct RequestBody {
     incoming: Incoming,
+    /// Length that the head states, in bytes.
+    stated: Option<u64>,
     held: Rc<Held>,
 }
 
+/// Part of a body that has been received, in blocks of the same size, so that bodies that are given up leave
+/// memory that others can use.
+#[derive(Default)]
+struct Blocks {
+    list: Vec<Vec<u8>>,
+    /// Size of the content, in bytes.
+    len: usize,
+}
+
 /// Body of an answer, whose bytes count for its connection until they have been sent.
 pub(super) struct CountedBody<B> {
     inner: B,
@@ -43,32 +58,102 @@
 }
 
 impl RequestBody {
-    pub(super) fn new(incoming: Incoming, held: Rc<Held>) -> Self {
-        Self { incoming, held }
+    pub(super) fn new(incoming: Incoming, headers: &HeaderMap, held: Rc<Held>) -> Self {
+        let stated = headers.get(CONTENT_LENGTH);
+        let stated = stated.and_then(|value| value.to_str().ok()?.parse().ok());
+        Self {
+            incoming,
+            stated,
+            held,
+        }
     }
 
-    /// Receives the body, which may have as many bytes as the limits in force allow.
+    /// Receives the body, which may have as many bytes as the limits in force allow. They count for its
+    /// connection until the request has been answered.
     pub async fn collect(self) -> Result<Bytes> {
         let limit = self.held.max_body_bytes();
         self.collect_up_to(limit).await
     }
 
-    /// Like [`RequestBody::collect`], with a limit of `limit` bytes.
+    /// Like [`RequestBody::collect`], with a limit of `limit` bytes. A body whose stated length is over the limit fails
+    /// before any of it is read.
     pub async fn collect_up_to(self, limit: usize) -> Result<Bytes> {
-        let Self { incoming, held } = self;
+        let Self {
+            incoming,
+            stated,
+            held,
+        } = self;
+        let too_large = |length: u64| usize::try_from(length).is_ok_and(|length| length > limit);
+        if stated.is_some_and(too_large) {
+            return Err(Error::TooLarge(limit));
+        }
         receive(incoming, limit, &held).await
     }
 }
 
-/// Receives a body.
-async fn receive(incoming: Incoming, limit: usize, held: &Held) -> Result<Bytes> {
+/// Receives a body into blocks of memory that are allocated as it arrives.
+async fn receive(mut incoming: Incoming, limit: usize, held: &Held) -> Result<Bytes> {
     let _receiving = held.receive();
-    match Limited::new(incoming, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) => match err.downcast::<hyper::Error>() {
-            Ok(err) => Err(Error::ReadBody(*err)),
-            Err(_) => Err(Error::TooLarge(limit)),
-        },
+    let mut blocks = Blocks::default();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(Error::ReadBody)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if blocks.len + data.len() > limit {
+            return Err(Error::TooLarge(limit));
+        }
+        blocks.append(data, held)?;
+    }
+    blocks.join(held)
+}
+
+impl Blocks {
+    /// Appends data, of which nothing else is kept in memory.
+    fn append(&mut self, mut data: &[u8], held: &Held) -> Result<()> {
+        self.len += data.len();
+        while !data.is_empty() {
+            let block = self.block_with_room(data.len(), held)?;
+            let room = block.capacity() - block.len();
+            let (now, later) = data.split_at(room.min(data.len()));
+            block.extend_from_slice(now);
+            data = later;
+        }
+        Ok(())
+    }
+
+    /// Returns the last block, or a new one if that is full. Only the first block grows, so that a short
+    /// body takes little memory.
+    fn block_with_room(&mut self, wanted: usize, held: &Held) -> Result<&mut Vec<u8>> {
+        let is_first = self.list.len() <= 1;
+        let last = self.list.last();
+        let capacity = last.map_or(0, Vec::capacity);
+        let is_full = last.is_none_or(|block| block.len() == capacity);
+        if is_full && is_first && capacity < BLOCK_BYTES {
+            let grown = (capacity + wanted).max(2 * capacity).min(BLOCK_BYTES);
+            held.add(grown - capacity)?;
+            let mut block = self.list.pop().unwrap_or_default();
+            block.reserve_exact(grown - block.len());
+            self.list.push(block);
+        } else if is_full {
+            held.add(BLOCK_BYTES)?;
+            self.list.push(Vec::with_capacity(BLOCK_BYTES));
+        }
+        let last = self.list.len() - 1;
+        Ok(&mut self.list[last])
+    }
+
+    /// Returns the whole body in one piece.
+    fn join(mut self, held: &Held) -> Result<Bytes> {
+        if self.list.len() <= 1 {
+            return Ok(self.list.pop().unwrap_or_default().into());
+        }
+        held.add(self.len)?;
+        let mut body = Vec::with_capacity(self.len);
+        for block in self.list.drain(..) {
+            body.extend_from_slice(&block);
+        }
+        Ok(body.into())
     }
 }
 
--- a/src/shell/net/server.rs
+++ b/src/shell/net/server.rs
@@ -266,7 +266,7 @@
 
 fn with_counted_body(req: Request<Incoming>, exchange: &Exchange<Working>) -> Request<RequestBody> {
     let (head, body) = req.into_parts();
-    let body = RequestBody::new(body, exchange.held());
+    let body = RequestBody::new(body, &head.headers, exchange.held());
     Request::from_parts(head, body)
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -140,6 +140,13 @@
     format!("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: {bytes}\r\n\r\n{body}")
 }
 
+/// Returns a request with a body of `bytes` bytes, without the last one of them.
+fn post_without_end(bytes: usize) -> String {
+    let mut text = post(bytes);
+    text.pop();
+    text
+}
+
 /// Returns a request with a head of about `bytes` bytes.
 fn get_with_head(bytes: usize) -> String {
     let fill = "v".repeat(bytes);
@@ -186,6 +193,37 @@
     });
 }
 
+/// Guards against bodies that stop short holding the memory for others.
+#[test]
+fn the_oldest_unfinished_body_makes_room_for_a_new_one() {
+    run(async || {
+        let bounds = Bounds {
+            held_bytes: 128 << 10,
+            ..WIDE
+        };
+        let server = Server::start(bounds).await;
+        let mut unfinished = server.connect().await;
+        unfinished.send(&post_without_end(100 << 10)).await;
+        let mut ordinary = server.connect().await;
+        ordinary.send(&post(50 << 10)).await;
+        assert_eq!(ordinary.status().await, Some(200));
+        assert_eq!(unfinished.status().await, None);
+    });
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused_by_its_stated_length() {
+    run(async || {
+        let server = Server::start(WIDE).await;
+        server.change_limits(|limits| limits.body_bytes = 10);
+        let mut client = server.connect().await;
+        client
+            .send("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n")
+            .await;
+        assert_eq!(client.status().await, Some(413));
+    });
+}
+
 #[test]
 fn a_raised_limit_on_bodies_holds_for_open_connections() {
     run(async || {
