Bound what other daemons' interface holds for a connection

Cause: 200 calls at a time on a connection, with a window of 1 MiB and 400 KiB of unread answers each, were hyper's defaults. Messages were received by the gRPC decoder, outside the bound on held bytes, and one message could name any number of VMs.

A connection carries 64 calls at a time, with a window of 64 KiB, heads of 4 KiB and 16 KiB of an answer that is not read.

--- a/src/shell/net/admission/exchange.rs
+++ b/src/shell/net/admission/exchange.rs
@@ -6,6 +6,9 @@
 use super::Handle;
 use super::Result;
 
+/// Memory of a request itself, without its body, in bytes.
+const REQUEST_BYTES: usize = 8 << 10;
+
 /// A request from its head to the end of its answer, in one phase.
 pub(in crate::shell::net) struct Exchange<P> {
     _phase: P,
@@ -49,6 +52,8 @@
             handle: handle.clone(),
             bytes: Cell::new(0),
         };
+        // If there is no room for it, its connection is closed.
+        let _ = held.add(REQUEST_BYTES);
         Self {
             _phase: Working { _in_work: in_work },
             held: Rc::new(held),
--- a/src/shell/net/server.rs
+++ b/src/shell/net/server.rs
@@ -72,6 +72,21 @@
 /// Maximum number of headers, which fit into a header map.
 const MAX_HEADERS: usize = 8 << 10;
 
+/// Maximum size of the headers of a call between daemons, in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 4 << 10;
+
+/// Maximum number of calls on a connection between daemons at the same time.
+const MAX_STREAMS: u32 = 64;
+
+/// Flow-control window of a call between daemons, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+
+/// Flow-control window of a connection between daemons, in bytes.
+const CONNECTION_WINDOW_BYTES: u32 = 64 << 10;
+
+/// Bytes of an answer that are buffered for a daemon that does not read.
+const SEND_BUFFER_BYTES: usize = 16 << 10;
+
 /// Receiver of the stop signal; clones receive the same signal.
 #[derive(Clone, Debug)]
 pub struct StopReceiver(Shared<oneshot::Receiver<()>>);
@@ -195,9 +210,7 @@
                     }
                 });
                 let stream = CountedStream::new(stream, admitted.handle());
-                let conn = http2::Builder::new(LocalExecutor)
-                    .timer(RuntimeTimer)
-                    .serve_connection(stream, service);
+                let conn = http2_builder().serve_connection(stream, service);
                 drive(conn, &admitted, stop).await;
             }
         },
@@ -264,6 +277,18 @@
     builder
 }
 
+fn http2_builder() -> http2::Builder<LocalExecutor> {
+    let mut builder = http2::Builder::new(LocalExecutor);
+    builder
+        .timer(RuntimeTimer)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_BYTES);
+    builder
+}
+
 fn with_counted_body(req: Request<Incoming>, exchange: &Exchange<Working>) -> Request<RequestBody> {
     let (head, body) = req.into_parts();
     let body = RequestBody::new(body, &head.headers, exchange.held());
--- a/src/shell/workload/advice.rs
+++ b/src/shell/workload/advice.rs
@@ -25,6 +25,9 @@
 
 use super::Backend;
 
+/// Maximum number of VMs in a query. Daemons ask for fewer.
+const MAX_QUERY_VMS: usize = 1_000;
+
 /// Result of an advice query.
 type Result<T, E = Box<str>> = std::result::Result<T, E>;
 
@@ -39,9 +42,14 @@
 #[async_trait]
 impl Advice for Service {
     async fn ask(&self, req: Request<Query>) -> Result<Response<Reply>, Status> {
+        let query = req.into_inner();
+        if query.vms.len() > MAX_QUERY_VMS {
+            let reason = format!("a query names at most {MAX_QUERY_VMS} VMs");
+            return Err(Status::invalid_argument(reason));
+        }
         let (reply, rx) = oneshot::channel();
         self.tx
-            .unbounded_send((req.into_inner(), reply))
+            .unbounded_send((query, reply))
             .map_err(|_| Status::unavailable("the daemon is stopping"))?;
         let advised = rx
             .await
