Settings for the limits and the shares of the own cell's callers

What callers saw: nothing yet; the bounds of the daemon of the product's own cell were constants, and operators with other machines or larger bodies could not change them. A body of the largest size could fail in calm if the memory for bodies held it just once: it is held twice while its blocks are put together.

Change: limits.head_bytes, head_timeout, idle_timeout, memory_bytes and descriptors, checked before the start. The memory is 256 MiB by default, more where the largest body calls for it, so that settings that were valid stay so; the descriptors are what the system allows. A body may have half of what is held for all.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,6 +1,7 @@
 //! Validation of the settings' values, each by itself and in relation to others.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use super::Config;
@@ -8,6 +9,7 @@
 use super::section::LeaseSection;
 use super::section::LimitsSection;
 use super::section::LogSection;
+use super::section::MEMORY_PER_BODY;
 use super::section::PeerSection;
 use super::section::PlatformSection;
 use super::section::PolicySection;
@@ -34,6 +36,9 @@
 /// Upper bound on the weight of a policy measure, in thousandths.
 const WEIGHT_MAX: u32 = 1_000_000;
 
+/// Valid values of `limits.head_bytes`.
+const HEAD_BYTES: RangeInclusive<usize> = 1_024..=1_048_576;
+
 /// Length of a SHA-256 hash in hexadecimal digits.
 const SHA256_HEX_DIGITS: usize = 64;
 
@@ -185,7 +190,23 @@
         "limits.body_bytes",
         "must be more than 0",
     )?;
-    check_duration("limits.timeout", section.timeout)
+    check_duration("limits.timeout", section.timeout)?;
+    require(
+        HEAD_BYTES.contains(&section.head_bytes),
+        "limits.head_bytes",
+        &format!(
+            "must be from {} to {}",
+            HEAD_BYTES.start(),
+            HEAD_BYTES.end()
+        ),
+    )?;
+    check_duration("limits.head_timeout", section.head_timeout)?;
+    check_duration("limits.idle_timeout", section.idle_timeout)?;
+    require(
+        section.memory() / MEMORY_PER_BODY >= section.body_bytes,
+        "limits.memory_bytes",
+        &format!("must be at least {MEMORY_PER_BODY} times limits.body_bytes"),
+    )
 }
 
 /// Returns an error for `key` with `reason` unless `condition` is true.
--- a/src/config/section.rs
+++ b/src/config/section.rs
@@ -12,6 +12,7 @@
 use crate::core::model::Member;
 use crate::core::model::MemberRole;
 use crate::core::model::MemberState;
+use crate::core::model::RequestLimits;
 use crate::core::routing::RoutingOptions;
 use crate::core::sched::Weights;
 
@@ -21,6 +22,13 @@
 /// Default timeout of a request that names none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Default memory of the process, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+
+/// Number of times that a body of the largest size must fit into the memory: an eighth of it holds bodies, and
+/// one that has been received is held twice while it is put together.
+pub(super) const MEMORY_PER_BODY: usize = 16;
+
 /// Default timeout of calls to the platform.
 const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -156,6 +164,20 @@
     /// Timeout of a request that names none.
     #[serde(deserialize_with = "duration")]
     pub timeout: Duration,
+    /// Maximum size of the head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Maximum time in which a caller sends a head.
+    #[serde(deserialize_with = "duration")]
+    pub head_timeout: Duration,
+    /// Maximum time for which a connection has no traffic.
+    #[serde(deserialize_with = "duration")]
+    pub idle_timeout: Duration,
+    /// Memory of the process, of which shares bound the open connections, in bytes; `None` for
+    /// [`DEFAULT_MEMORY_BYTES`], or more where the largest body calls for it.
+    pub memory_bytes: Option<usize>,
+    /// Descriptors that the process may open, of which shares bound the open connections; `None` for what
+    /// the system allows it.
+    pub descriptors: Option<usize>,
 }
 
 impl PeerSection {
@@ -174,6 +196,27 @@
     }
 }
 
+impl LimitsSection {
+    /// Returns the memory of the process, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let for_body = self.body_bytes.saturating_mul(MEMORY_PER_BODY);
+        let default = DEFAULT_MEMORY_BYTES.max(for_body);
+        self.memory_bytes.unwrap_or(default)
+    }
+
+    /// Returns the limits of callers' requests.
+    #[must_use]
+    pub fn requests(&self) -> RequestLimits {
+        RequestLimits {
+            head_bytes: self.head_bytes,
+            body_bytes: self.body_bytes,
+            head_timeout: self.head_timeout,
+            idle_timeout: self.idle_timeout,
+        }
+    }
+}
+
 impl TimesSection {
     /// Copies the values to the reducer's options.
     pub(super) fn apply_to(&self, options: &mut Options) {
@@ -247,9 +290,15 @@
 
 impl Default for LimitsSection {
     fn default() -> Self {
+        let requests = RequestLimits::default();
         Self {
             body_bytes: DEFAULT_BODY_BYTES,
             timeout: DEFAULT_REQUEST_TIMEOUT,
+            head_bytes: requests.head_bytes,
+            head_timeout: requests.head_timeout,
+            idle_timeout: requests.idle_timeout,
+            memory_bytes: None,
+            descriptors: None,
         }
     }
 }
--- a/src/shell/daemon/run.rs
+++ b/src/shell/daemon/run.rs
@@ -20,7 +20,6 @@
 use crate::config::Config;
 use crate::core::Event;
 use crate::core::State;
-use crate::core::model::RequestLimits;
 use crate::core::timeline::HybridClock;
 use crate::shell::clock::Clock;
 use crate::shell::endpoint::EndpointClient;
@@ -46,9 +45,6 @@
 /// Interval between the reducer's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Memory of the process, of which shares bound the open connections, in bytes.
-const MEMORY_BYTES: usize = 256 << 20;
-
 /// Timeout of a VM sync.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -140,13 +136,10 @@
 /// Returns the admissions of callers and of other daemons.
 fn admissions(config: &Config) -> [Rc<Admission>; 2] {
     let machine = MachineLimits {
-        memory_bytes: Some(MEMORY_BYTES),
-        descriptors: max_descriptors(),
-    };
-    let limits = RequestLimits {
-        body_bytes: config.limits.body_bytes,
-        ..RequestLimits::default()
+        memory_bytes: Some(config.limits.memory()),
+        descriptors: config.limits.descriptors.or_else(max_descriptors),
     };
+    let limits = config.limits.requests();
     [Listener::Clients, Listener::Peers]
         .map(|listener| Admission::new(listener, machine.bounds(listener), move || limits))
 }
--- a/src/shell/net/admission/exchange.rs
+++ b/src/shell/net/admission/exchange.rs
@@ -92,11 +92,12 @@
         Receiving(&self.handle)
     }
 
-    /// Returns the maximum size of a body, in bytes.
+    /// Returns the maximum size of a body, in bytes. A body that has been received is held twice while it is
+    /// put together.
     pub fn max_body_bytes(&self) -> usize {
         let admission = &self.handle.admission;
         let limit = admission.limits().body_bytes;
-        limit.min(admission.bounds.held_bytes)
+        limit.min(admission.bounds.held_bytes / 2)
     }
 
     fn replace(&self, bytes: usize) {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -104,6 +104,18 @@
     missing_platform(
         "[platform]\naddress = \"127.0.0.1:7300\"", "", "top level", "missing field `platform`",
     ),
+    head_limit_too_small(
+        "[platform]", "[limits]\nhead_bytes = 100\n[platform]",
+        "limits.head_bytes", "from 1024 to 1048576",
+    ),
+    memory_too_small_for_bodies(
+        "[platform]", "[limits]\nmemory_bytes = 8388608\n[platform]",
+        "limits.memory_bytes", "at least 16 times limits.body_bytes",
+    ),
+    idle_timeout_of_zero(
+        "[platform]", "[limits]\nidle_timeout = \"0s\"\n[platform]",
+        "limits.idle_timeout", "more than 0s",
+    ),
     hash_in_upper_case(
         "[platform]",
         "operator_key_sha256 = \
