--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -1,5 +1,5 @@
 //! Tests of the own cell's daemon under clients that keep no limits. Each crowd stays connected while the
-//! bounds are checked and one ordinary request is sent.
+//! bounds are checked, on the peak of memory (`VmHWM`) and on open descriptors, and one ordinary request is sent.
 
 #[path = "../support/mod.rs"]
 mod support;
