Log why a gang waits, and the room that it finds

The reasons are told apart now, in step_waits and in the metric of wait times, and each 2 s a waiting gang logs the task slots that it finds (free, usable, rejected, approved, with a valid ticket), the VMs held before it and for it, and the age of its query (gang_waits). No decision changes: the tests of the workload pass as before.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -6,6 +6,7 @@
 use super::catalog::QueueId;
 use super::effect::JobState;
 use super::event::Feed;
+use super::policy::timeliness::Timeliness;
 use super::policy::wait_reasons::WaitReason;
 use super::task::RunNumber;
 use super::task::RunOutcome;
@@ -80,6 +81,18 @@
         tasks: u32,
         reason: WaitReason,
     },
+    /// A gang has waited for a while.
+    GangWaits {
+        id: JobId,
+        queue: QueueId,
+        step: u16,
+        tasks: u32,
+        reason: WaitReason,
+        timeliness: Timeliness,
+        #[serde(flatten)]
+        room: GangRoom,
+        asked_ms: Option<u64>,
+    },
     /// A start failed or may have failed.
     NotStarted {
         id: JobId,
@@ -351,3 +364,24 @@
     /// The daemon is stopping.
     Draining,
 }
+
+/// Room that a search has found for a gang, in task slots unless stated otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct GangRoom {
+    /// On VMs that would have room once the runs that end by themselves have ended.
+    pub usable: u32,
+    /// Those of them that the advice has rejected.
+    pub rejected: u32,
+    /// Those of them that the advice has approved, whether or not a ticket is valid.
+    pub approved: u32,
+    /// On VMs that have room now.
+    pub open: u32,
+    /// Those of them that the advice has approved.
+    pub open_approved: u32,
+    /// Those of them with a valid ticket.
+    pub ticketed: u32,
+    /// Number of VMs that the round held for other gangs before.
+    pub held_before: usize,
+    /// Number of VMs that the round holds for the gang.
+    pub held: usize,
+}
--- a/src/core/workload/placer/rounds/advice.rs
+++ b/src/core/workload/placer/rounds/advice.rs
@@ -43,6 +43,8 @@
     pub rejected: FxHashSet<VmKey>,
     /// VMs that the query in flight names; `None` while none is in flight.
     pub asked: Option<Box<[VmKey]>>,
+    /// When the last query was sent.
+    pub asked_at: Now,
     /// Earliest time of the next query.
     pub retry_at: Now,
 }
@@ -104,6 +106,11 @@
         self.tickets.contains_key(&vm)
     }
 
+    /// Returns whether a VM may not run the step.
+    pub fn is_rejected(&self, vm: VmKey) -> bool {
+        self.rejected.contains(&vm)
+    }
+
     /// Returns whether a ticket for any VM is valid.
     pub fn has_ticket(&self, now: Now) -> bool {
         now < self.valid_until && self.tickets.values().any(|ticket| now < ticket.until)
--- a/src/core/workload/placer/rounds/dispatch.rs
+++ b/src/core/workload/placer/rounds/dispatch.rs
@@ -189,8 +189,7 @@
             return WaitReason::CrashHold;
         }
         if spec.traits.gang {
-            self.place_gang(cx, round, key, spec, service, is_advised);
-            return WaitReason::GangRoom;
+            return self.place_gang(cx, round, key, spec, service, is_advised);
         }
         // VMs that are cleared for tasks that are to run alone have no room for other steps.
         let has_lone_tasks = self.has_lone_tasks(cx.now, key);
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -216,6 +216,7 @@
         let ids: Rc<[VmId]> = ids.collect();
         if let Some(step) = self.registry.step_mut(key) {
             step.advice.asked = Some(vms.into());
+            step.advice.asked_at = cx.now;
         }
         let job = (&*id, priority);
         self.forwarders.send(cx, forwarder, key, job, ids, &timing);
--- a/src/core/workload/placer/rounds/round.rs
+++ b/src/core/workload/placer/rounds/round.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Returns the number of VMs that are held.
+    pub fn held_count(&self) -> usize {
+        self.held.len()
+    }
+
     /// Keeps the room of a VM for urgent tasks.
     pub fn keep_for_urgent(&mut self, vm: VmKey) {
         if let Ok(ix) = self.vms.binary_search_by_key(&vm, |candidate| candidate.vm) {
--- a/src/core/workload/policy/timeliness.rs
+++ b/src/core/workload/policy/timeliness.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 /// Multiple of its objective within which a job must be able to complete so as not to be overdue.
 pub const OVERDUE_FACTOR: u32 = 3;
 
 /// Whether a job can still meet its objective. An earlier variant goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Timeliness {
     /// The job can still complete within its objective.
     OnTime,
--- a/src/core/workload/policy/wait_reasons.rs
+++ b/src/core/workload/policy/wait_reasons.rs
@@ -21,7 +21,7 @@
 pub enum WaitReason {
     /// An earlier placer may have started the task.
     Settling,
-    /// The team's cap does not allow another task.
+    /// The team's cap does not allow another task, or not all tasks of a gang.
     Cap,
     /// VMs may have crashed under the tasks, which are held for a time.
     CrashHold,
@@ -29,8 +29,13 @@
     Share,
     /// No VM has room.
     Room,
-    /// A gang finds no room for all its tasks at once, or has no advice for it.
+    /// A gang finds no room for all its tasks at once.
     GangRoom,
+    /// A member of a gang has a run, or is done, so that the others cannot start with it.
+    GangMembers,
+    /// The VMs that have room for a gang are approved by the advice, but not all tickets are valid at
+    /// the same time.
+    GangTickets,
     /// An advice query is in flight.
     Advice,
     /// No daemon is free to send an advice query.
@@ -68,6 +73,8 @@
             Self::Share => "share",
             Self::Room => "room",
             Self::GangRoom => "gang_room",
+            Self::GangMembers => "gang_members",
+            Self::GangTickets => "gang_tickets",
             Self::Advice => "advice",
             Self::AdviceDaemons => "advice_daemons",
             Self::AdviceClaims => "advice_claims",
