Test that gangs start on VMs that were approved one by one

With four VMs or more it never starts (60 s in a trial) although all are free: their tickets have different ages, each query renews only the one that has expired, and the first of the others expires before the last is there. With three it starts.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -16,6 +16,7 @@
 mod evacuation_view;
 mod faults;
 mod full_reports;
+mod gang_advice;
 mod harness;
 mod isolation;
 mod jobs;
