Renew the tickets of a gang together

Cause: a query for a step names only the VMs without a valid ticket. That is right for tasks that start one by one. A gang needs all tickets at the same moment, and gets the next one only with the next query: 0.57 s later, while a ticket is used for 1.7 s. Once four tickets have different ages, the oldest has expired when the youngest arrives, the next query renews just that one, and so on for ever. The class is a livelock: a set of permissions with a bounded validity is collected one by one, and nothing makes them valid together.

Evidence: in the last 4 s of a lost gang the placer's counters show 7 queries, each about one VM that was approved before, each approved, one in 0.57 s.

Fix: a query for a gang names VMs for all its tasks, those with expired tickets first, so that one answer makes all of them valid, however late the answers are. Up to 100 VMs, as the service takes, where 30 were named before; VMs that the gang has not asked about yet stay limited to 30.

--- a/src/core/workload/options.rs
+++ b/src/core/workload/options.rs
@@ -118,8 +118,11 @@
     pub stop_timeout: Duration,
     /// Time without an answer after which an unlisted VM is removed from the fleet.
     pub forget_after: Duration,
-    /// Maximum number of VMs named in an advice query.
+    /// Maximum number of VMs named in an advice query, other than those that a gang has asked about
+    /// before.
     pub max_advice_vms: usize,
+    /// Maximum number of VMs named in an advice query for a gang.
+    pub max_gang_advice_vms: usize,
     /// Maximum number of concurrent advice queries through the same daemon.
     pub advice_per_daemon: u32,
     /// Time beyond the expected duration after which an advice query times out.
@@ -248,6 +251,7 @@
             stop_timeout: Duration::from_secs(1),
             forget_after: Duration::from_secs(8),
             max_advice_vms: 30,
+            max_gang_advice_vms: 100,
             advice_per_daemon: 1,
             advice_margin: Duration::from_secs(1),
         }
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -230,6 +230,9 @@
 /// oversampled. VMs that are not slow come next, first those on which fewer other steps wait for
 /// advice, as these would take the same room. Returns `None` if the VMs with valid tickets have
 /// room for all waiting tasks or if no other VM is left.
+///
+/// A gang needs all its tickets at the same time. Tickets that are renewed one by one may expire as
+/// fast as they are renewed, so that a query for a gang names VMs for all its tasks.
 fn vms_to_query(
     cx: &Cx,
     spec: &Step,
@@ -237,28 +240,27 @@
     candidates: &[Candidate],
 ) -> Option<Vec<VmKey>> {
     let now: Now = cx.now;
-    let has_ticket = |candidate: &&Candidate| step.advice.ticket(candidate.vm, now).is_some();
-    let approved: u32 = candidates
-        .iter()
-        .filter(has_ticket)
-        .fold(0, |sum, candidate| {
-            sum.saturating_add(candidate.max_tasks(spec))
-        });
-    if approved >= step.waiting {
+    let has_ticket = |candidate: &Candidate| step.advice.ticket(candidate.vm, now).is_some();
+    let ticketed = candidates.iter().filter(|candidate| has_ticket(candidate));
+    let ticketed: u32 = ticketed.fold(0, |sum, candidate| {
+        sum.saturating_add(candidate.max_tasks(spec))
+    });
+    if ticketed >= step.waiting {
         return None;
     }
-    let unapproved = |candidate: &&Candidate| {
-        !has_ticket(candidate) && !step.advice.rejected.contains(&candidate.vm)
+    let is_gang = spec.traits.gang;
+    let may_ask = |candidate: &&Candidate| {
+        (is_gang || !has_ticket(candidate)) && !step.advice.is_rejected(candidate.vm)
     };
-    let approved_before = |candidate: &Candidate| step.advice.tickets.contains_key(&candidate.vm);
     let is_slow = |candidate: &Candidate| {
         !spec.traits.long_running && candidate.slowness > SLOWNESS_THRESHOLD
     };
-    let ranks = candidates.iter().filter(unapproved).map(|candidate| {
+    let ranks = candidates.iter().filter(may_ask).map(|candidate| {
         let fits = std::cmp::Reverse(candidate.max_tasks(spec));
-        let is_new = !approved_before(candidate);
+        let is_new = !step.advice.is_approved(candidate.vm);
         (
             is_new,
+            has_ticket(candidate),
             is_slow(candidate),
             candidate.asked,
             fits,
@@ -269,7 +271,12 @@
     if ranks.is_empty() {
         return None;
     }
-    let max_vms = cx.options.vms.max_advice_vms;
+    let max_new_vms = cx.options.vms.max_advice_vms;
+    let max_vms = if is_gang {
+        cx.options.vms.max_gang_advice_vms
+    } else {
+        max_new_vms
+    };
     if ranks.len() > max_vms {
         ranks.select_nth_unstable(max_vms);
         ranks.truncate(max_vms);
@@ -277,8 +284,15 @@
     ranks.sort_unstable();
     let mut list = Vec::with_capacity(ranks.len());
     let mut slots = 0_u32;
-    let needed = step.waiting - approved;
-    for (is_new, _, _, std::cmp::Reverse(tasks), vm) in ranks {
+    let needed = if is_gang {
+        step.waiting
+    } else {
+        step.waiting - ticketed
+    };
+    for (is_new, _, _, _, std::cmp::Reverse(tasks), vm) in ranks {
+        if is_new && list.len() >= max_new_vms {
+            break;
+        }
         let weight = if is_new { 1 } else { ADVICE_OVERSAMPLING };
         slots = slots.saturating_add(tasks.saturating_mul(weight));
         list.push(vm);
