Send a start again at once whose connection broke

Cause: the placer made no difference between an order that is not answered in time and one whose connection breaks. Both left the run unconfirmed until a report showed that the VM doesn't have it, some 3 s later; it was then stopped and started with a new number, while the other members ended alone.

`OrderError::Broken` now stands for a connection that broke after the order may have been sent. The start is sent again with the same run number, at most twice, by the order queue and with a new deadline. A VM that has the run confirms it; one on which it has ended or was stopped refuses it, so that no task runs twice and no run begins after its stop. The start is not sent again if the run is being stopped, the VM has begun another lifetime, no start may be sent to the VM at present, the ticket has expired, another member of the gang is waiting, or the order timeout has passed since it was sent last. Any refusal of a start that was sent again leaves the run unconfirmed as before, as the VM may have received it the first time; the delivery, by which crashes are judged, stays that of the first time. The client drops the connections that were idle when the exchange began, so that the order goes over a new connection or one that has been used since.

`start_resent` and ragwortstall_starts_resent_total show it.

Evidence: with the arm that sends again disabled, seven tests of broken_starts failed, among them the four of gangs (members not started in 300 ms, or not sent again). Without the check of the lifetime, of the other members, of obstacles, or of refusals after a resend, one, one, two and six tests fail.

The simulated VM confirms a run that is there already, as VMs do. A script of the client's tests may close the connection without a head.

--- a/src/core/workload/decision.rs
+++ b/src/core/workload/decision.rs
@@ -101,6 +101,14 @@
         vm: VmId,
         reason: Box<str>,
     },
+    /// The start of a run was sent again after its connection had broken.
+    StartResent {
+        id: JobId,
+        task: Box<str>,
+        run: RunNumber,
+        vm: VmId,
+        resends: u8,
+    },
     /// A run ended.
     Ended {
         id: JobId,
--- a/src/core/workload/event.rs
+++ b/src/core/workload/event.rs
@@ -400,6 +400,8 @@
     NotSent(Box<str>),
     /// No valid answer; the order may have taken effect, or may still do so.
     NoAnswer(Box<str>),
+    /// The connection broke before the answer; the order may have taken effect, or may still do so.
+    Broken(Box<str>),
 }
 
 /// Error of an order to start a task. Logged in its `Debug` form.
--- a/src/core/workload/placer/orders/checks.rs
+++ b/src/core/workload/placer/orders/checks.rs
@@ -147,7 +147,7 @@
     }
 
     /// Returns whether a task is a member of a gang of which another member waits to be placed.
-    fn lacks_members(&self, task: TaskKey) -> bool {
+    pub(super) fn lacks_members(&self, task: TaskKey) -> bool {
         let job = self.registry.jobs.get(&task.step.job);
         let is_gang = job.is_some_and(|job| job.has_gang(task.step.step));
         let step = self.registry.step(task.step);
--- a/src/core/workload/placer/orders/mod.rs
+++ b/src/core/workload/placer/orders/mod.rs
@@ -9,6 +9,7 @@
 pub(in crate::core::workload::placer) mod queue;
 pub(in crate::core::workload::placer) mod reconcile;
 pub(in crate::core::workload::placer) mod renewal;
+pub(in crate::core::workload::placer) mod resends;
 pub(in crate::core::workload::placer) mod stalls;
 pub(in crate::core::workload::placer) mod starts;
 pub(in crate::core::workload::placer) mod stops;
--- a/src/core/workload/placer/orders/queue.rs
+++ b/src/core/workload/placer/orders/queue.rs
@@ -22,6 +22,8 @@
     Check(TaskKey, RunNumber),
     /// Start of a run, with what is known of its delivery once it is sent.
     Start(TaskKey, RunNumber, Delivery),
+    /// Start of a run that is sent again, as its connection broke.
+    Resend(TaskKey, RunNumber),
     /// Stop of a run, with the reason.
     Stop(TaskKey, RunNumber, &'static str),
     /// Stop of a run that is not assigned to the VM.
@@ -37,7 +39,7 @@
     in_flight: usize,
     /// Stops and speed limits, which go before checks and starts.
     urgent: VecDeque<QueuedOrder>,
-    /// Checks and starts.
+    /// Checks and starts, also those that are sent again.
     starts: VecDeque<QueuedOrder>,
 }
 
@@ -49,8 +51,10 @@
             QueuedOrder::Stop(..) | QueuedOrder::StopUnexpected(_) | QueuedOrder::Speed(..) => {
                 self.urgent.push_back(order);
             }
-            // The VM has just shown that it is alive.
-            QueuedOrder::Start(_, _, Delivery::Checked) => self.starts.push_front(order),
+            // The VM has just shown that it is alive, or may have the run already.
+            QueuedOrder::Start(_, _, Delivery::Checked) | QueuedOrder::Resend(..) => {
+                self.starts.push_front(order);
+            }
             QueuedOrder::Check(..) | QueuedOrder::Start(..) => self.starts.push_back(order),
         }
     }
@@ -108,6 +112,7 @@
             QueuedOrder::Start(task, run, delivery) => {
                 self.send_start(cx, vm_key, task, run, delivery)
             }
+            QueuedOrder::Resend(task, run) => self.send_again(cx, vm_key, task, run),
             QueuedOrder::Stop(task, run, reason) => self.send_stop(cx, vm_key, task, run, reason),
             QueuedOrder::StopUnexpected(run) => self.send_unexpected_stop(cx, vm_key, run),
             QueuedOrder::Speed(task, run) => self.send_speed(cx, vm_key, task, run),
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -128,7 +128,12 @@
 
     /// Returns a reason if the VM is likely to reject the start of a task, as its ticket has expired since
     /// the start was planned. The members of a gang are sent all the same: some may have started.
-    fn lacks_ticket(&self, cx: &Cx, vm_key: VmKey, task: TaskKey) -> Option<&'static str> {
+    pub(super) fn lacks_ticket(
+        &self,
+        cx: &Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+    ) -> Option<&'static str> {
         let job = self.registry.jobs.get(&task.step.job)?;
         let step = self.registry.step(task.step)?;
         let may_lack = job.queue.advice.is_some() && !job.has_gang(task.step.step);
@@ -161,57 +166,35 @@
     }
 
     fn send_wanted_start(&mut self, cx: &mut Cx, vm_key: VmKey, task: TaskKey, delivery: Delivery) {
-        let Some(name) = self.registry.task_name(task) else {
+        let Some(start) = self.start_order(cx, vm_key, task) else {
             return;
         };
-        let (Some(job), Some(vm), Some(step)) = (
+        let (Some(job), Some(vm), Some(state)) = (
             self.registry.jobs.get(&task.step.job),
             self.fleet.vms.get_mut(&vm_key),
-            self.registry.step(task.step),
+            self.registry.task(task),
         ) else {
             return;
         };
-        // The VM rejects an order that arrives after its deadline, also if this process was paused
-        // before it sent the order.
-        let lease = cx.options.vms.lease;
-        let lease = cx.start_window().map_or(lease, |window| window.min(lease));
-        let Some(deadline_ms) = vm.lease_deadline_ms(cx.now, lease) else {
-            return;
-        };
         let free = vm.free();
         let Some(run) = vm.runs.get_mut(&task) else {
             return;
         };
-        let free_cpu_milli = free.plus(&run.reservation).cpu_milli;
-        run.sent_at = cx.now;
         run.delivery = delivery;
-        let run = run.number;
-        vm.record_deadline(cx.now, deadline_ms);
-        vm.unanswered_since.get_or_insert(cx.now);
-        let ticket = step.advice.last_ticket(vm_key);
-        if ticket.is_some() {
+        let free_cpu_milli = free.plus(&run.reservation).cpu_milli;
+        if start.ticket.is_some() {
             self.advice_use.queue(&job.queue.name).ticketed_starts += 1;
         }
-        let state = &step.tasks[task.index as usize];
-        let start = StartOrder {
-            order: vm.order_for(name.clone(), run, cx.now),
-            address: vm.address.clone(),
-            epoch: self.owner.epoch,
-            payload: job.payload.clone(),
-            deadline_ms,
-            checkpoint: state.checkpoint.clone(),
-            ticket: ticket.map(|ticket| ticket.text.clone()),
-            timeout: cx.options.vms.order_timeout,
-        };
         if let Some((pair, core_millis)) = started_work(job, task.step.step) {
             self.waits.record_start(cx.now, pair, core_millis);
         }
+        let order = start.order.clone();
         cx.send(Request::Start(Box::new(start)));
         cx.log(Decision::Placed {
-            task: name.to_string().into(),
-            id: name.job,
-            run,
-            vm: vm.id.clone(),
+            task: order.task.to_string().into(),
+            id: order.task.job,
+            run: order.run,
+            vm: order.vm,
             epoch: self.owner.epoch,
             free_cpu_milli,
             waited_ms: millis(cx.now.saturating_sub(state.waiting_since)),
@@ -219,6 +202,42 @@
         });
     }
 
+    /// Returns the order to start a run, and records that it is sent now; `None` if the clock of the VM
+    /// is not known.
+    pub(super) fn start_order(
+        &mut self,
+        cx: &Cx,
+        vm_key: VmKey,
+        task: TaskKey,
+    ) -> Option<StartOrder> {
+        let name = self.registry.task_name(task)?;
+        let job = self.registry.jobs.get(&task.step.job)?;
+        let step = self.registry.step(task.step)?;
+        let vm = self.fleet.vms.get_mut(&vm_key)?;
+        // The VM rejects an order that arrives after its deadline, also if this process was paused
+        // before it sent the order.
+        let lease = cx.options.vms.lease;
+        let lease = cx.start_window().map_or(lease, |window| window.min(lease));
+        let deadline_ms = vm.lease_deadline_ms(cx.now, lease)?;
+        let run = vm.runs.get_mut(&task)?;
+        run.sent_at = cx.now;
+        let run = run.number;
+        vm.record_deadline(cx.now, deadline_ms);
+        vm.unanswered_since.get_or_insert(cx.now);
+        let ticket = step.advice.last_ticket(vm_key);
+        let checkpoint = &step.tasks[task.index as usize].checkpoint;
+        Some(StartOrder {
+            order: vm.order_for(name, run, cx.now),
+            address: vm.address.clone(),
+            epoch: self.owner.epoch,
+            payload: job.payload.clone(),
+            deadline_ms,
+            checkpoint: checkpoint.clone(),
+            ticket: ticket.map(|ticket| ticket.text.clone()),
+            timeout: cx.options.vms.order_timeout,
+        })
+    }
+
     /// Handles the answer to a start.
     pub(in crate::core::workload::placer) fn handle_start_answer(
         &mut self,
@@ -254,11 +273,19 @@
             StartError::Order(OrderError::Fenced) => {
                 return Some(format!("fenced by VM {}", order.vm).into());
             }
-            StartError::Order(OrderError::NoAnswer(_)) => {
-                if run.phase == Phase::Starting {
-                    run.phase = Phase::Unconfirmed;
-                }
-                vm.avoid_until = cx.now + REFUSAL_PAUSE;
+            StartError::Order(OrderError::Broken(_)) if run.may_be_resent() => {
+                run.phase = Phase::Unconfirmed;
+                let resend = QueuedOrder::Resend(task, order.run);
+                self.queue_order(cx, vm_key, resend);
+                return None;
+            }
+            StartError::Order(OrderError::NoAnswer(_) | OrderError::Broken(_)) => {
+                vm.leave_unconfirmed(cx, task);
+                return None;
+            }
+            // The VM may have received the start when it was sent before.
+            _ if run.resends > 0 => {
+                vm.leave_unconfirmed(cx, task);
                 return None;
             }
             StartError::NoRoom
@@ -373,7 +400,7 @@
     !matches!(
         result,
         Err(StartError::Order(
-            OrderError::NoAnswer(_) | OrderError::NotSent(_)
+            OrderError::NoAnswer(_) | OrderError::Broken(_) | OrderError::NotSent(_)
         ))
     )
 }
--- a/src/core/workload/placer/state/run.rs
+++ b/src/core/workload/placer/state/run.rs
@@ -26,9 +26,11 @@
     pub crashed_lifetime_ms: Option<u64>,
     /// Whether the start has been sent, and what was known of the VM then.
     pub delivery: Delivery,
+    /// Number of times that the start was sent again, as its connection had broken.
+    pub resends: u8,
     /// Lifetime of the VM in which the run executes.
     pub host: HostLifetime,
-    /// When the start order was sent, or queued if it is not sent yet, or when the run of an earlier
+    /// When the start order was sent last, or queued if it is not sent yet, or when the run of an earlier
     /// placer was adopted.
     pub sent_at: Now,
     pub phase: Phase,
@@ -84,7 +86,7 @@
         /// When the confirmation arrived.
         since: Now,
     },
-    /// The start request timed out; the run may exist.
+    /// The start request was not answered; the run may exist.
     Unconfirmed,
     /// To be stopped, for this reason, once the stops row names the VM.
     StopPending(&'static str),
@@ -109,6 +111,7 @@
             caution,
             crashed_lifetime_ms: None,
             delivery: Delivery::Unchecked,
+            resends: 0,
             host: HostLifetime::Unconfirmed,
             sent_at: now,
             phase: Phase::Starting,
--- a/src/shell/net/error.rs
+++ b/src/shell/net/error.rs
@@ -81,4 +81,10 @@
                 | Self::TooLarge(..)
         )
     }
+
+    /// Returns whether the connection broke after the request may have been sent on it.
+    #[must_use]
+    pub fn is_connection_broken(&self) -> bool {
+        matches!(self, Self::IncompleteResponse(..))
+    }
 }
--- a/src/shell/workload/meters.rs
+++ b/src/shell/workload/meters.rs
@@ -66,6 +66,7 @@
             }
         }
         Decision::NotStarted { .. } => counter!("ragwortstall_starts_failed_total").increment(1),
+        Decision::StartResent { .. } => counter!("ragwortstall_starts_resent_total").increment(1),
         Decision::Ended { end, .. } => count_run_ended(outcome_name(*end)),
         Decision::RunLost { .. } => count_run_ended("lost"),
         Decision::RunCrashed { .. } => counter!("ragwortstall_runs_crashed_total").increment(1),
--- a/tests/client_answers.rs
+++ b/tests/client_answers.rs
@@ -47,7 +47,7 @@
     announced: Option<usize>,
     /// Number of pieces that are sent.
     sent: usize,
-    /// Whether the connection is closed after the last piece.
+    /// Whether the connection is closed after the last piece, or instead of a head.
     close: bool,
 }
 
@@ -88,6 +88,9 @@
             }
             let script = self.script.get();
             let Some(announced) = script.announced else {
+                if script.close {
+                    return;
+                }
                 continue;
             };
             let length = announced * PIECE.len();
@@ -299,6 +302,36 @@
     });
 }
 
+/// Guards against a request that is sent again on a connection which the server closes as well.
+#[test]
+fn a_broken_connection_invalidates_older_connections() {
+    run(async || {
+        let complete = Script {
+            announced: Some(1),
+            sent: 1,
+            close: false,
+        };
+        let server = Server::start(complete).await;
+        let client = Client::new(ClientOptions::default());
+        let send = || client.send(server.address, server.request(), TIMEOUT);
+        let (first, second) = join(send(), send()).await;
+        assert!(first.is_ok() && second.is_ok());
+        assert_eq!(client.idle_count(server.address), 2);
+        server.script.set(Script {
+            announced: None,
+            sent: 0,
+            close: true,
+        });
+        let err = send().await.unwrap_err();
+        assert!(matches!(err, Error::IncompleteResponse(..)), "{err}");
+        assert!(err.is_connection_broken());
+        assert_eq!(server.connections.get(), 2);
+        server.script.set(complete);
+        assert!(send().await.is_ok());
+        assert_eq!(server.connections.get(), 3);
+    });
+}
+
 /// A request without an answer fails after the timeout.
 #[test]
 fn fetch_without_answer_fails_after_the_timeout() {
@@ -317,6 +350,7 @@
         let err = res.unwrap_err();
         assert!(matches!(err, Error::ResponseTimeout(_)), "{err}");
         assert!(err.may_have_been_received());
+        assert!(!err.is_connection_broken());
         let elapsed = started.elapsed();
         assert!(elapsed >= TIMEOUT && elapsed < TIMEOUT * 2, "{elapsed:?}");
     });
--- a/tests/workload/harness/backend.rs
+++ b/tests/workload/harness/backend.rs
@@ -262,27 +262,7 @@
     fn execute_order(&mut self, req: Request) -> Answer {
         let no_answer = || OrderError::NoAnswer("no answer".into());
         match req {
-            Request::Start(start) => {
-                let name = start.order.task.clone();
-                let id = start.order.vm.clone();
-                if !self.vms[&id].connected {
-                    return Answer::Started(start.order, Err(StartError::Order(no_answer())));
-                }
-                let step = self.submissions[&name.job].steps[usize::from(name.step)].clone();
-                let slowdown = self.vms[&id].slowdown;
-                let own_end = self.run_end(&name, &step, &start.checkpoint, slowdown);
-                let vm = self.vms.get_mut(&id).expect("a known VM");
-                let result = vm.start(self.now, &start, &step, own_end);
-                if result.is_ok() {
-                    self.assert_not_duplicated(&name);
-                    let run = start.order.run;
-                    self.starts.push((self.now, name, run, id.clone()));
-                }
-                if self.lost_start_answers.contains(&id) {
-                    return Answer::Started(start.order, Err(StartError::Order(no_answer())));
-                }
-                Answer::Started(start.order, result)
-            }
+            Request::Start(start) => self.answer_start(*start),
             Request::Check { order, epoch, .. } => {
                 let vm = self.vms.get_mut(&order.vm).expect("a known VM");
                 let result = if vm.connected {
@@ -315,7 +295,7 @@
     }
 
     /// Returns when and how a run ends by itself; `None` for a run that lasts until it is stopped.
-    fn run_end(
+    pub(super) fn run_end(
         &mut self,
         name: &TaskName,
         step: &Step,
@@ -345,7 +325,7 @@
 
     /// Asserts that a task runs on at most one VM and was not started after its acknowledged
     /// completion.
-    fn assert_not_duplicated(&self, name: &TaskName) {
+    pub(super) fn assert_not_duplicated(&self, name: &TaskName) {
         let on = self.vms.values().filter(|vm| vm.runs.contains_key(name));
         assert!(on.count() <= 1, "{name} runs twice at {:?}", self.now);
         assert!(
--- a/tests/workload/harness/mod.rs
+++ b/tests/workload/harness/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod processes;
 mod processor;
+mod starts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -46,6 +47,7 @@
 pub(crate) use self::processor::Costs;
 use self::processor::Processor;
 use self::processor::count_requests;
+pub(crate) use self::starts::Break;
 use crate::table::SimTable;
 use crate::vm::STOP_TIME;
 use crate::vm::SimVm;
@@ -135,6 +137,8 @@
     pub cut_paths: BTreeSet<(usize, Box<str>)>,
     /// VMs whose answers to start orders are lost.
     pub lost_start_answers: BTreeSet<Box<str>>,
+    /// How the connections of the next starts break, by VM.
+    pub broken_starts: BTreeMap<Box<str>, Vec<Break>>,
     /// Number of the next stop orders that are lost.
     pub lost_stops: u32,
     /// Whether the table answers calls.
@@ -261,6 +265,7 @@
             clock_lags: BTreeMap::new(),
             cut_paths: BTreeSet::new(),
             lost_start_answers: BTreeSet::new(),
+            broken_starts: BTreeMap::new(),
             lost_stops: 0,
             table_up: true,
             lost_commit_answers: 0,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -3,6 +3,7 @@
 mod adjacent_versions;
 mod admission;
 mod archive;
+mod broken_starts;
 mod busy_placer;
 mod capacity;
 mod catalog;
--- a/tests/workload/overtaken_orders.rs
+++ b/tests/workload/overtaken_orders.rs
@@ -23,21 +23,21 @@
 use crate::vm::SimVm;
 
 /// Interval between two ticks.
-const TICK: Duration = Duration::from_millis(20);
+pub(crate) const TICK: Duration = Duration::from_millis(20);
 
 /// Number of tasks of the job, for all of which the VM has room.
 const TASKS: u32 = 12;
 
 /// Number of orders to a VM that may be in flight.
-const MAX_ORDERS: usize = 3;
+pub(crate) const MAX_ORDERS: usize = 3;
 
 /// Time after which no order waits any more.
-const LONG: Duration = Duration::from_secs(4);
+pub(crate) const LONG: Duration = Duration::from_secs(4);
 
 /// Longest lease that a start may ask for, in milliseconds.
 const LEASE_MS: u64 = 3_600;
 
-fn vm() -> SimVm {
+pub(crate) fn vm() -> SimVm {
     SimVm::new("vm-0", Resources::new(16_000, 64_000, 0, u32::MAX))
 }
 
@@ -54,7 +54,7 @@
 }
 
 /// Returns a placer that has sent the first starts of a job to its only VM, which answers none.
-fn daemon_with_waiting_starts() -> Daemon {
+pub(crate) fn daemon_with_waiting_starts() -> Daemon {
     let mut daemon = Daemon::new();
     daemon.claim(None);
     daemon.load(&[]);
@@ -67,21 +67,21 @@
     daemon
 }
 
-fn cancel_job(daemon: &mut Daemon) {
+pub(crate) fn cancel_job(daemon: &mut Daemon) {
     daemon.add_job_row(&format!("{ID}/cancel"), "{}");
 }
 
-fn lose_role(daemon: &mut Daemon) {
+pub(crate) fn lose_role(daemon: &mut Daemon) {
     daemon.lose_role();
 }
 
-fn drain_vm(daemon: &mut Daemon) {
+pub(crate) fn drain_vm(daemon: &mut Daemon) {
     let mut vm = vm();
     vm.draining = true;
     daemon.answer_feed(Feed::Vms, vec![FeedRow::Vm(vm.row())]);
 }
 
-fn evacuate_zone(daemon: &mut Daemon) {
+pub(crate) fn evacuate_zone(daemon: &mut Daemon) {
     daemon.evacuate(vm().zone);
 }
 
@@ -193,14 +193,14 @@
     }
 
     /// Lets time pass in which the table answers, and the VM answers renewals.
-    fn pass(&mut self, time: Duration) {
+    pub(crate) fn pass(&mut self, time: Duration) {
         self.tick(time);
         self.answer_all_commits();
         self.answer_renewals(None);
     }
 
     /// Does the same with a VM whose clock has started at a time.
-    fn pass_with_clock(&mut self, time: Duration, clock_start: Duration) {
+    pub(crate) fn pass_with_clock(&mut self, time: Duration, clock_start: Duration) {
         self.tick(time);
         self.answer_all_commits();
         let is_renewal = |req: &Request| matches!(req, Request::Renew { .. });
@@ -210,7 +210,7 @@
         }
     }
 
-    fn pending_starts(&self) -> Vec<&StartOrder> {
+    pub(crate) fn pending_starts(&self) -> Vec<&StartOrder> {
         let starts = self.requests.iter().filter_map(|req| match req {
             Request::Start(start) => Some(&**start),
             _ => None,
@@ -219,7 +219,7 @@
     }
 
     /// Takes the starts in flight.
-    fn take_starts(&mut self) -> Vec<StartOrder> {
+    pub(crate) fn take_starts(&mut self) -> Vec<StartOrder> {
         let mut starts = Vec::new();
         for req in std::mem::take(&mut self.requests) {
             match req {
--- a/tests/workload/vm.rs
+++ b/tests/workload/vm.rs
@@ -278,6 +278,17 @@
         Ok(self.clock_ms(now))
     }
 
+    /// Returns the answer to the start of a run that is there already.
+    pub(crate) fn answer_if_there(
+        &self,
+        now: Now,
+        order: &StartOrder,
+    ) -> Option<Result<u64, StartError>> {
+        let run = self.runs.get(&order.order.task)?;
+        let is_there = order.epoch >= self.epoch && run.number == order.order.run;
+        is_there.then(|| Ok(self.clock_ms(now)))
+    }
+
     /// Starts a task; `own_end` is when and how it ends by itself.
     pub(crate) fn start(
         &mut self,
