Never give up lasting tasks for crashes of VMs

What callers saw: a job that runs until it is cancelled was shown as failed for good after three crashes of VMs under one of its tasks, none of whose runs had failed, and its other tasks were stopped. Or a task of it was away for 13 s although VMs had room.

Cause: `record_crash` applied the limit on crashes to all tasks. A lasting task meets many crashes in its time, and they were forgotten only after a run of 10 s. `Caution::Hold` kept a task with three crashes or losses off all VMs for up to 10 s after the third one was lost, beyond the 6 s within which a lasting task has to run again.

Now a lasting task is neither given up nor held until the returns of its VMs are known. Each crash or recent loss keeps its starts further apart instead: 1, 2 and at most 4 s. The pause counts from the last start, so that a task whose run lasted longer than that does not wait at all, and one that is not the cause runs again within 6 s. It waits 1 s for a VM of its own rather than 5 s, as the lease of its former VM may have taken 3.6 s. A task that crashes each VM takes one VM each 4 s at most. A start that the VM rejected does not count. The last four crashes are kept, so that the row stays small.

--- a/src/core/workload/placer/orders/crashes.rs
+++ b/src/core/workload/placer/orders/crashes.rs
@@ -9,12 +9,14 @@
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::Job;
 use crate::core::workload::placer::state::job_registry::Placement;
+use crate::core::workload::placer::state::job_registry::Task;
 use crate::core::workload::placer::state::job_registry::TaskKey;
 use crate::core::workload::placer::state::lost_vms::Evidence;
 use crate::core::workload::placer::state::lost_vms::Lifetime;
 use crate::core::workload::placer::state::lost_vms::LostRun;
 use crate::core::workload::placer::state::lost_vms::LostVm;
 use crate::core::workload::placer::state::run::Run;
+use crate::core::workload::policy::crashes::MAX_KEPT_CRASHES;
 use crate::core::workload::policy::crashes::is_given_up;
 use crate::core::workload::task::RunNumber;
 use crate::core::workload::task::TaskName;
@@ -215,7 +217,7 @@
     }
 
     /// Records that the VM of a run has crashed, unless the task is done. Fails the job once too many
-    /// VMs have crashed under the task.
+    /// VMs have crashed under the task, but for a task that runs until its job is cancelled.
     ///
     /// Only a run that has reached its VM for certain is a reason to fail the job.
     fn record_crash(&mut self, cx: &mut Cx, former: &Lifetime, run: &LostRun, was_alone: bool) {
@@ -236,8 +238,9 @@
         if is_uncertain {
             state.uncertain = Some(run.number);
         } else {
-            state.crashed.push(run.number);
+            state.add_crash(run.number);
         }
+        let long_running = state.long_running;
         let (crashes, has_uncertain) = (state.crashed.len(), state.uncertain.is_some());
         self.registry.mark_dirty(task.step.job);
         let (id, name) = (run.task.job.clone(), run.task.to_string().into());
@@ -258,13 +261,25 @@
         });
         let job = task.step.job;
         let is_active = self.registry.jobs.get(&job).is_some_and(Job::is_active);
-        let is_delivered = run.evidence == Evidence::Delivered;
-        if is_active && is_delivered && is_given_up(crashes, has_uncertain, was_alone) {
+        let may_fail = !long_running && run.evidence == Evidence::Delivered;
+        if is_active && may_fail && is_given_up(crashes, has_uncertain, was_alone) {
             self.finish_job(cx, job, JobState::Failed, "VMs crashed under a task");
         }
     }
 }
 
+impl Task {
+    /// Adds a run under which its VM has crashed. A task that runs until its job is cancelled keeps the
+    /// last ones only, as their number has no limit.
+    fn add_crash(&mut self, run: RunNumber) {
+        self.crashed.push(run);
+        if self.long_running {
+            let dropped = self.crashed.len().saturating_sub(MAX_KEPT_CRASHES);
+            self.crashed.drain(..dropped);
+        }
+    }
+}
+
 /// A run that was dropped because its VM was lost.
 #[derive(Debug)]
 pub(in crate::core::workload::placer) struct DroppedRun {
--- a/src/core/workload/placer/orders/starts.rs
+++ b/src/core/workload/placer/orders/starts.rs
@@ -217,6 +217,13 @@
             waited_ms: millis(cx.now.saturating_sub(state.waiting_since)),
             crashes: state.crashed.len(),
         });
+        self.record_start_time(task, cx.now);
+    }
+
+    fn record_start_time(&mut self, task: TaskKey, at: Now) {
+        if let Some(state) = self.registry.task_mut(task) {
+            state.last_start_at = at;
+        }
     }
 
     /// Handles the answer to a start.
@@ -275,6 +282,7 @@
             StartError::Late => vm.avoid_until = cx.now + cx.options.vms.renewal_gap,
             StartError::OldRun => {}
         }
+        self.record_start_time(task, Now::ZERO);
         self.release_and_requeue(cx, vm_key, task);
         None
     }
--- a/src/core/workload/placer/rounds/caution.rs
+++ b/src/core/workload/placer/rounds/caution.rs
@@ -18,10 +18,12 @@
 use crate::core::workload::policy::crashes::Caution;
 use crate::core::workload::policy::crashes::Losses;
 use crate::core::workload::policy::crashes::MAX_ALONE_WAIT;
+use crate::core::workload::policy::crashes::MAX_LASTING_ALONE_WAIT;
 use crate::core::workload::policy::crashes::RECENT_LOSS;
 use crate::core::workload::policy::crashes::is_outage;
 use crate::core::workload::policy::crashes::max_alone;
 use crate::core::workload::policy::crashes::max_clearing;
+use crate::core::workload::policy::crashes::start_interval;
 
 impl Placer {
     /// Returns the caution with which a task is placed.
@@ -159,12 +161,30 @@
             uncertain: self.recent_losses.uncertain || self.uncertain.is_some(),
             ..self.recent_losses
         };
+        if self.long_running {
+            return self.lasting_caution(now, losses);
+        }
         let caution = Caution::new(self.crashed.len(), losses);
         if caution == Caution::Alone && now >= self.waiting_since + MAX_ALONE_WAIT {
             return Caution::Apart;
         }
         caution
     }
+
+    /// Returns the caution with which a task is placed that runs until its job is cancelled.
+    fn lasting_caution(&self, now: Now, losses: Losses) -> Caution {
+        let crashes = self.crashed.len();
+        let may_start_at = self.last_start_at + start_interval(crashes + losses.count);
+        if now < may_start_at {
+            return Caution::Hold;
+        }
+        let caution = Caution::for_lasting_task(crashes, losses);
+        let alone_until = self.waiting_since.max(may_start_at) + MAX_LASTING_ALONE_WAIT;
+        if caution == Caution::Alone && now >= alone_until {
+            return Caution::Apart;
+        }
+        caution
+    }
 }
 
 impl Vm {
--- a/src/core/workload/placer/state/job_registry.rs
+++ b/src/core/workload/placer/state/job_registry.rs
@@ -134,6 +134,10 @@
     pub recent_losses: Losses,
     pub checkpoint: Checkpoint,
     pub waiting_since: Now,
+    /// Whether the task runs until its job is cancelled.
+    pub long_running: bool,
+    /// When this placer last sent a start that was not rejected; zero if none.
+    pub last_start_at: Now,
     /// Number of runs that were stopped because their VM seemed stalled.
     pub stall_stops: u32,
 }
@@ -427,6 +431,7 @@
             tasks: vec![
                 Task {
                     waiting_since: now,
+                    long_running: step.traits.long_running,
                     ..Task::default()
                 };
                 step.count as usize
--- a/src/core/workload/policy/crashes.rs
+++ b/src/core/workload/policy/crashes.rs
@@ -12,6 +12,10 @@
 //! A start that was not answered tells nothing of the task: its VM may have been down before the start
 //! reached it. Such a loss is uncertain. It does not count as a crash. The next starts of the task are
 //! sent only to VMs that have just answered a check, so that their losses are certain.
+//!
+//! A task that runs until its job is cancelled is never given up: VMs crash by themselves, and such a
+//! task meets many crashes in its time. Its starts are instead kept further apart with each crash, but
+//! never so far that a task which is not the cause would be away for long.
 
 use std::time::Duration;
 
@@ -42,6 +46,14 @@
 /// Longest time that a task waits for a VM of its own. After that it starts beside others.
 pub const MAX_ALONE_WAIT: Duration = Duration::from_secs(5);
 
+/// Longest time that a task that runs until its job is cancelled waits for a VM of its own. Its former
+/// VM's lease may have taken most of the time within which it has to run again.
+pub const MAX_LASTING_ALONE_WAIT: Duration = Duration::from_secs(1);
+
+/// Number of crashes that are kept for a task that runs until its job is cancelled: more do not change
+/// its placement.
+pub const MAX_KEPT_CRASHES: usize = 4;
+
 /// Time for which a VM gets no tasks so that its runs end and a task can run there alone. Prolonged
 /// while the task waits.
 pub const CLEARING_TIME: Duration = Duration::from_millis(500);
@@ -76,7 +88,8 @@
     Apart,
     /// On a VM without other tasks.
     Alone,
-    /// Not yet: it may have crashed so many VMs that it is to be given up once their returns are known.
+    /// Not yet: it may have crashed so many VMs that it is to be given up once their returns are known,
+    /// or its last start is too recent.
     Hold,
 }
 
@@ -98,6 +111,26 @@
             Self::None
         }
     }
+
+    /// Returns the caution for a task that runs until its job is cancelled. It is not held until the
+    /// returns of its VMs are known: [`start_interval`] limits its starts.
+    #[must_use]
+    pub fn for_lasting_task(crashes: usize, losses: Losses) -> Self {
+        Self::new(crashes, losses).min(Self::Alone)
+    }
+}
+
+/// Returns the shortest time between two starts of a task that runs until its job is cancelled, given
+/// the number of VMs that may have crashed under it.
+#[must_use]
+pub fn start_interval(possible_crashes: usize) -> Duration {
+    let seconds = match possible_crashes {
+        0 | 1 => 0,
+        2 => 1,
+        3 => 2,
+        _ => 4,
+    };
+    Duration::from_secs(seconds)
 }
 
 /// Returns whether the job of a task fails after this number of crashes under its runs.
--- a/tests/policy/crashes.rs
+++ b/tests/policy/crashes.rs
@@ -1,11 +1,16 @@
 //! Policy for tasks under which VMs have crashed.
 
+use std::time::Duration;
+
 use ragwortstall::core::workload::policy::crashes::Caution;
 use ragwortstall::core::workload::policy::crashes::Losses;
+use ragwortstall::core::workload::policy::crashes::MAX_KEPT_CRASHES;
+use ragwortstall::core::workload::policy::crashes::MAX_LASTING_ALONE_WAIT;
 use ragwortstall::core::workload::policy::crashes::is_given_up;
 use ragwortstall::core::workload::policy::crashes::is_outage;
 use ragwortstall::core::workload::policy::crashes::max_alone;
 use ragwortstall::core::workload::policy::crashes::max_clearing;
+use ragwortstall::core::workload::policy::crashes::start_interval;
 
 use crate::support::cases;
 
@@ -41,6 +46,39 @@
     a_task_is_held_after_two_crashes_and_a_loss(2, 1, Caution::Hold),
 }
 
+fn assert_lasting_caution(crashes: usize, losses: usize, expected: Caution) {
+    let losses = Losses {
+        count: losses,
+        in_outage: false,
+        uncertain: false,
+    };
+    assert_eq!(Caution::for_lasting_task(crashes, losses), expected);
+}
+
+// Guards against a lasting task that is kept off all VMs until it is known whether its VMs have crashed,
+// and against one that crashes others with it.
+cases! {
+    assert_lasting_caution;
+    a_lasting_task_without_crashes_is_placed_like_any_other(0, 0, Caution::None),
+    a_lasting_task_is_placed_apart_after_a_crash(1, 0, Caution::Apart),
+    a_lasting_task_is_placed_alone_after_two_crashes(2, 0, Caution::Alone),
+    a_lasting_task_is_placed_alone_after_three_losses(0, 3, Caution::Alone),
+    a_lasting_task_is_placed_alone_after_two_crashes_and_a_loss(2, 1, Caution::Alone),
+}
+
+/// Guards against a lasting task that is started again and again without a pause, and against one that
+/// has to run again within 6 s and waits for longer.
+#[test]
+fn starts_of_a_lasting_task_are_kept_apart_with_each_crash() {
+    assert_eq!(start_interval(1), Duration::ZERO);
+    for crashes in 2..=MAX_KEPT_CRASHES {
+        assert!(start_interval(crashes) > start_interval(crashes - 1));
+    }
+    let longest = start_interval(MAX_KEPT_CRASHES);
+    assert_eq!(start_interval(1_000), longest);
+    assert!(longest + MAX_LASTING_ALONE_WAIT < Duration::from_secs(6));
+}
+
 fn assert_caution_with_uncertain_loss(crashes: usize, losses: usize, expected: Caution) {
     for in_outage in [false, true] {
         let losses = Losses {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -20,6 +20,7 @@
 mod harness;
 mod isolation;
 mod jobs;
+mod lasting_crashes;
 mod late_answers;
 mod late_parts;
 mod late_submissions;
