Let no step claim room for advice that it may not use

What callers saw: tasks, also lasting ones, waited for good beside free VMs with the reason `advice_claims`, as they never asked for advice.

Cause: a step that waits for advice claims room from the three times free room of its service, and steps behind it ask only if room is left. The claim was made before the step's VMs were searched, so that a step claimed the room also while no VM with room may run it: all were rejected for it, which is kept for good, its kind of VM was full, or it had its tasks on all VMs that its limit per VM allows. With enough waiting tasks such a step took all claims in each round, without ever sending a query.

Now a step that is rejected somewhere, requires a label or has a limit per VM claims room only if some VM with room may run it. Other steps claim as before, without a search. Steps that may preempt claim as before too, as room that is not free counts for them.

Evidence: the three tests of advice_claims fail on the code before (no start within 3 s; the cell is otherwise idle) and pass now.

--- a/src/core/workload/placer/rounds/candidates.rs
+++ b/src/core/workload/placer/rounds/candidates.rs
@@ -161,7 +161,7 @@
     }
 
     /// Returns those VMs on which tasks of a step may be placed.
-    fn visible_vms<'a, I: Iterator<Item = &'a Candidate>>(
+    pub(in crate::core::workload::placer) fn visible_vms<'a, I: Iterator<Item = &'a Candidate>>(
         &self,
         cx: &Cx,
         vms: I,
@@ -206,6 +206,18 @@
         list
     }
 
+    /// Returns whether a task of a step fits on a VM.
+    pub(in crate::core::workload::placer) fn fits(
+        &self,
+        vm: &Candidate,
+        key: StepKey,
+        spec: &Step,
+    ) -> bool {
+        vm.free.holds(&spec.reservation())
+            && (spec.required_label.is_empty() || self.has_label(vm.vm, &spec.required_label))
+            && (spec.max_per_vm == 0 || self.siblings(vm.vm, key) < spec.max_per_vm)
+    }
+
     fn has_label(&self, vm: VmKey, label: &str) -> bool {
         let vm = self.fleet.vms.get(&vm);
         vm.is_some_and(|vm| vm.labels.iter().any(|other| **other == *label))
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -12,6 +12,7 @@
 use crate::core::workload::event::AdvisedVm;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::round::Pool;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
 use crate::core::workload::placer::state::job_registry::JobKey;
@@ -144,7 +145,12 @@
         }
         let needed = step.waiting.saturating_sub(approved);
         // Room that no single VM has for a task is of no use to the step.
-        let mut has_claim = room != Room::Preemptible && needed > 0 && pool.claim(spec, needed);
+        let may_claim = match room {
+            Room::Free => needed > 0 && self.may_use_room(cx, pool, key, spec),
+            Room::Any => needed > 0,
+            Room::Preemptible => false,
+        };
+        let mut has_claim = may_claim && pool.claim(spec, needed);
         let has_spare = || self.forwarders.has_spare(round.heartbeats);
         if room != Room::Free && needed > 0 && !has_claim && has_spare() {
             has_claim = self.claim_preemptible_room(cx, round, key, spec, service);
@@ -152,6 +158,20 @@
         has_claim && round.may_query(job.queue.priority) && step.advice.can_query(cx.now)
     }
 
+    /// Returns whether a step may run a task on any of the VMs with room. One that may not has no use for
+    /// their room, however long it waits.
+    fn may_use_room(&self, cx: &Cx, pool: &Pool, key: StepKey, spec: &Step) -> bool {
+        let advice = self.registry.step(key).map(|step| &step.advice);
+        let is_limited = !spec.required_label.is_empty() || spec.max_per_vm > 0;
+        if !is_limited && advice.is_none_or(|advice| advice.rejected.is_empty()) {
+            return true;
+        }
+        let is_rejected = |vm| advice.is_some_and(|advice| advice.is_rejected(vm));
+        let vms = pool.vms().iter().filter(|vm| !is_rejected(vm.vm));
+        self.visible_vms(cx, vms, key)
+            .any(|vm| self.fits(vm, key, spec))
+    }
+
     /// Returns whether a step has a valid ticket for any VM.
     pub(in crate::core::workload::placer) fn has_ticket(&self, cx: &Cx, key: StepKey) -> bool {
         let step = self.registry.step(key);
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -2,6 +2,7 @@
 
 mod adjacent_versions;
 mod admission;
+mod advice_claims;
 mod archive;
 mod busy_placer;
 mod capacity;
