--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -2,6 +2,7 @@
 
 mod adjacent_versions;
 mod admission;
+mod advice_claims;
 mod archive;
 mod broken_starts;
 mod busy_placer;
@@ -21,6 +22,7 @@
 mod harness;
 mod isolation;
 mod jobs;
+mod lasting_crashes;
 mod late_answers;
 mod late_parts;
 mod late_submissions;
