--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,6 +8,7 @@
 mod busy_placer;
 mod capacity;
 mod catalog;
+mod clock_steps;
 mod constraints;
 mod contention;
 mod crashes;
