Ask about further VMs while a gang has too few approved

Once 30 VMs were approved, each query named these 30 again, and no new one had a place in it.

Now a gang asks only about VMs that are not approved until enough are, whose answers last, and renews all its tickets together after that.

--- a/src/core/workload/placer/rounds/gang.rs
+++ b/src/core/workload/placer/rounds/gang.rs
@@ -305,7 +305,10 @@
 }
 
 /// Returns the number of tasks of a step for which VMs have room.
-fn slots<'a>(vms: impl Iterator<Item = &'a Candidate>, spec: &Step) -> u32 {
+pub(in crate::core::workload::placer) fn slots<'a>(
+    vms: impl Iterator<Item = &'a Candidate>,
+    spec: &Step,
+) -> u32 {
     vms.fold(0, |sum, vm| sum.saturating_add(vm.max_tasks(spec)))
 }
 
--- a/src/core/workload/placer/rounds/queries.rs
+++ b/src/core/workload/placer/rounds/queries.rs
@@ -12,6 +12,7 @@
 use crate::core::workload::event::AdvisedVm;
 use crate::core::workload::placer::Placer;
 use crate::core::workload::placer::rounds::candidates::Candidate;
+use crate::core::workload::placer::rounds::gang::slots;
 use crate::core::workload::placer::rounds::round::Pool;
 use crate::core::workload::placer::rounds::round::Round;
 use crate::core::workload::placer::state::fleet::VmKey;
@@ -252,7 +253,8 @@
 /// room for all waiting tasks or if no other VM is left.
 ///
 /// A gang needs all its tickets at the same time. Tickets that are renewed one by one may expire as
-/// fast as they are renewed, so that a query for a gang names VMs for all its tasks.
+/// fast as they are renewed, so that a query for a gang names VMs for all its tasks once enough VMs are
+/// approved. Until then it names only VMs that are not, whose answers are of lasting use.
 fn vms_to_query(
     cx: &Cx,
     spec: &Step,
@@ -261,23 +263,28 @@
 ) -> Option<Vec<VmKey>> {
     let now: Now = cx.now;
     let has_ticket = |candidate: &Candidate| step.advice.ticket(candidate.vm, now).is_some();
-    let ticketed = candidates.iter().filter(|candidate| has_ticket(candidate));
-    let ticketed: u32 = ticketed.fold(0, |sum, candidate| {
-        sum.saturating_add(candidate.max_tasks(spec))
-    });
+    let is_approved = |candidate: &Candidate| step.advice.is_approved(candidate.vm);
+    let ticketed = slots(candidates.iter().filter(|vm| has_ticket(vm)), spec);
     if ticketed >= step.waiting {
         return None;
     }
     let is_gang = spec.traits.gang;
+    let approved = slots(candidates.iter().filter(|vm| is_approved(vm)), spec);
+    let lacks_approvals = is_gang && approved < step.waiting;
     let may_ask = |candidate: &&Candidate| {
-        (is_gang || !has_ticket(candidate)) && !step.advice.is_rejected(candidate.vm)
+        let is_of_use = if lacks_approvals {
+            !is_approved(candidate)
+        } else {
+            is_gang || !has_ticket(candidate)
+        };
+        is_of_use && !step.advice.is_rejected(candidate.vm)
     };
     let is_slow = |candidate: &Candidate| {
         !spec.traits.long_running && candidate.slowness > SLOWNESS_THRESHOLD
     };
     let ranks = candidates.iter().filter(may_ask).map(|candidate| {
         let fits = std::cmp::Reverse(candidate.max_tasks(spec));
-        let is_new = !step.advice.is_approved(candidate.vm);
+        let is_new = !is_approved(candidate);
         (
             is_new,
             has_ticket(candidate),
