Skip the row of a job that depends on a step it does not have

What callers would see: readiness fails on one daemon after the other, and nothing is placed any more. A stored row of a job whose step names a dependency that does not exist ends the step of the reducer that loads it (index out of bounds); the runtime goes on without that task, so that the daemon neither works nor ends, and the next one that takes the role meets the same row. Submissions are checked for it, rows of another writer were not.

The row is logged as unreadable now, and the other jobs run.

--- a/src/core/workload/placer/storage/load.rs
+++ b/src/core/workload/placer/storage/load.rs
@@ -212,7 +212,13 @@
                 self.add_ended_job(cx, &row.key, row.version, job);
                 self.apply_kept_progress(cx, &row.key);
             }
-            Ok(job) => self.add_job(cx, &row.key, row.version, job),
+            Ok(job) if job.has_valid_dependencies() => {
+                self.add_job(cx, &row.key, row.version, job);
+            }
+            Ok(_) => cx.log(Decision::RowUnreadable {
+                key: row.key,
+                reason: "a step depends on one that does not precede it".into(),
+            }),
             Err(reason) => cx.log(Decision::RowUnreadable {
                 key: row.key,
                 reason,
--- a/src/core/workload/rows.rs
+++ b/src/core/workload/rows.rs
@@ -342,6 +342,14 @@
     }
 }
 
+impl JobRow {
+    /// Returns whether each step of the job depends on earlier steps only.
+    pub fn has_valid_dependencies(&self) -> bool {
+        let job = self.job.as_ref();
+        job.is_none_or(Submission::has_valid_dependencies)
+    }
+}
+
 /// Encodes a value as JSON.
 pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("rows of this module serialize to JSON")
--- a/src/core/workload/submission.rs
+++ b/src/core/workload/submission.rs
@@ -167,6 +167,13 @@
         Ok(())
     }
 
+    /// Returns whether each step depends on earlier steps only.
+    #[must_use]
+    pub fn has_valid_dependencies(&self) -> bool {
+        let mut steps = self.steps.iter().enumerate();
+        steps.all(|(ix, step)| step.after.iter().all(|&dep| usize::from(dep) < ix))
+    }
+
     /// Returns whether the job has tasks that run until it is cancelled.
     #[must_use]
     pub fn is_long_running(&self) -> bool {
--- a/tests/workload/odd_rows.rs
+++ b/tests/workload/odd_rows.rs
@@ -141,3 +141,30 @@
     }
     assert!(harness.placer().is_some());
 }
+
+/// Guards against a placer that ends, and each that follows it, on the row of a job with a dependency that
+/// does not exist.
+#[test]
+fn work_goes_on_beside_a_job_with_an_odd_dependency() {
+    let mut harness = Harness::new(4, 4);
+    let steps = vec![step(1, 1_500, &[]), step(1, 500, &[0])];
+    assert_eq!(harness.submit(0, SECOND_ID, job(steps)), Reply::Accepted);
+    harness.run_for(100);
+    let rows = harness.table.changes(JOBS, 0);
+    let row = rows.iter().find(|row| &*row.key == SECOND_ID);
+    let row = row.expect("the job's row");
+    let value = row.value.clone().expect("a value");
+    let text = String::from_utf8(value).expect("text");
+    let odd = text.replace(r#""after":[0]"#, r#""after":[9]"#);
+    assert_ne!(odd, text);
+    let txn = Transaction {
+        put: vec![(RowId::new(JOBS, &row.part, SECOND_ID), odd.into_bytes())],
+        ..Transaction::default()
+    };
+    harness.table.commit(&txn);
+    harness.restart_all();
+    harness.run_for(8_000);
+    submit(&mut harness, ID);
+    harness.run_for(4_000);
+    assert_eq!(harness.state(0, ID), Some(JobState::Completed));
+}
