Test that lasting tasks run again when their VM or placer is lost

A lasting task runs again within 6 s if its VM drains and up to three stops are lost, and if its VM is silent and loses its row; and within 14 s if its VM is lost before, with or after the placer. Each in a cell in which nothing else happens, so that no other event causes a placement round.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -22,6 +22,7 @@
 mod isolation;
 mod jobs;
 mod lasting_crashes;
+mod lasting_runs;
 mod late_answers;
 mod late_parts;
 mod late_submissions;
