Test that lasting jobs outlive the crashes in rows of the former version

A row of the commit before may have three crashes of a lasting task, or many more. The job goes on, starts once, and starts again after a further crash.

--- a/tests/workload/adjacent_versions.rs
+++ b/tests/workload/adjacent_versions.rs
@@ -5,6 +5,7 @@
 use ragwortstall::core::workload::effect::JobState;
 use ragwortstall::core::workload::effect::Reply;
 use ragwortstall::core::workload::event::Action;
+use ragwortstall::core::workload::submission::Step;
 use ragwortstall::core::workload::table::CommitOutcome;
 use ragwortstall::core::workload::table::JOBS;
 use ragwortstall::core::workload::table::PROGRESS;
@@ -324,8 +325,13 @@
 /// Returns a stopped cell with a job whose only task, by the rows of the former version, may have
 /// crashed three VMs, and has crashed as many others as said.
 fn cell_after_former_version(crashed: Vec<u64>) -> Harness {
+    cell_with_former_crashes(step(1, 60_000, &[]), crashed)
+}
+
+/// Returns such a cell with a task of this step.
+fn cell_with_former_crashes(spec: Step, crashed: Vec<u64>) -> Harness {
     let mut harness = Harness::new(3, 6);
-    let submission = job(vec![step(1, 60_000, &[])]);
+    let submission = job(vec![spec]);
     assert_eq!(harness.submit(0, ID, submission), Reply::Accepted);
     harness.run_for(500);
     kill_all(&mut harness);
@@ -389,3 +395,23 @@
         assert!(harness.starts.len() <= 2, "{:?}", harness.starts);
     }
 }
+
+/// Guards against a lasting job that is given up, or kept off all VMs, for the crashes that the former
+/// version has stored.
+#[test]
+fn a_lasting_job_outlives_crashes_that_the_former_version_has_stored() {
+    for crashed in [vec![1, 2, 3], (1..40).collect()] {
+        let mut spec = step(1, 60_000, &[]);
+        spec.traits.long_running = true;
+        let mut harness = cell_with_former_crashes(spec, crashed);
+        harness.starts.clear();
+        restart(&mut harness);
+        harness.run_for(14_000);
+        assert_eq!(harness.starts.len(), 1);
+        let vm = harness.starts[0].3.clone();
+        harness.crash_vm(&vm);
+        harness.run_for(8_000);
+        assert_eq!(harness.starts.len(), 2);
+        assert_eq!(state(&mut harness), Some(JobState::Running));
+    }
+}
